--- a/src/main/java/ospreyport/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -1,7 +1,7 @@
-package ospreyport; // The interface (types, events, actions) is in Scheduling.java.
+package petrelstand.decision; // The interface (types, events, actions) is in Scheduling.java.
 
 import java.util.*;
-import ospreyport.Scheduling.*;
+import petrelstand.decision.Scheduling.*;
 
 /** Every decision of a host: admission by deadline emulation, departure under a window, the rules' guards. */
 public final class Policy implements Events {
--- a/src/main/java/ospreyport/SlidingSum.java
+++ b/src/main/java/petrelstand/decision/SlidingSum.java
@@ -1,4 +1,4 @@
-package ospreyport;
+package petrelstand.decision;
 
 import java.util.ArrayDeque;
 
--- a/src/main/java/ospreyport/TokenBucket.java
+++ b/src/main/java/petrelstand/decision/TokenBucket.java
@@ -1,4 +1,4 @@
-package ospreyport;
+package petrelstand.decision;
 
 /** A store of units that fills at a rate up to a size. */
 final class TokenBucket {
--- a/src/main/java/ospreyport/benchlink/Codec.java
+++ b/src/main/java/petrelstand/sim/Codec.java
@@ -1,4 +1,4 @@
-package ospreyport.benchlink;
+package petrelstand.sim;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -12,12 +12,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import ospreyport.Scheduling.AttemptEnd;
-import ospreyport.Scheduling.ListKind;
-import ospreyport.Scheduling.NodeEntry;
-import ospreyport.Scheduling.NodeState;
-import ospreyport.Scheduling.Outcome;
-import ospreyport.Scheduling.Request;
+import petrelstand.decision.Scheduling.AttemptEnd;
+import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.NodeEntry;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.decision.Scheduling.Request;
 
 /** Frames and records of the simulator's wire: bytes in, events out; actions in, bytes out. */
 final class Codec {
--- a/src/main/java/ospreyport/benchlink/InstanceLoop.java
+++ b/src/main/java/petrelstand/sim/InstanceLoop.java
@@ -1,4 +1,4 @@
-package ospreyport.benchlink;
+package petrelstand.sim;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,23 +8,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import ospreyport.Policy;
-import ospreyport.Scheduling.Actions;
-import ospreyport.Scheduling.AttemptEnd;
-import ospreyport.Scheduling.Events;
-import ospreyport.Scheduling.ListKind;
-import ospreyport.Scheduling.NodeEntry;
-import ospreyport.Scheduling.Outcome;
-import ospreyport.Scheduling.Request;
+import petrelstand.decision.Policy;
+import petrelstand.decision.Scheduling.Actions;
+import petrelstand.decision.Scheduling.AttemptEnd;
+import petrelstand.decision.Scheduling.Events;
+import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.NodeEntry;
+import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.decision.Scheduling.Request;
 
 /** Plays batches: hands each event to its instance's policy and gathers the actions into one reply a batch. */
-final class InstanceLoop implements Codec.Sink {
+public final class InstanceLoop implements Codec.Sink {
     private final Codec codec = new Codec();
     private final Map<Long, Events> instances = new HashMap<>();
     private double nowMs;
 
     /** Runs until the input ends. */
-    void run(InputStream input, OutputStream output) throws IOException {
+    public void run(InputStream input, OutputStream output) throws IOException {
         for (Codec.Batch batch = codec.read(input); batch != null; batch = codec.read(input)) {
             nowMs = batch.clockMs();
             codec.decode(batch, this);
--- a/src/main/java/ospreyport/benchlink/LinkException.java
+++ b/src/main/java/petrelstand/sim/LinkException.java
@@ -1,7 +1,7 @@
-package ospreyport.benchlink;
+package petrelstand.sim;
 
 /** Input that the link cannot take; the message says what and where. */
-final class LinkException extends RuntimeException {
+public final class LinkException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     LinkException(String message) {
--- a/src/main/java/ospreyport/benchlink/SettingsText.java
+++ b/src/main/java/petrelstand/sim/SettingsText.java
@@ -1,18 +1,18 @@
-package ospreyport.benchlink;
+package petrelstand.sim;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntFunction;
-import ospreyport.Scheduling.Capabilities;
-import ospreyport.Scheduling.DedupGroup;
-import ospreyport.Scheduling.Discovery;
-import ospreyport.Scheduling.Effect;
-import ospreyport.Scheduling.Plan;
-import ospreyport.Scheduling.RequestClass;
-import ospreyport.Scheduling.Rules;
-import ospreyport.Scheduling.Settings;
+import petrelstand.decision.Scheduling.Capabilities;
+import petrelstand.decision.Scheduling.DedupGroup;
+import petrelstand.decision.Scheduling.Discovery;
+import petrelstand.decision.Scheduling.Effect;
+import petrelstand.decision.Scheduling.Plan;
+import petrelstand.decision.Scheduling.RequestClass;
+import petrelstand.decision.Scheduling.Rules;
+import petrelstand.decision.Scheduling.Settings;
 
 /** Reads the settings text of an instance's start, one path=value pair a line. */
 final class SettingsText {
--- a/src/test/java/ospreyport/AdmissionTest.java
+++ b/src/test/java/petrelstand/decision/AdmissionTest.java
@@ -1,18 +1,18 @@
-package ospreyport;
+package petrelstand.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static ospreyport.Host.Site.UNSAFE;
-import static ospreyport.Host.node;
+import static petrelstand.decision.Host.Site.UNSAFE;
+import static petrelstand.decision.Host.node;
 
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import ospreyport.Host.Ask;
-import ospreyport.Host.Site;
-import ospreyport.Scheduling.Outcome;
+import petrelstand.decision.Host.Ask;
+import petrelstand.decision.Host.Site;
+import petrelstand.decision.Scheduling.Outcome;
 
 /** The design's mechanism: emulation, admission, departure, window, measured rate; and the health defences. */
 class AdmissionTest {
--- a/src/test/java/ospreyport/Host.java
+++ b/src/test/java/petrelstand/decision/Host.java
@@ -1,4 +1,4 @@
-package ospreyport;
+package petrelstand.decision;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,21 +7,21 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import ospreyport.Scheduling.Actions;
-import ospreyport.Scheduling.AttemptEnd;
-import ospreyport.Scheduling.Capabilities;
-import ospreyport.Scheduling.DedupGroup;
-import ospreyport.Scheduling.Discovery;
-import ospreyport.Scheduling.Effect;
-import ospreyport.Scheduling.ListKind;
-import ospreyport.Scheduling.NodeEntry;
-import ospreyport.Scheduling.NodeState;
-import ospreyport.Scheduling.Outcome;
-import ospreyport.Scheduling.Plan;
-import ospreyport.Scheduling.Request;
-import ospreyport.Scheduling.RequestClass;
-import ospreyport.Scheduling.Rules;
-import ospreyport.Scheduling.Settings;
+import petrelstand.decision.Scheduling.Actions;
+import petrelstand.decision.Scheduling.AttemptEnd;
+import petrelstand.decision.Scheduling.Capabilities;
+import petrelstand.decision.Scheduling.DedupGroup;
+import petrelstand.decision.Scheduling.Discovery;
+import petrelstand.decision.Scheduling.Effect;
+import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.NodeEntry;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.decision.Scheduling.Plan;
+import petrelstand.decision.Scheduling.Request;
+import petrelstand.decision.Scheduling.RequestClass;
+import petrelstand.decision.Scheduling.Rules;
+import petrelstand.decision.Scheduling.Settings;
 
 /** A host for tests: it runs timers, writes down actions, and lets a test play the nodes by hand. */
 final class Host implements Actions {
--- a/src/test/java/ospreyport/RulesTest.java
+++ b/src/test/java/petrelstand/decision/RulesTest.java
@@ -1,23 +1,23 @@
-package ospreyport;
+package petrelstand.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static ospreyport.Host.Site.KEYED;
-import static ospreyport.Host.Site.UNSAFE;
-import static ospreyport.Host.node;
+import static petrelstand.decision.Host.Site.KEYED;
+import static petrelstand.decision.Host.Site.UNSAFE;
+import static petrelstand.decision.Host.node;
 
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import ospreyport.Host.Ask;
-import ospreyport.Host.Site;
-import ospreyport.Scheduling.DedupGroup;
-import ospreyport.Scheduling.Discovery;
-import ospreyport.Scheduling.ListKind;
-import ospreyport.Scheduling.NodeState;
-import ospreyport.Scheduling.Outcome;
+import petrelstand.decision.Host.Ask;
+import petrelstand.decision.Host.Site;
+import petrelstand.decision.Scheduling.DedupGroup;
+import petrelstand.decision.Scheduling.Discovery;
+import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Outcome;
 
 /** One part a rule, from both sides of its edge. */
 class RulesTest {
--- a/src/test/java/ospreyport/SizeTest.java
+++ b/src/test/java/petrelstand/decision/SizeTest.java
@@ -1,10 +1,10 @@
-package ospreyport;
+package petrelstand.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static ospreyport.Host.node;
+import static petrelstand.decision.Host.node;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,12 +13,12 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import ospreyport.Host.Ask;
-import ospreyport.Host.Site;
-import ospreyport.Scheduling.Discovery;
-import ospreyport.Scheduling.ListKind;
-import ospreyport.Scheduling.NodeState;
-import ospreyport.Scheduling.Outcome;
+import petrelstand.decision.Host.Ask;
+import petrelstand.decision.Host.Site;
+import petrelstand.decision.Scheduling.Discovery;
+import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Outcome;
 
 /** Many hosts at few nodes: what must hold for the sum, and what one host among many makes of thin evidence. */
 class SizeTest {
--- a/src/test/java/ospreyport/SlidingSumTest.java
+++ b/src/test/java/petrelstand/decision/SlidingSumTest.java
@@ -1,4 +1,4 @@
-package ospreyport;
+package petrelstand.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/ospreyport/benchlink/LinkTest.java
+++ b/src/test/java/petrelstand/sim/LinkTest.java
@@ -1,4 +1,4 @@
-package ospreyport.benchlink;
+package petrelstand.sim;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -13,8 +13,8 @@
 import java.nio.file.Path;
 import java.util.HexFormat;
 import org.junit.jupiter.api.Test;
-import ospreyport.Scheduling.Effect;
-import ospreyport.Scheduling.Settings;
+import petrelstand.decision.Scheduling.Effect;
+import petrelstand.decision.Scheduling.Settings;
 
 /** The wire's frames and settings, well formed and not. */
 class LinkTest {
@@ -139,7 +139,7 @@
     @Test
     void theCommandEndsOnMalformedInputWithOneLineOnStandardError() throws IOException, InterruptedException {
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                Path.of("target", "classes").toString(), "ospreyport.benchlink.Main", "benchlink").start();
+                Path.of("target", "classes").toString(), "petrelstand.Main", "wirehost").start();
         process.getOutputStream().write(batch(0, 0));
         process.getOutputStream().write(batch(0, 1, hex("63 00000004")));
         process.getOutputStream().close();
@@ -147,7 +147,7 @@
         String error = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(1, process.waitFor());
         assertArrayEquals(hex("00000004"), output);
-        assertEquals("ospreyport: record 0 at byte 16: unknown code 99", error.strip());
+        assertEquals("petrelstand: record 0 at byte 16: unknown code 99", error.strip());
     }
 
     @Test
