--- /dev/null
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -0,0 +1,142 @@
+package petrelstand.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import petrelstand.decision.Scheduling.Settings;
+
+/** What a gateway is told at its start: its addresses, its limits, its last node list and the settings. */
+public record GatewayConfig(String name, String listen, String discovery, long seed, int sockets, Settings settings,
+        NodeList known) {
+
+    /** Reads the file that the environment names; whatever is wrong is one IllegalArgumentException. */
+    public static GatewayConfig load(Map<String, String> env) {
+        String file = env.get("RELAY_CONFIG");
+        if (file == null || file.isBlank()) {
+            throw new IllegalArgumentException("RELAY_CONFIG is not set");
+        }
+        try {
+            return parse(Files.readString(Path.of(file)), env);
+        } catch (IOException e) {
+            throw new IllegalArgumentException(file + " cannot be read: " + e.getClass().getSimpleName());
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(file + ": " + e.getMessage());
+        }
+    }
+
+    static GatewayConfig parse(String text, Map<String, String> env) {
+        JsonObject json = object(text);
+        JsonObject limits = json.has("limits") && json.get("limits").isJsonObject()
+                ? json.getAsJsonObject("limits") : new JsonObject();
+        if (!json.has("settings") || !json.get("settings").isJsonObject()) {
+            throw new IllegalArgumentException("settings is missing");
+        }
+        Map<String, String> values = new HashMap<>();
+        flatten("", json.get("settings"), values);
+        Settings settings;
+        try {
+            settings = SettingsReader.of(values);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("settings: " + e.getMessage());
+        }
+        NodeList known = json.has("known") && json.get("known").isJsonObject()
+                ? NodeList.of(json.getAsJsonObject("known"), settings.zones()) : NodeList.empty();
+        return new GatewayConfig(word(json, "name", env.get("RELAY_NAME")),
+                address("listen", word(json, "listen", env.get("RELAY_LISTEN"))),
+                address("discovery", word(json, "discovery", env.get("RELAY_DISCOVERY"))),
+                seed(word(json, "seed", "0")), whole(limits, "sockets", 1024), settings, known);
+    }
+
+    static JsonObject object(String text) {
+        try {
+            JsonElement element = JsonParser.parseString(text);
+            if (!element.isJsonObject()) {
+                throw new IllegalArgumentException("the text is not a JSON object");
+            }
+            return element.getAsJsonObject();
+        } catch (JsonParseException e) {
+            String[] lines = String.valueOf(e.getMessage()).split("\n");
+            throw new IllegalArgumentException("the text is not JSON: " + lines[0]);
+        }
+    }
+
+    private static String word(JsonObject json, String key, String otherwise) {
+        JsonElement element = json.get(key);
+        if (element == null || element.isJsonNull()) {
+            if (otherwise == null) {
+                throw new IllegalArgumentException(key + " is missing");
+            }
+            return otherwise;
+        }
+        if (!element.isJsonPrimitive()) {
+            throw new IllegalArgumentException(key + " is not a text");
+        }
+        return element.getAsString();
+    }
+
+    private static int whole(JsonObject json, String key, int otherwise) {
+        try {
+            return json.has(key) ? (int) Double.parseDouble(word(json, key, null)) : otherwise;
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(key + " is not a number");
+        }
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            return text.hashCode();
+        }
+    }
+
+    /** A host and port; the host is an IP address, since there is no name service. */
+    static String address(String key, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= 0xffff && text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+                return text;
+            }
+        } catch (NumberFormatException e) {
+            // The message below says it.
+        }
+        throw new IllegalArgumentException(key + " is not an address with a port: '" + text + "'");
+    }
+
+    /** Nested JSON as the simulator's text writes it: lists of objects by number, plain lists joined by commas. */
+    static void flatten(String path, JsonElement element, Map<String, String> values) {
+        if (element.isJsonObject()) {
+            String at = path.isEmpty() ? "" : path + ".";
+            element.getAsJsonObject().entrySet().forEach(e -> flatten(at + e.getKey(), e.getValue(), values));
+        } else if (element.isJsonArray()) {
+            flattenList(path, element.getAsJsonArray(), values);
+        } else if (element.isJsonPrimitive()) {
+            values.put(path, element.getAsString());
+        }
+    }
+
+    private static void flattenList(String path, JsonArray list, Map<String, String> values) {
+        List<String> plain = new ArrayList<>();
+        for (int i = 0; i < list.size(); i++) {
+            if (list.get(i).isJsonPrimitive()) {
+                plain.add(list.get(i).getAsString().replaceAll("[ ,]", "_"));
+            } else {
+                flatten(path + "." + i, list.get(i), values);
+            }
+        }
+        values.put(path + ".count", Integer.toString(list.size()));
+        if (plain.size() == list.size()) {
+            values.put(path, String.join(",", plain));
+        }
+    }
+}
--- a/src/main/java/petrelstand/sim/SettingsText.java
+++ b/src/main/java/petrelstand/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package petrelstand.sim;
+package petrelstand.config;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,26 +14,38 @@
 import petrelstand.decision.Scheduling.Rules;
 import petrelstand.decision.Scheduling.Settings;
 
-/** Reads the settings text of an instance's start, one path=value pair a line. */
-final class SettingsText {
+/**
+ * Reads the settings of an instance, given as path=value pairs: the simulator's text has one a line, the gateway's
+ * JSON is flattened to the same paths. An unreadable value is an IllegalArgumentException that names its path.
+ */
+public final class SettingsReader {
     /** Stands for a figure that the text does not state. */
     private static final double NOT_STATED = -1;
+    /** Times of connections where the settings state none, ms. */
+    private static final double CONNECT_MS = 250;
+    private static final double IDLE_MS = 15_000;
 
-    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, String> values;
 
-    private SettingsText(String text) {
+    private SettingsReader(Map<String, String> values) {
+        this.values = values;
+    }
+
+    public static Settings ofText(String text) {
+        Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             int split = line.indexOf('=');
             if (split > 0) {
                 values.put(line.substring(0, split).strip(), line.substring(split + 1).strip());
             } else if (!line.isBlank()) {
-                throw new LinkException("settings: no '=' in line '" + line.strip() + "'");
+                throw new IllegalArgumentException("no '=' in line '" + line.strip() + "'");
             }
         }
+        return of(values);
     }
 
-    static Settings parse(String text) {
-        return new SettingsText(text).settings();
+    public static Settings of(Map<String, String> values) {
+        return new SettingsReader(values).settings();
     }
 
     private Settings settings() {
@@ -41,7 +53,7 @@
                 items("classes", this::requestClass), items("plans", this::plan), discovery(), capabilities(),
                 rules(), number("extra.cold_bears", 0), number("extra.unit_mean", 1),
                 number("extra.units_top", 1), number("extra.share_worth", 0), number("extra.beyond_share", 0),
-                number("extra.use_period_ms", 0), flag("extra.tells_elsewhere"), names("report.names"));
+                number("extra.use_period_ms", 0), flag("extra.tells_elsewhere"), names("report.names"), names("failure_domains"));
     }
 
     private RequestClass requestClass(int i) {
@@ -67,7 +79,8 @@
     private Capabilities capabilities() {
         return new Capabilities(whole("caps.most_tries"), flag("caps.cancel"), flag("caps.probes"),
                 flag("caps.peer_messages"), flag("caps.may_duplicate"), flag("caps.retry_after"),
-                number("caps.max_retry_after_ms", 0));
+                number("caps.max_retry_after_ms", 0),
+                number("caps.connect_timeout_ms", CONNECT_MS), number("caps.idle_close_ms", IDLE_MS));
     }
 
     private Rules rules() {
@@ -129,7 +142,7 @@
     private int whole(String path) {
         double value = number(path);
         if (value != Math.rint(value)) {
-            throw new LinkException("settings: " + path + " is not a whole number: '" + values.get(path) + "'");
+            throw new IllegalArgumentException(path + " is not a whole number: '" + values.get(path) + "'");
         }
         return (int) value;
     }
@@ -147,19 +160,19 @@
         try {
             return Double.parseDouble(text);
         } catch (NumberFormatException e) {
-            throw new LinkException("settings: " + path + " is not a number: '" + text + "'");
+            throw new IllegalArgumentException(path + " is not a number: '" + text + "'");
         }
     }
 
     private String needed(String path) {
         String value = values.get(path);
         if (value == null || value.isEmpty()) {
-            throw new LinkException("settings: " + path + " is missing");
+            throw new IllegalArgumentException(path + " is missing");
         }
         return value;
     }
 
-    private LinkException unknown(String path) {
-        return new LinkException("settings: " + path + " has an unknown value: '" + values.get(path) + "'");
+    private IllegalArgumentException unknown(String path) {
+        return new IllegalArgumentException(path + " has an unknown value: '" + values.get(path) + "'");
     }
 }
--- /dev/null
+++ b/src/main/java/petrelstand/core/Attempt.java
@@ -0,0 +1,96 @@
+package petrelstand.core;
+
+import java.util.Map;
+import petrelstand.decision.Scheduling.Outcome;
+
+/** One attempt of an exchange at a node. */
+public final class Attempt {
+    private final Broker broker;
+    private final Exchange exchange;
+    private final Node node;
+    private final int number;
+    private final long sentUs;
+    private final long untilUs;
+    private Timers.Timer timeout;
+    private boolean ended;
+    private Outcome outcome;
+    /** What the server side keeps with the attempt. */
+    private Object handle;
+
+    Attempt(Broker broker, Exchange exchange, Node node, int number, long sentUs, long untilUs) {
+        this.broker = broker;
+        this.exchange = exchange;
+        this.node = node;
+        this.number = number;
+        this.sentUs = sentUs;
+        this.untilUs = untilUs;
+    }
+
+    public Exchange exchange() {
+        return exchange;
+    }
+
+    public Node node() {
+        return node;
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public long sentUs() {
+        return sentUs;
+    }
+
+    /** When this gateway stops waiting for it. */
+    public long untilUs() {
+        return untilUs;
+    }
+
+    public boolean isEnded() {
+        return ended;
+    }
+
+    /** How it ended; null while it is out. */
+    public Outcome outcome() {
+        return outcome;
+    }
+
+    public Object handle() {
+        return handle;
+    }
+
+    public void handle(Object kept) {
+        handle = kept;
+    }
+
+    void timeout(Timers.Timer timer) {
+        timeout = timer;
+    }
+
+    /** The server side tells the end; what comes after the first end is dropped. */
+    public void ended(Outcome how, Object answer, Map<String, Double> load) {
+        if (markEnded(how)) {
+            broker.ended(this, answer, load);
+        }
+    }
+
+    /** The answer has begun to reach the client, or the client's bytes the node: no other attempt can follow. */
+    public void began() {
+        if (!ended && !exchange.begun()) {
+            broker.began(this);
+        }
+    }
+
+    boolean markEnded(Outcome how) {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        outcome = how;
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -0,0 +1,347 @@
+package petrelstand.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import petrelstand.decision.Policy;
+import petrelstand.decision.Scheduling.Actions;
+import petrelstand.decision.Scheduling.AttemptEnd;
+import petrelstand.decision.Scheduling.Events;
+import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.NodeEntry;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.decision.Scheduling.Request;
+import petrelstand.decision.Scheduling.RequestClass;
+import petrelstand.decision.Scheduling.Settings;
+
+/**
+ * Carries requests between a client side and a server side as the decision module says. It owns the exchanges, the
+ * timers set for the module and the counters; it decides nothing that the module can decide.
+ */
+public final class Broker {
+    private final Settings settings;
+    private final LongSupplier clock;
+    private final Timers timers;
+    private final ServerSide server;
+    private final Counters counters;
+    private final Consumer<String> log;
+    private final Events module;
+    private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final Map<Long, Node> nodes = new HashMap<>();
+    /** Events that came while the module was at work: it is never entered twice. */
+    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+    private boolean busy;
+    private long nextId = 1;
+
+    /** Makes the decision module for a host: settings and actions. */
+    public interface ModuleMaker {
+        Events make(double nowMs, Settings settings, Actions actions);
+    }
+
+    public Broker(Settings settings, long seed, LongSupplier clock, Timers timers, ServerSide server,
+            Counters counters, Consumer<String> log) {
+        this(settings, (now, s, actions) -> new Policy(now, s, seed, actions), clock, timers, server, counters, log);
+    }
+
+    Broker(Settings settings, ModuleMaker maker, LongSupplier clock, Timers timers, ServerSide server,
+            Counters counters, Consumer<String> log) {
+        this.settings = settings;
+        this.clock = clock;
+        this.timers = timers;
+        this.server = server;
+        this.counters = counters;
+        this.log = log;
+        this.module = maker.make(ms(clock.getAsLong()), settings, new ModuleActions());
+    }
+
+    // The one border between the core's microseconds and the module's milliseconds.
+
+    static double ms(long us) {
+        return us / 1000.0;
+    }
+
+    /** Rounded up, so that a timer never rings before the module's time. */
+    static long us(double ms) {
+        return (long) Math.ceil(ms * 1000);
+    }
+
+    public Settings settings() {
+        return settings;
+    }
+
+    /** The time of this turn of the loop. */
+    public long nowUs() {
+        return clock.getAsLong();
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** Requests without their final answer. */
+    public int open() {
+        return (int) exchanges.values().stream().filter(exchange -> !exchange.over()).count();
+    }
+
+    // ---- What comes in ----
+
+    /**
+     * Takes a request; the client side gets one final answer, possibly before this returns, but not before it was
+     * given the exchange.
+     */
+    public Exchange take(Demand demand, Object message, ClientSide client, Consumer<Exchange> taken) {
+        long now = clock.getAsLong();
+        Exchange exchange = new Exchange(nextId++, demand, message, client, now);
+        RequestClass kind = settings.classes().get(demand.requestClass());
+        counters.add("taken." + kind.name());
+        exchanges.put(exchange.id(), exchange);
+        taken.accept(exchange);
+        exchange.guard(timers.at(exchange.deadlineUs(), () -> overdue(exchange)));
+        Request request = new Request(exchange.id(), demand.requestClass(), demand.plan(), demand.key(),
+                ms(demand.leftUs()), demand.volume(), demand.units(), demand.shard(), demand.setSize(),
+                demand.repeat(), demand.write());
+        event(() -> module.request(ms(now), request), exchange);
+        return exchange;
+    }
+
+    /** Guards against a request that the module forgot: its client must hear of the end at its deadline. */
+    private void overdue(Exchange exchange) {
+        if (exchange.finish()) {
+            counters.add("answered.overdue");
+            log.accept("core: request " + exchange.id() + " had no final answer at its deadline; failed");
+            exchange.client().failed(exchange.last());
+            tellGone(exchange);
+        }
+    }
+
+    /** The client left: nothing more is owed. */
+    public void clientGone(Exchange exchange) {
+        if (exchange.finish()) {
+            counters.add("client_gone");
+            tellGone(exchange);
+        }
+    }
+
+    private void tellGone(Exchange exchange) {
+        event(() -> module.clientGone(ms(clock.getAsLong()), exchange.id()), exchange);
+        if (exchange.begun()) {
+            exchange.attempts().forEach(attempt -> stop(attempt, Outcome.CANCELLED));
+        }
+        forgetIfDone(exchange);
+    }
+
+    /** The node list, or changes to it. */
+    public void nodes(ListKind kind, Collection<Node> listed) {
+        List<NodeEntry> entries = new ArrayList<>();
+        for (Node node : listed) {
+            Node before = nodes.put(node.number(), node);
+            boolean moved = before != null && (!before.address().equals(node.address())
+                    || before.entry().upSinceMs() != node.entry().upSinceMs());
+            if (moved) {
+                server.forget(before);
+            }
+            if (node.gone()) {
+                server.forget(node);
+            }
+            if (before == null || before.entry().state() != node.entry().state() || moved) {
+                log.accept("node " + node.name() + ": " + node.entry().state().name().toLowerCase(Locale.ROOT)
+                        + (moved ? ", restarted or moved" : "") + ", " + node.address());
+            }
+            entries.add(node.entry());
+        }
+        if (kind != ListKind.CHANGES && kind != ListKind.FAILED) {
+            dropUnlisted(entries);
+        }
+        event(() -> module.nodes(ms(clock.getAsLong()), kind, entries), null);
+    }
+
+    private void dropUnlisted(List<NodeEntry> entries) {
+        List<Long> listed = entries.stream().map(NodeEntry::node).toList();
+        for (Node node : List.copyOf(nodes.values())) {
+            if (!listed.contains(node.number()) && !node.gone()) {
+                NodeEntry e = node.entry();
+                nodes.put(node.number(), new Node(node.name(), node.address(), new NodeEntry(e.node(), e.zone(),
+                        e.shard(), NodeState.GONE, e.rating(), e.upSinceMs())));
+                server.forget(node);
+                log.accept("node " + node.name() + ": no longer listed");
+            }
+        }
+    }
+
+    // ---- Attempts ----
+
+    void began(Attempt attempt) {
+        Exchange exchange = attempt.exchange();
+        exchange.begin();
+        event(() -> module.streamStarted(ms(clock.getAsLong()), exchange.id(), attempt.number()), exchange);
+    }
+
+    void ended(Attempt attempt, Object answer, Map<String, Double> load) {
+        Exchange exchange = attempt.exchange();
+        Outcome outcome = attempt.outcome();
+        counters.add("outcome." + outcome.name().toLowerCase(Locale.ROOT));
+        if (outcome == Outcome.SERVED) {
+            if (exchange.finish()) {
+                counters.add("answered.served");
+                exchange.client().served(answer);
+            } else {
+                counters.add("served_too_late");
+            }
+        } else if (exchange.begun() && exchange.finish()) {
+            counters.add("answered.cut");
+            exchange.client().failed(attempt);
+        }
+        long now = clock.getAsLong();
+        AttemptEnd end = new AttemptEnd(exchange.id(), attempt.number(), outcome, ms(now - attempt.sentUs()),
+                attempt.node() == null ? 0 : attempt.node().number(), 0, 0, exchange.over(), ordered(load));
+        event(() -> module.attemptEnded(ms(now), end), exchange);
+    }
+
+    private List<Double> ordered(Map<String, Double> load) {
+        return load == null || load.isEmpty() ? List.of()
+                : settings.loadNames().stream().map(name -> load.getOrDefault(name, -1.0)).toList();
+    }
+
+    private void stop(Attempt attempt, Outcome how) {
+        if (attempt.markEnded(how)) {
+            server.abandon(attempt);
+            ended(attempt, null, null);
+        }
+    }
+
+    // ---- Entering the module ----
+
+    /**
+     * Hands the module one event at a time, in order. An exception in it must not take the gateway down: the
+     * request that it was about fails, and the rest goes on.
+     */
+    private void event(Runnable event, Exchange about) {
+        waiting.add(() -> {
+            try {
+                event.run();
+            } catch (RuntimeException e) {
+                counters.add("module_faults");
+                StackTraceElement[] trace = e.getStackTrace();
+                log.accept("core: fault in the decision module: " + e
+                        + (trace.length == 0 ? "" : " at " + trace[0]));
+                if (about != null && about.finish()) {
+                    counters.add("answered.failed");
+                    about.client().failed(about.last());
+                }
+            }
+            if (about != null) {
+                forgetIfDone(about);
+            }
+        });
+        if (!busy) {
+            busy = true;
+            try {
+                for (Runnable next = waiting.poll(); next != null; next = waiting.poll()) {
+                    next.run();
+                }
+            } finally {
+                busy = false;
+            }
+        }
+    }
+
+    private void forgetIfDone(Exchange exchange) {
+        if (exchange.over() && !exchange.outstanding()) {
+            exchanges.remove(exchange.id());
+        }
+    }
+
+    /** Carries out what the module asks. */
+    private final class ModuleActions implements Actions {
+        @Override
+        public void send(long request, long node, double timeoutMs) {
+            Exchange exchange = exchanges.get(request);
+            if (exchange == null) {
+                log.accept("core: the module sent request " + request + ", which is not open");
+                return;
+            }
+            long now = clock.getAsLong();
+            long until = timeoutMs == 0 ? exchange.deadlineUs()
+                    : Math.min(exchange.deadlineUs(), now + us(timeoutMs));
+            Node to = nodes.get(node);
+            Attempt attempt = new Attempt(Broker.this, exchange, to, exchange.attempts().size(), now, until);
+            boolean alone = settings.may().secondCopies() || !exchange.outstanding();
+            exchange.attempts().add(attempt);
+            boolean holds = to != null && (exchange.demand().shard() < 0
+                    || to.entry().shard() == exchange.demand().shard());
+            if (exchange.over() || exchange.begun() || now >= until || !holds || !alone
+                    || attempt.number() >= settings.may().maxAttempts()) {
+                attempt.ended(Outcome.NOT_SENT, null, null);
+                return;
+            }
+            counters.add("sent");
+            if (attempt.number() > 0) {
+                counters.add("sent.again");
+            }
+            attempt.timeout(timers.at(until, () -> stop(attempt, Outcome.TIMED_OUT)));
+            server.start(attempt);
+        }
+
+        @Override
+        public void refuse(long request, double retryAfterMs) {
+            Exchange exchange = exchanges.get(request);
+            if (exchange != null && exchange.finish()) {
+                counters.add("answered.refused");
+                exchange.client().refused(us(Math.max(0, retryAfterMs)));
+            }
+        }
+
+        @Override
+        public void fail(long request) {
+            Exchange exchange = exchanges.get(request);
+            if (exchange != null && exchange.finish()) {
+                counters.add("answered.failed");
+                exchange.client().failed(exchange.last());
+            }
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+            Exchange exchange = exchanges.get(request);
+            if (exchange != null && attempt >= 0 && attempt < exchange.attempts().size()) {
+                stop(exchange.attempts().get(attempt), Outcome.CANCELLED);
+            }
+        }
+
+        @Override
+        public void probe(long node) {
+            Node to = nodes.get(node);
+            if (to != null && settings.may().probes()) {
+                long sent = clock.getAsLong();
+                counters.add("probes");
+                server.probe(to, us(settings.may().connectTimeoutMs()), (outcome, load) -> event(() -> {
+                    long now = clock.getAsLong();
+                    module.probed(ms(now), node, ms(now - sent), outcome, ordered(load));
+                }, null));
+            }
+        }
+
+        @Override
+        public void timer(double atMs, long token) {
+            timers.at(us(atMs), () -> event(() -> module.timer(ms(clock.getAsLong()), token),
+                    exchanges.get(token)));
+        }
+
+        @Override
+        public void follow() {
+            // The watch loop follows the list from the start.
+        }
+
+        @Override
+        public void tell(int recipient, byte[] message) {
+            counters.add("tell_dropped");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/core/ClientSide.java
@@ -0,0 +1,13 @@
+package petrelstand.core;
+
+/** The front's half of an exchange: it is told the one final answer. */
+public interface ClientSide {
+    /** Served; the answer is whatever the server side of the same wire made of the node's. */
+    void served(Object answer);
+
+    /** Refused: trying again is harmless, after a while (0: no advice). */
+    void refused(long retryAfterUs);
+
+    /** Failed: nothing is promised about the request's effect. */
+    void failed(Attempt last);
+}
--- /dev/null
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -0,0 +1,87 @@
+package petrelstand.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One request from its taking to its one final answer. The client side and the server side meet only here: the
+ * message that the client sent, in its own wire's form, and the client side that gets the answer.
+ */
+public final class Exchange {
+    private final long id;
+    private final Demand demand;
+    private final Object message;
+    private final ClientSide client;
+    private final long takenUs;
+    private final List<Attempt> attempts = new ArrayList<>(1);
+    private boolean over;
+    private boolean begun;
+    private Timers.Timer guard;
+
+    Exchange(long id, Demand demand, Object message, ClientSide client, long takenUs) {
+        this.id = id;
+        this.demand = demand;
+        this.message = message;
+        this.client = client;
+        this.takenUs = takenUs;
+    }
+
+    public long id() {
+        return id;
+    }
+
+    public Demand demand() {
+        return demand;
+    }
+
+    public Object message() {
+        return message;
+    }
+
+    public ClientSide client() {
+        return client;
+    }
+
+    public long deadlineUs() {
+        return takenUs + demand.leftUs();
+    }
+
+    /** True once the final answer was given, or the client left. */
+    public boolean over() {
+        return over;
+    }
+
+    public boolean begun() {
+        return begun;
+    }
+
+    List<Attempt> attempts() {
+        return attempts;
+    }
+
+    Attempt last() {
+        return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
+    }
+
+    boolean outstanding() {
+        return attempts.stream().anyMatch(attempt -> !attempt.isEnded());
+    }
+
+    void begin() {
+        begun = true;
+    }
+
+    void guard(Timers.Timer timer) {
+        guard = timer;
+    }
+
+    /** Takes the right to give the final answer; only the first caller gets it. */
+    boolean finish() {
+        boolean first = !over;
+        over = true;
+        if (guard != null) {
+            guard.cancel();
+        }
+        return first;
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/core/Node.java
@@ -0,0 +1,31 @@
+package petrelstand.core;
+
+import petrelstand.decision.Scheduling.NodeEntry;
+import petrelstand.decision.Scheduling.NodeState;
+
+/** A storage node as listed, with the address at which this gateway reaches it. */
+public record Node(String name, String address, NodeEntry entry) {
+    public long number() {
+        return entry.node();
+    }
+
+    public boolean gone() {
+        return entry.state() == NodeState.GONE;
+    }
+
+    /**
+     * The number by which the decision module knows a node. The module's turns at a cold node count on one number
+     * for a node at all gateways, so it is made of the name alone: the hex digits of an "s-" name, else a hash.
+     */
+    public static long numberOf(String name) {
+        String digits = name.startsWith("s-") ? name.substring(2) : "";
+        if (!digits.isEmpty() && digits.length() <= 8 && digits.chars().allMatch(c -> Character.digit(c, 16) >= 0)) {
+            return Long.parseLong(digits, 16);
+        }
+        long hash = 0x811c9dc5L;
+        for (int i = 0; i < name.length(); i++) {
+            hash = ((hash ^ name.charAt(i)) * 0x01000193L) & 0xffffffffL;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/core/Timers.java
@@ -0,0 +1,61 @@
+package petrelstand.core;
+
+import java.util.PriorityQueue;
+
+/** Timers on the loop's clock, in microseconds; those due at one time run in the order they were set. */
+public final class Timers {
+    /** A timer as set; cancelling it twice, or after it ran, does nothing. */
+    public static final class Timer implements Comparable<Timer> {
+        private final long atUs;
+        private final long order;
+        private Runnable action;
+
+        private Timer(long atUs, long order, Runnable action) {
+            this.atUs = atUs;
+            this.order = order;
+            this.action = action;
+        }
+
+        public boolean cancel() {
+            boolean waiting = action != null;
+            action = null;
+            return waiting;
+        }
+
+        @Override
+        public int compareTo(Timer other) {
+            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Timer> queue = new PriorityQueue<>();
+    private long order;
+
+    public Timer at(long atUs, Runnable action) {
+        Timer timer = new Timer(atUs, order++, action);
+        queue.add(timer);
+        return timer;
+    }
+
+    /** When the next timer is due; Long.MAX_VALUE where none is set. */
+    public long nextUs() {
+        while (!queue.isEmpty() && queue.peek().action == null) {
+            queue.poll();
+        }
+        return queue.isEmpty() ? Long.MAX_VALUE : queue.peek().atUs;
+    }
+
+    /**
+     * Runs what is due. A timer set meanwhile waits for the next call even where it is due already: guards
+     * against a turn of the loop that never ends because each timer sets one for now.
+     */
+    public void run(long nowUs) {
+        long limit = order;
+        while (nextUs() <= nowUs && queue.peek().order < limit) {
+            Timer timer = queue.poll();
+            Runnable action = timer.action;
+            timer.action = null;
+            action.run();
+        }
+    }
+}
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -64,9 +64,10 @@
         }
     }
 
-    /** What the site allows. */
+    /** What the site allows, and the times of its connections. */
     public record Capabilities(int maxAttempts, boolean cancel, boolean probes, boolean peerMessages,
-            boolean secondCopies, boolean retryAfter, double maxRetryAfterMs) {}
+            boolean secondCopies, boolean retryAfter, double maxRetryAfterMs, double connectTimeoutMs,
+            double idleCloseMs) {}
 
     /** The figures of the rules; a negative figure is one the site does not state. */
     public record Rules(double answerGraceMs, double drainGraceMs, double askWithinMs, double coldShare,
@@ -77,7 +78,7 @@
     public record Settings(int hosts, int index, int zone, double tickMs, List<RequestClass> classes,
             List<Plan> plans, Discovery discovery, Capabilities may, Rules rules, double coldUnits,
             double meanUnits, double mostUnits, double shareWorth, double spareWorth, double meterMs,
-            boolean tellsOthers, List<String> loadNames) {
+            boolean tellsOthers, List<String> loadNames, List<String> zones) {
         public Settings {
             present("settings", "classes", classes);
             present("settings", "plans", plans);
@@ -85,6 +86,7 @@
             classes = List.copyOf(classes);
             plans = List.copyOf(plans);
             loadNames = List.copyOf(loadNames);
+            zones = List.copyOf(zones);
             present("settings", "discovery", discovery);
             present("settings", "capabilities", may);
             present("settings", "rules", rules);
--- /dev/null
+++ b/src/main/java/petrelstand/discovery/Watch.java
@@ -0,0 +1,173 @@
+package petrelstand.discovery;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import petrelstand.config.NodeList;
+import petrelstand.core.Counters;
+import petrelstand.core.Timers;
+import petrelstand.http.Call;
+import petrelstand.http.NodePool;
+import petrelstand.http.UpstreamConnection;
+import petrelstand.http.Wire;
+import petrelstand.net.Addresses;
+import petrelstand.net.EventLoop;
+
+/**
+ * Follows the node list: one call after another, each waiting at the agent for something newer. The next call goes
+ * out at once after an answer, and a call that got none is given up for a new one.
+ */
+public final class Watch {
+    /** How long a call waits at the agent. Short, so that a call lost with a silent agent is soon made anew. */
+    static final long WAIT_MS = 2_000;
+    /** What an answer may take beyond that. */
+    static final long SLACK_US = 1_000_000;
+    /** Rest before a new call after one that failed: under the 200 ms within which a watch goes on. */
+    static final long REST_US = 100_000;
+    private static final int MOST_LIST = 1 << 20;
+
+    private final NodePool.Dialer dialer;
+    private final LongSupplier clock;
+    private final Timers timers;
+    private final String address;
+    private final String host;
+    private final List<String> zones;
+    private final Consumer<NodeList> heard;
+    private final Counters counters;
+    private final Consumer<String> log;
+    private long version;
+    private int failures;
+    private UpstreamConnection connection;
+    private Round round;
+
+    public Watch(NodePool.Dialer dialer, LongSupplier clock, Timers timers, String address, String host,
+            List<String> zones, long version, Consumer<NodeList> heard, Counters counters, Consumer<String> log) {
+        this.dialer = dialer;
+        this.clock = clock;
+        this.timers = timers;
+        this.address = address;
+        this.host = host;
+        this.zones = zones;
+        this.version = version;
+        this.heard = heard;
+        this.counters = counters;
+        this.log = log;
+    }
+
+    public void start() {
+        next();
+    }
+
+    private void next() {
+        round = new Round();
+        round.timeout = timers.at(clock.getAsLong() + WAIT_MS * 1000 + SLACK_US, round::late);
+        if (connection != null) {
+            connection.send(round);
+            return;
+        }
+        try {
+            dialer.connect(Addresses.parse(address), round);
+        } catch (IOException | RuntimeException e) {
+            round.failed("no connection");
+        }
+    }
+
+    /** One call, and the connection it had to open. */
+    private final class Round implements Call, EventLoop.Connector {
+        private Timers.Timer timeout;
+        private boolean over;
+
+        private boolean finish() {
+            boolean first = !over;
+            over = true;
+            timeout.cancel();
+            return first;
+        }
+
+        @Override
+        public Connection connected(EndPoint endPoint) {
+            return new UpstreamConnection(endPoint, MOST_LIST, (c, free) -> {
+                if (!free && connection == c) {
+                    connection = null;
+                }
+            }) {
+                @Override
+                public void onOpen() {
+                    super.onOpen();
+                    if (over) {
+                        drop();
+                    } else {
+                        connection = this;
+                        send(Round.this);
+                    }
+                }
+            };
+        }
+
+        @Override
+        public void connectFailed(Throwable cause) {
+            failed("no connection");
+        }
+
+        @Override
+        public ByteBuffer[] bytes() {
+            String target = "/v1/endpoints" + (version > 0 ? "?index=" + version + "&wait=" + WAIT_MS : "");
+            return new ByteBuffer[] {Wire.request("GET", target, HttpFields.build().put(HttpHeader.HOST, host), 0)};
+        }
+
+        @Override
+        public void answered(int status, HttpFields fields, ByteBuffer body) {
+            if (status != 200) {
+                failed("answer " + status);
+                return;
+            }
+            if (!finish()) {
+                return;
+            }
+            try {
+                NodeList list = NodeList.parse(StandardCharsets.UTF_8.decode(body).toString(), zones);
+                counters.add("discovery.answers");
+                if (failures > 0) {
+                    log.accept("discovery: answers again");
+                }
+                failures = 0;
+                version = list.version();
+                heard.accept(list);
+                next();
+            } catch (IllegalArgumentException e) {
+                over = false;
+                failed(e.getMessage());
+            }
+        }
+
+        @Override
+        public void broke(boolean written) {
+            failed("the connection broke");
+        }
+
+        private void late() {
+            UpstreamConnection silent = connection;
+            if (silent != null) {
+                silent.drop();
+            }
+            failed("no answer");
+        }
+
+        private void failed(String why) {
+            if (finish()) {
+                counters.add("discovery.failures");
+                if (failures++ == 0) {
+                    log.accept("discovery: " + why + "; asking again");
+                }
+                timers.at(clock.getAsLong() + REST_US, Watch.this::next);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -0,0 +1,364 @@
+package petrelstand.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import petrelstand.core.Attempt;
+import petrelstand.core.Counters;
+import petrelstand.core.Node;
+import petrelstand.core.ServerSide;
+import petrelstand.core.Timers;
+import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.decision.Scheduling.Settings;
+import petrelstand.net.Addresses;
+import petrelstand.net.EventLoop;
+
+/** The side that faces the storage nodes: attempts over a bounded pool of connections, one attempt on each. */
+public final class NodePool implements ServerSide {
+    /** How a connection out is started; the event loop's way but in tests. */
+    public interface Dialer {
+        SocketChannel connect(InetSocketAddress address, EventLoop.Connector connector) throws IOException;
+    }
+
+    /** Part of the idle limit up to which a connection is used again: the node's clock and the way take the rest. */
+    private static final double REUSE_PART = 0.8;
+    private static final int KEPT_ANSWER = Wire.MOST_BODY;
+
+    private final Dialer dialer;
+    private final LongSupplier clock;
+    private final Timers timers;
+    private final Counters counters;
+    private final String host;
+    private final long connectUs;
+    private final long reuseUs;
+    private final int mostOpen;
+    private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
+    private int open;
+    private boolean sweeping;
+
+    public NodePool(Dialer dialer, LongSupplier clock, Timers timers, Counters counters, Settings settings,
+            String host, int mostOpen) {
+        this.dialer = dialer;
+        this.clock = clock;
+        this.timers = timers;
+        this.counters = counters;
+        this.host = host;
+        this.mostOpen = mostOpen;
+        this.connectUs = (long) (settings.may().connectTimeoutMs() * 1000);
+        this.reuseUs = (long) (settings.may().idleCloseMs() * 1000 * REUSE_PART);
+    }
+
+    /** Connections open or coming up. */
+    public int open() {
+        return open;
+    }
+
+    @Override
+    public void start(Attempt attempt) {
+        Sending sending = new Sending(attempt);
+        attempt.handle(sending);
+        begin(attempt.node(), sending);
+    }
+
+    @Override
+    public void abandon(Attempt attempt) {
+        if (attempt.handle() instanceof Sending sending) {
+            sending.drop();
+        }
+    }
+
+    @Override
+    public void probe(Node node, long timeoutUs, ProbeResult result) {
+        Probe probe = new Probe(result);
+        probe.timeout = timers.at(clock.getAsLong() + timeoutUs, () -> {
+            probe.drop();
+            probe.end(Outcome.TIMED_OUT, Map.of());
+        });
+        begin(node, probe);
+    }
+
+    @Override
+    public void forget(Node node) {
+        ArrayDeque<UpstreamConnection> kept = idle.remove(node.address());
+        if (kept != null) {
+            List.copyOf(kept).forEach(UpstreamConnection::drop);
+        }
+    }
+
+    /** Puts a call on a connection kept for the node, or on a new one. */
+    private void begin(Node node, Leg leg) {
+        leg.address = node.address();
+        ArrayDeque<UpstreamConnection> kept = idle.get(node.address());
+        long now = clock.getAsLong();
+        while (kept != null && !kept.isEmpty()) {
+            UpstreamConnection connection = kept.pollLast();
+            if (now - connection.idleSinceUs() <= reuseUs && connection.state() == UpstreamConnection.State.IDLE) {
+                leg.on(connection);
+                return;
+            }
+            connection.drop();
+        }
+        if (open >= mostOpen && !dropOldestIdle()) {
+            counters.add("connections.none_left");
+            leg.notConnected();
+            return;
+        }
+        dial(leg);
+    }
+
+    private boolean dropOldestIdle() {
+        UpstreamConnection oldest = null;
+        for (ArrayDeque<UpstreamConnection> kept : idle.values()) {
+            UpstreamConnection first = kept.peekFirst();
+            if (first != null && (oldest == null || first.idleSinceUs() < oldest.idleSinceUs())) {
+                oldest = first;
+            }
+        }
+        if (oldest != null) {
+            oldest.drop();
+        }
+        return oldest != null;
+    }
+
+    private void dial(Leg leg) {
+        counters.add("connections.nodes");
+        open++;
+        Dial dial = new Dial(leg);
+        leg.dial = dial;
+        dial.timeout = timers.at(clock.getAsLong() + connectUs, () -> dial.fail());
+        try {
+            dial.channel = dialer.connect(Addresses.parse(leg.address), dial);
+        } catch (IOException | RuntimeException e) {
+            dial.fail();
+        }
+    }
+
+    /** A connection that is coming up. */
+    private final class Dial implements EventLoop.Connector {
+        private final Leg leg;
+        private Timers.Timer timeout;
+        private SocketChannel channel;
+        private boolean done;
+
+        Dial(Leg leg) {
+            this.leg = leg;
+        }
+
+        @Override
+        public Connection connected(EndPoint endPoint) {
+            UpstreamConnection connection = new UpstreamConnection(endPoint, KEPT_ANSWER, NodePool.this::changed) {
+                @Override
+                public void onOpen() {
+                    super.onOpen();
+                    up(this);
+                }
+            };
+            return connection;
+        }
+
+        private void up(UpstreamConnection connection) {
+            if (done) {
+                connection.drop();
+                return;
+            }
+            done = true;
+            timeout.cancel();
+            addresses.put(connection, leg.address);
+            leg.dial = null;
+            leg.on(connection);
+        }
+
+        @Override
+        public void connectFailed(Throwable cause) {
+            fail();
+        }
+
+        void fail() {
+            if (stop()) {
+                leg.notConnected();
+            }
+        }
+
+        /** Gives the connection up without a word to its leg. */
+        boolean stop() {
+            if (done) {
+                return false;
+            }
+            done = true;
+            open--;
+            if (timeout != null) {
+                timeout.cancel();
+            }
+            if (channel != null) {
+                try {
+                    channel.close();
+                } catch (IOException e) {
+                    // Nothing more can be done for it.
+                }
+            }
+            return true;
+        }
+    }
+
+    private final Map<UpstreamConnection, String> addresses = new HashMap<>();
+
+    private void changed(UpstreamConnection connection, boolean free) {
+        String address = addresses.get(connection);
+        if (free) {
+            connection.idleSince(clock.getAsLong());
+            idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addLast(connection);
+            sweepLater();
+        } else if (addresses.remove(connection) != null) {
+            open--;
+            ArrayDeque<UpstreamConnection> kept = idle.get(address);
+            if (kept != null && kept.remove(connection) && kept.isEmpty()) {
+                idle.remove(address);
+            }
+        }
+    }
+
+    /** Closes connections before their idle limit, so that no request meets the node's close. */
+    private void sweepLater() {
+        if (!sweeping) {
+            sweeping = true;
+            timers.at(clock.getAsLong() + 1_000_000, this::sweep);
+        }
+    }
+
+    private void sweep() {
+        sweeping = false;
+        long now = clock.getAsLong();
+        for (ArrayDeque<UpstreamConnection> kept : List.copyOf(idle.values())) {
+            while (!kept.isEmpty() && now - kept.peekFirst().idleSinceUs() > reuseUs) {
+                kept.peekFirst().drop();
+            }
+        }
+        if (!idle.isEmpty()) {
+            sweepLater();
+        }
+    }
+
+    /** A call on its way: waiting for its connection, or on it. */
+    private abstract class Leg implements Call {
+        private String address;
+        private Dial dial;
+        private UpstreamConnection connection;
+
+        void on(UpstreamConnection free) {
+            connection = free;
+            free.send(this);
+        }
+
+        abstract void notConnected();
+
+        void drop() {
+            if (dial != null) {
+                dial.stop();
+            } else if (connection != null) {
+                connection.drop();
+            }
+        }
+    }
+
+    private final class Sending extends Leg {
+        private final Attempt attempt;
+
+        Sending(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public ByteBuffer[] bytes() {
+            Message.Ask ask = (Message.Ask) attempt.exchange().message();
+            HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.HOST, host).put(Wire.TXN, ask.txn());
+            if (ask.effectKey() != null) {
+                fields.put(Wire.EFFECT_KEY, ask.effectKey());
+            }
+            if (ask.type() != null) {
+                fields.put(HttpHeader.CONTENT_TYPE, ask.type());
+            }
+            long leftMs = Math.max(0, (attempt.untilUs() - clock.getAsLong()) / 1000);
+            fields.put(Wire.REMAINING, Long.toString(leftMs));
+            return new ByteBuffer[] {Wire.request(ask.method(), ask.target(), fields, ask.body().length),
+                    ByteBuffer.wrap(ask.body())};
+        }
+
+        @Override
+        public void answered(int status, HttpFields fields, ByteBuffer body) {
+            Map<String, Double> load = Wire.load(fields.get(Wire.PRESSURE));
+            Outcome outcome = outcome(status, fields);
+            Object answer = outcome == Outcome.SERVED
+                    ? new Message.Answer(fields.get(HttpHeader.CONTENT_TYPE), body) : null;
+            attempt.ended(outcome, answer, load);
+        }
+
+        @Override
+        public void broke(boolean written) {
+            attempt.ended(written ? Outcome.RESET : Outcome.NOT_CONNECTED, null, null);
+        }
+
+        @Override
+        void notConnected() {
+            attempt.ended(Outcome.NOT_CONNECTED, null, null);
+        }
+    }
+
+    /** The protocol's table: a node proves that it ran nothing only by the header that says so. */
+    static Outcome outcome(int status, HttpFields fields) {
+        if (status == 200) {
+            return Outcome.SERVED;
+        }
+        boolean turnedAway = (status == 503 || status == 504) && "1".equals(fields.get(Wire.TURNED_AWAY));
+        return turnedAway ? Outcome.REJECTED : Outcome.ERROR;
+    }
+
+    private final class Probe extends Leg {
+        private final ProbeResult result;
+        private Timers.Timer timeout;
+        private boolean over;
+
+        Probe(ProbeResult result) {
+            this.result = result;
+        }
+
+        private void end(Outcome outcome, Map<String, Double> load) {
+            if (!over) {
+                over = true;
+                timeout.cancel();
+                result.ended(outcome, load);
+            }
+        }
+
+        @Override
+        public ByteBuffer[] bytes() {
+            return new ByteBuffer[] {Wire.request("GET", "/status/load",
+                    HttpFields.build().put(HttpHeader.HOST, host), 0)};
+        }
+
+        @Override
+        public void answered(int status, HttpFields fields, ByteBuffer body) {
+            String text = java.nio.charset.StandardCharsets.US_ASCII.decode(body).toString();
+            end(status == 200 ? Outcome.SERVED : Outcome.REJECTED, Wire.load(text));
+        }
+
+        @Override
+        public void broke(boolean written) {
+            end(written ? Outcome.RESET : Outcome.NOT_CONNECTED, Map.of());
+        }
+
+        @Override
+        void notConnected() {
+            end(Outcome.NOT_CONNECTED, Map.of());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -0,0 +1,211 @@
+package petrelstand.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.component.AbstractLifeCycle;
+import org.eclipse.jetty.util.thread.Scheduler;
+import petrelstand.core.Timers;
+
+/**
+ * The one event loop: Jetty's selector, with the timers run between its selects and every task that Jetty would hand
+ * to a pool run on the same thread. The clock is read once a turn.
+ */
+public final class EventLoop extends SelectorManager {
+    /** Someone who wants a connection out, and hears if it does not come up. */
+    public interface Connector {
+        Connection connected(EndPoint endPoint);
+
+        void connectFailed(Throwable cause);
+    }
+
+    private final Clock clock;
+    private final Timers timers;
+    private final LoopExecutor executor;
+    private final Map<Integer, Function<EndPoint, Connection>> fronts = new HashMap<>();
+
+    public EventLoop(Clock clock, Timers timers) {
+        this(clock, timers, new LoopExecutor());
+    }
+
+    private EventLoop(Clock clock, Timers timers, LoopExecutor executor) {
+        super(executor, new LoopScheduler(clock, timers), 1);
+        this.clock = clock;
+        this.timers = timers;
+        this.executor = executor;
+        setConnectTimeout(0);
+    }
+
+    /** Runs a task on the loop's thread, from any thread. */
+    public void execute(Runnable task) {
+        executor.execute(task);
+        executor.wake();
+    }
+
+    /** Waits until the loop has ended. */
+    public void join() throws InterruptedException {
+        executor.thread.join();
+    }
+
+    /** Listens; each accepted connection is made by the front. */
+    public AutoCloseable listen(InetSocketAddress address, Function<EndPoint, Connection> front) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
+        server.configureBlocking(false);
+        try {
+            server.bind(address, 1024);
+        } catch (IOException e) {
+            server.close();
+            throw e;
+        }
+        fronts.put(server.socket().getLocalPort(), front);
+        acceptor(server);
+        return server;
+    }
+
+    /** Starts a connection out; the connector hears of it in a later turn. */
+    public SocketChannel connect(InetSocketAddress address, Connector connector) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.socket().setTcpNoDelay(true);
+            if (channel.connect(address)) {
+                accept(channel, connector);
+            } else {
+                connect(channel, connector);
+            }
+            return channel;
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    @Override
+    protected void accepted(SelectableChannel channel) throws IOException {
+        SocketChannel socket = (SocketChannel) channel;
+        int port = socket.socket().getLocalPort();
+        socket.configureBlocking(false);
+        socket.socket().setTcpNoDelay(true);
+        accept(socket, fronts.get(port));
+    }
+
+    @Override
+    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+
+    @Override
+    public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
+        if (attachment instanceof Connector connector) {
+            return connector.connected(endPoint);
+        }
+        @SuppressWarnings("unchecked")
+        Function<EndPoint, Connection> front = (Function<EndPoint, Connection>) attachment;
+        return front.apply(endPoint);
+    }
+
+    @Override
+    protected void connectionFailed(SelectableChannel channel, Throwable cause, Object attachment) {
+        if (attachment instanceof Connector connector) {
+            connector.connectFailed(cause);
+        }
+    }
+
+    @Override
+    protected ManagedSelector newSelector(int id) {
+        return new Turns(id);
+    }
+
+    private final class Turns extends ManagedSelector {
+        Turns(int id) {
+            super(EventLoop.this, id);
+        }
+
+        @Override
+        protected int nioSelect(Selector selector, boolean now) throws IOException {
+            if (now) {
+                return selector.selectNow();
+            }
+            executor.selector = selector;
+            timers.run(clock.nowUs());
+            executor.runAll();
+            long waitUs = timers.nextUs() - clock.readUs();
+            int selected = waitUs <= 0 || !executor.isEmpty() ? selector.selectNow()
+                    : selector.select(waitUs > 60_000_000 ? 60_000 : (waitUs + 999) / 1000);
+            clock.turn();
+            timers.run(clock.nowUs());
+            executor.runAll();
+            return selected;
+        }
+    }
+
+    /** The first task is the selector's own and gets the thread; what comes later waits for a turn on it. */
+    private static final class LoopExecutor implements Executor {
+        private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+        private volatile Thread thread;
+        private volatile Selector selector;
+
+        @Override
+        public void execute(Runnable task) {
+            if (thread == null) {
+                thread = new Thread(task, "loop");
+                thread.start();
+            } else {
+                tasks.add(task);
+                wake();
+            }
+        }
+
+        void wake() {
+            Selector open = selector;
+            if (open != null && Thread.currentThread() != thread) {
+                open.wakeup();
+            }
+        }
+
+        boolean isEmpty() {
+            return tasks.isEmpty();
+        }
+
+        void runAll() {
+            ArrayDeque<Runnable> due = new ArrayDeque<>();
+            for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+                due.add(task);
+            }
+            due.forEach(Runnable::run);
+        }
+    }
+
+    /** Jetty's own timeouts, on the loop's timers. */
+    private static final class LoopScheduler extends AbstractLifeCycle implements Scheduler {
+        private final Clock clock;
+        private final Timers timers;
+
+        LoopScheduler(Clock clock, Timers timers) {
+            this.clock = clock;
+            this.timers = timers;
+        }
+
+        @Override
+        public Task schedule(Runnable task, long delay, TimeUnit units) {
+            return timers.at(clock.nowUs() + units.toMicros(delay), task)::cancel;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/net/LoopConnection.java
@@ -0,0 +1,39 @@
+package petrelstand.net;
+
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+
+/** A connection whose callbacks all run on the loop's thread: Jetty takes them to be non-blocking. */
+public abstract class LoopConnection extends AbstractConnection {
+    private final Callback fillable = nonBlocking(this::onFillable, this::onFillInterestedFailed);
+
+    protected LoopConnection(EndPoint endPoint) {
+        super(endPoint, Runnable::run);
+    }
+
+    @Override
+    public void fillInterested() {
+        getEndPoint().fillInterested(fillable);
+    }
+
+    /** A callback that the loop runs itself. */
+    protected static Callback nonBlocking(Runnable succeeded, java.util.function.Consumer<Throwable> failed) {
+        return new Callback() {
+            @Override
+            public void succeeded() {
+                succeeded.run();
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                failed.accept(cause);
+            }
+
+            @Override
+            public InvocationType getInvocationType() {
+                return InvocationType.NON_BLOCKING;
+            }
+        };
+    }
+}
--- a/src/main/java/petrelstand/sim/InstanceLoop.java
+++ b/src/main/java/petrelstand/sim/InstanceLoop.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import petrelstand.config.SettingsReader;
 import petrelstand.decision.Policy;
 import petrelstand.decision.Scheduling.Actions;
 import petrelstand.decision.Scheduling.AttemptEnd;
@@ -35,7 +36,7 @@
     @Override
     public void started(long instance, long seed, String settings) {
         try {
-            instances.put(instance, new Policy(nowMs, SettingsText.parse(settings), seed, new WireActions(instance)));
+            instances.put(instance, new Policy(nowMs, SettingsReader.ofText(settings), seed, new WireActions(instance)));
         } catch (IllegalArgumentException e) {
             throw new LinkException("settings: " + e.getMessage());
         }
--- a/src/test/java/petrelstand/decision/Host.java
+++ b/src/test/java/petrelstand/decision/Host.java
@@ -228,9 +228,9 @@
         Settings settings() {
             return new Settings(hosts, index, 0, 2, List.of(kind("safe", Effect.REPEATABLE), kind("unsafe", Effect.UNSAFE),
                     kind("keyed", Effect.KEYED)), List.of(new Plan("plan", 4, reserve, 1, 1, limit, 32, 8)), discovery,
-                    new Capabilities(maxAttempts, true, true, false, true, true, 1000),
+                    new Capabilities(maxAttempts, true, true, false, true, true, 1000, 250, 15_000),
                     new Rules(8, 250, 10_000, 0.2, 10_000, 2000, 2, 300, freeFurther, furtherShare, 5000),
-                    20, 2, 8, 0.3, 0.05, 0, false, loadNames);
+                    20, 2, 8, 0.3, 0.05, 0, false, loadNames, List.of("z"));
         }
 
         private RequestClass kind(String name, Effect effect) {
--- a/src/test/java/petrelstand/sim/LinkTest.java
+++ b/src/test/java/petrelstand/sim/LinkTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.HexFormat;
 import org.junit.jupiter.api.Test;
+import petrelstand.config.SettingsReader;
 import petrelstand.decision.Scheduling.Effect;
 import petrelstand.decision.Scheduling.Settings;
 
@@ -108,7 +109,7 @@
 
     @Test
     void settingsAreReadAndUnknownKeysIgnored() {
-        Settings settings = SettingsText.parse(SETTINGS);
+        Settings settings = SettingsReader.ofText(SETTINGS);
         assertEquals(2, settings.hosts());
         assertEquals(Effect.UNSAFE, settings.classes().get(0).effect());
         assertEquals(300, settings.classes().get(0).aimMs());
