--- a/src/main/java/petrelstand/discovery/Watch.java
+++ b/src/main/java/petrelstand/discovery/Watch.java
@@ -75,7 +75,7 @@
         try {
             dialer.connect(Addresses.parse(address), round);
         } catch (IOException | RuntimeException e) {
-            round.failed("no connection");
+            round.failed("no connection, " + e);
         }
     }
 
@@ -113,7 +113,7 @@
 
         @Override
         public void connectFailed(Throwable cause) {
-            failed("no connection");
+            failed("no connection, " + cause);
         }
 
         @Override
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -180,6 +180,7 @@
 
         @Override
         public void connectFailed(Throwable cause) {
+            counters.add("connections.failed." + cause.getClass().getSimpleName());
             fail();
         }
 
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -36,6 +36,12 @@
         void connectFailed(Throwable cause);
     }
 
+    /**
+     * Jetty's own bound on a connection that does not come up; callers with a shorter one close the channel. Not 0:
+     * Jetty then fails every connection that does come up, on the timer that it did not set.
+     */
+    private static final long CONNECT_MS = 3_000;
+
     private final Clock clock;
     private final Timers timers;
     private final LoopExecutor executor;
@@ -50,7 +56,7 @@
         this.clock = clock;
         this.timers = timers;
         this.executor = executor;
-        setConnectTimeout(0);
+        setConnectTimeout(CONNECT_MS);
     }
 
     /** Runs a task on the loop's thread, from any thread. */
