Watch the node list from version 0 on instead of polling it without rest

Stacks showed the loop in select or in Watch.next; the first five answers came within 40 ms, all whole lists of version 0. At fault: Watch.bytes took version 0 for 'no list' and asked without an index, which is no watch. Ruled out: timers (idle loop 0.1 s of CPU). NodeList.empty is -1 now.

--- a/src/main/java/petrelstand/config/NodeList.java
+++ b/src/main/java/petrelstand/config/NodeList.java
@@ -10,8 +10,9 @@
 
 /** A node list, or changes to one, in discovery's form. */
 public record NodeList(long version, boolean full, List<Node> nodes) {
+    /** No list at all; a version of 0 is one that discovery may hold. */
     public static NodeList empty() {
-        return new NodeList(0, true, List.of());
+        return new NodeList(-1, true, List.of());
     }
 
     public static NodeList parse(String text, List<String> zones) {
--- a/src/main/java/petrelstand/discovery/Watch.java
+++ b/src/main/java/petrelstand/discovery/Watch.java
@@ -118,7 +118,7 @@
 
         @Override
         public ByteBuffer[] bytes() {
-            String target = "/v1/endpoints" + (version > 0 ? "?index=" + version + "&wait=" + WAIT_MS : "");
+            String target = "/v1/endpoints" + (version >= 0 ? "?index=" + version + "&wait=" + WAIT_MS : "");
             return new ByteBuffer[] {Wire.request("GET", target, HttpFields.build().put(HttpHeader.HOST, host), 0)};
         }
 
