--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -1,12 +1,20 @@
 package petrelstand;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
 import petrelstand.config.GatewayConfig;
 import petrelstand.config.NodeList;
+import petrelstand.config.RsyncConfig;
 import petrelstand.core.Broker;
 import petrelstand.core.Counters;
+import petrelstand.core.Node;
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.ListKind;
 import petrelstand.discovery.Watch;
@@ -15,6 +23,9 @@
 import petrelstand.net.Addresses;
 import petrelstand.net.Clock;
 import petrelstand.net.EventLoop;
+import petrelstand.rsync.ByWire;
+import petrelstand.rsync.RsyncFront;
+import petrelstand.rsync.RsyncNodes;
 
 /** One real gateway: the parts put together, started, drained and ended. */
 final class Gateway {
@@ -35,84 +46,123 @@
     private final Broker broker;
     private final Front front;
     private final Watch watch;
-    private AutoCloseable listener;
+    private final RsyncConfig rsync;
+    private final RsyncFront rsyncFront;
+    private final Runnable atEnd;
+    private final List<ServerSocketChannel> listeners = new ArrayList<>();
+    private final CompletableFuture<List<Integer>> ports = new CompletableFuture<>();
     private boolean draining;
 
-    Gateway(GatewayConfig config) {
+    /** The rsync front is off where its file is null; the end is told on the loop's thread. */
+    Gateway(GatewayConfig config, RsyncConfig rsync, Runnable atEnd) {
         this.config = config;
+        this.atEnd = atEnd;
+        this.rsync = rsync;
         this.loop = new EventLoop(clock, timers);
         int sockets = Math.max(64, config.sockets() - OTHER_DESCRIPTORS);
         NodePool pool = new NodePool(loop::connect, clock::nowUs, timers, counters, config.settings(),
                 "backend.local", sockets * 2 / 5);
-        this.broker = new Broker(config.settings(), config.seed(), clock::nowUs, timers, pool, counters, log);
+        this.broker = new Broker(config.settings(), config.seed(), clock::nowUs, timers,
+                rsync == null ? pool : new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers,
+                        config.settings().may().connectTimeoutMs())), counters, log);
+        this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
         this.front = new Front(broker, timers, sockets * 3 / 5, log);
         this.watch = new Watch(loop::connect, clock::nowUs, timers, config.discovery(), "backend.local",
                 config.settings().zones(), config.known().version(), this::heard, counters, log);
     }
 
-    /** Starts, and returns when the gateway has ended. */
-    void run() throws Exception {
+    /** Starts; the ports listened on are the platform front's and, where it is on, the rsync front's. */
+    CompletableFuture<List<Integer>> start() throws Exception {
         loop.start();
         loop.execute(this::begin);
-        Thread hook = new Thread(this::terminate, "terminate");
-        Runtime.getRuntime().addShutdownHook(hook);
-        loop.join();
+        return ports;
+    }
+
+    /** Runs a task on the loop's thread. */
+    void execute(Runnable task) {
+        loop.execute(task);
+    }
+
+    Broker broker() {
+        return broker;
+    }
+
+    void stop() throws Exception {
+        loop.stop();
     }
 
     private void begin() {
-        broker.nodes(ListKind.CACHED, config.known().nodes());
+        broker.nodes(ListKind.CACHED, withOperators(config.known().nodes()));
         watch.start();
-        InetSocketAddress address = Addresses.parse(config.listen());
-        try {
-            listener = loop.listen(address, front::accept);
-        } catch (IOException e) {
-            System.err.println("petrelstand: cannot listen on " + config.listen() + ": " + e.getMessage());
-            Runtime.getRuntime().halt(1);
+        listen(config.listen(), front::accept);
+        if (rsync != null) {
+            listen(rsync.listen(), rsyncFront::accept);
+            log.accept("rsync: " + rsync.modules().size() + " modules on " + rsync.listen());
         }
         front.ready();
+        ports.complete(listeners.stream().map(listener -> listener.socket().getLocalPort()).toList());
         log.accept("ready: " + config.name() + " on " + config.listen() + ", " + config.known().nodes().size()
                 + " nodes known");
     }
 
+    private void listen(String address, Function<EndPoint, Connection> to) {
+        try {
+            listeners.add(loop.listen(Addresses.parse(address), to));
+        } catch (IOException | IllegalArgumentException e) {
+            ports.completeExceptionally(new IOException("cannot listen on " + address + ": " + e.getMessage()));
+        }
+    }
+
     private void heard(NodeList list) {
-        if (list.full() || !list.nodes().isEmpty()) {
-            broker.nodes(list.full() ? ListKind.WHOLE : ListKind.CHANGES, list.nodes());
+        if (list.full()) {
+            broker.nodes(ListKind.WHOLE, withOperators(list.nodes()));
+        } else if (!list.nodes().isEmpty()) {
+            broker.nodes(ListKind.CHANGES, list.nodes());
         }
     }
 
-    /** The shutdown hook: asks the loop to drain, and holds the process until it has. */
-    private void terminate() {
-        loop.execute(this::drain);
-        try {
-            loop.join();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    /** Discovery's list and the operator's nodes, which discovery does not know and must not end. */
+    private List<Node> withOperators(List<Node> listed) {
+        List<Node> all = new ArrayList<>(listed);
+        if (rsync != null) {
+            all.addAll(rsync.nodes());
         }
+        return all;
     }
 
-    private void drain() {
+    /** Takes what still comes for a while, answers all that was taken, and ends. On the loop's thread. */
+    void drain() {
         if (draining) {
             return;
         }
         draining = true;
         log.accept("draining: " + broker.open() + " requests open, " + front.connections() + " connections");
         front.drain();
+        if (rsyncFront != null) {
+            rsyncFront.drain();
+        }
         timers.at(clock.nowUs() + LAST_CONNECTIONS_US, this::stopListening);
     }
 
     private void stopListening() {
-        try {
-            listener.close();
-        } catch (Exception e) {
-            log.accept("the listener would not close: " + e.getMessage());
+        for (ServerSocketChannel listener : listeners) {
+            try {
+                listener.close();
+            } catch (IOException e) {
+                log.accept("a listener would not close: " + e.getMessage());
+            }
         }
         front.closeIdle();
+        if (rsyncFront != null) {
+            rsyncFront.closeIdle();
+        }
         awaitEnd(clock.nowUs() + LAST_LINGER_US);
     }
 
     private void awaitEnd(long lingerUntilUs) {
         boolean answered = broker.open() == 0 && front.answering() == 0;
-        if (answered && (front.connections() == 0 || clock.nowUs() >= lingerUntilUs)) {
+        if (answered && (front.connections() + (rsync == null ? 0 : rsyncFront.sessions()) == 0
+                || clock.nowUs() >= lingerUntilUs)) {
             end();
         } else {
             timers.at(clock.nowUs() + END_CHECK_US, () -> awaitEnd(lingerUntilUs));
@@ -121,7 +171,6 @@
 
     private void end() {
         log.accept("ended: " + counters.line());
-        System.out.flush();
-        Runtime.getRuntime().halt(0);
+        atEnd.run();
     }
 }
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -3,7 +3,12 @@
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import petrelstand.config.GatewayConfig;
+import petrelstand.config.RsyncConfig;
 import petrelstand.sim.InstanceLoop;
 import petrelstand.sim.LinkException;
 
@@ -24,7 +29,28 @@
 
     private static void serve() {
         try {
-            new Gateway(GatewayConfig.load(System.getenv())).run();
+            GatewayConfig config = GatewayConfig.load(System.getenv());
+            Path file = Path.of(System.getenv().getOrDefault("PETRELSTAND_RSYNC", "deploy/rsync.json"));
+            boolean rsync = System.getenv("PETRELSTAND_RSYNC") != null || Files.exists(file);
+            CountDownLatch ended = new CountDownLatch(1);
+            Gateway gateway = new Gateway(config, rsync ? RsyncConfig.load(file, config.settings()) : null, () -> {
+                System.out.flush();
+                Runtime.getRuntime().halt(0);
+            });
+            gateway.start().get();
+            // SIGTERM: the hook holds the process until the gateway has answered all and ended it.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                gateway.execute(gateway::drain);
+                try {
+                    ended.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "terminate"));
+            ended.await();
+        } catch (ExecutionException e) {
+            System.err.println("petrelstand: " + e.getCause().getMessage());
+            Runtime.getRuntime().halt(1);
         } catch (IllegalArgumentException e) {
             System.err.println("petrelstand: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/petrelstand/core/Exchange.java
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -63,6 +63,12 @@
         return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
     }
 
+    /** The attempt that is out; null where there is none. */
+    public Attempt out() {
+        Attempt last = last();
+        return last == null || last.isEnded() ? null : last;
+    }
+
     boolean outstanding() {
         return attempts.stream().anyMatch(attempt -> !attempt.isEnded());
     }
--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -242,7 +242,7 @@
         Node best = null;
         double bestFinish = Double.POSITIVE_INFINITY;
         for (Node node : nodes.values()) {
-            boolean holds = item.request.shard() < 0 || node.shard == item.request.shard();
+            boolean holds = Scheduling.holds(node.shard, item.request.shard());
             if (node.state == NodeState.READY && holds && mayGoTo(nowMs, item, node)) {
                 double finish = (emulate(nowMs, node, item, Set.of()).endMs - nowMs + node.latencyMs)
                         * (1 + random.nextDouble());
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -4,8 +4,16 @@
 
 /** The decision module's interface: the types, the events a host reports, and the actions it carries out. */
 public final class Scheduling {
+    /** Shards from here on are private: only a request that names one goes there, a new object never does. */
+    public static final int PRIVATE_SHARDS = 1 << 20;
+
     private Scheduling() {}
 
+    /** Whether a node of a shard may serve a request that names a shard, or none (-1: a new object). */
+    public static boolean holds(int nodeShard, int wanted) {
+        return wanted < 0 ? nodeShard < PRIVATE_SHARDS : nodeShard == wanted;
+    }
+
     /** What a repeated execution of a request of a class would do. */
     public enum Effect { REPEATABLE, KEYED, UNSAFE }
 
--- a/src/main/java/petrelstand/http/DemandReader.java
+++ b/src/main/java/petrelstand/http/DemandReader.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.eclipse.jetty.http.HttpFields;
 import petrelstand.core.Demand;
+import petrelstand.decision.Scheduling;
 import petrelstand.decision.Scheduling.Effect;
 import petrelstand.decision.Scheduling.RequestClass;
 import petrelstand.decision.Scheduling.Settings;
@@ -67,6 +68,9 @@
         double units = number("units", placement.get("units"));
         int shard = whole("shard", placement.get("shard"), -1);
         int hosts = whole("hosts", placement.getOrDefault("hosts", "0"), 0);
+        if (shard >= Scheduling.PRIVATE_SHARDS) {
+            throw new Malformed(400, "there is no shard " + shard);
+        }
         if (!(units > 0 && units <= 1e9)) {
             throw new Malformed(400, "units are not a size");
         }
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -70,8 +70,8 @@
         executor.thread.join();
     }
 
-    /** Listens; each accepted connection is made by the front. */
-    public AutoCloseable listen(InetSocketAddress address, Function<EndPoint, Connection> front) throws IOException {
+    /** Listens; each accepted connection is made by the front. A port of 0 takes a free one. */
+    public ServerSocketChannel listen(InetSocketAddress address, Function<EndPoint, Connection> front) throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         server.configureBlocking(false);
         try {
@@ -103,6 +103,23 @@
         }
     }
 
+    /**
+     * Runs what must not end the loop: Jetty would take an exception here for a broken selector and close it, and
+     * with it every connection.
+     */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            fault(e);
+        }
+    }
+
+    static void fault(RuntimeException e) {
+        StackTraceElement[] trace = e.getStackTrace();
+        System.err.println("petrelstand: loop: fault in a task: " + e + (trace.length == 0 ? "" : " at " + trace[0]));
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
         SocketChannel socket = (SocketChannel) channel;
@@ -150,13 +167,13 @@
                 return selector.selectNow();
             }
             executor.selector = selector;
-            timers.run(clock.nowUs());
+            guarded(() -> timers.run(clock.nowUs()));
             executor.runAll();
             long waitUs = timers.nextUs() - clock.readUs();
             int selected = waitUs <= 0 || !executor.isEmpty() ? selector.selectNow()
                     : selector.select(waitUs > 60_000_000 ? 60_000 : (waitUs + 999) / 1000);
             clock.turn();
-            timers.run(clock.nowUs());
+            guarded(() -> timers.run(clock.nowUs()));
             executor.runAll();
             return selected;
         }
@@ -195,7 +212,7 @@
             for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
                 due.add(task);
             }
-            due.forEach(Runnable::run);
+            due.forEach(EventLoop::guarded);
         }
     }
 
--- a/src/main/java/petrelstand/net/LoopConnection.java
+++ b/src/main/java/petrelstand/net/LoopConnection.java
@@ -6,12 +6,22 @@
 
 /** A connection whose callbacks all run on the loop's thread: Jetty takes them to be non-blocking. */
 public abstract class LoopConnection extends AbstractConnection {
-    private final Callback fillable = nonBlocking(this::onFillable, this::onFillInterestedFailed);
+    private final Callback fillable = nonBlocking(this::guardedFillable, this::onFillInterestedFailed);
 
     protected LoopConnection(EndPoint endPoint) {
         super(endPoint, Runnable::run);
     }
 
+    /** A fault on one connection closes it, so that its client hears of the end and nothing waits for it. */
+    private void guardedFillable() {
+        try {
+            onFillable();
+        } catch (RuntimeException e) {
+            EventLoop.fault(e);
+            close();
+        }
+    }
+
     @Override
     public void fillInterested() {
         getEndPoint().fillInterested(fillable);
--- /dev/null
+++ b/src/main/java/petrelstand/rsync/ByWire.java
@@ -0,0 +1,33 @@
+package petrelstand.rsync;
+
+import petrelstand.core.Attempt;
+import petrelstand.core.Node;
+import petrelstand.core.ServerSide;
+import petrelstand.decision.Scheduling;
+
+/** Sends each attempt to the server side that speaks its node's wire: private shards are rsync nodes. */
+public record ByWire(ServerSide platform, ServerSide rsync) implements ServerSide {
+    private ServerSide of(Node node) {
+        return node.entry().shard() >= Scheduling.PRIVATE_SHARDS ? rsync : platform;
+    }
+
+    @Override
+    public void start(Attempt attempt) {
+        of(attempt.node()).start(attempt);
+    }
+
+    @Override
+    public void abandon(Attempt attempt) {
+        of(attempt.node()).abandon(attempt);
+    }
+
+    @Override
+    public void probe(Node node, long timeoutUs, ProbeResult result) {
+        of(node).probe(node, timeoutUs, result);
+    }
+
+    @Override
+    public void forget(Node node) {
+        of(node).forget(node);
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/rsync/RsyncFront.java
@@ -0,0 +1,80 @@
+package petrelstand.rsync;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import petrelstand.config.RsyncConfig;
+import petrelstand.core.Broker;
+import petrelstand.core.Exchange;
+import petrelstand.core.Timers;
+
+/** The rsync front: its client sessions, and what they share. */
+public final class RsyncFront {
+    private final Broker broker;
+    private final Timers timers;
+    private final RsyncConfig config;
+    private final Consumer<String> log;
+    private final Set<ClientSession> sessions = new LinkedHashSet<>();
+    private boolean draining;
+
+    public RsyncFront(Broker broker, Timers timers, RsyncConfig config, Consumer<String> log) {
+        this.broker = broker;
+        this.timers = timers;
+        this.config = config;
+        this.log = log;
+    }
+
+    public Connection accept(EndPoint endPoint) {
+        boolean full = sessions.size() >= config.mostTransfers();
+        ClientSession session = new ClientSession(endPoint, this, full);
+        sessions.add(session);
+        broker.counters().add("rsync.connections");
+        return session;
+    }
+
+    /** SIGTERM: transfers that were taken go on to their end, no new one is taken. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Ends the sessions that have asked for nothing yet. */
+    public void closeIdle() {
+        List.copyOf(sessions).forEach(ClientSession::endIfIdle);
+    }
+
+    public int sessions() {
+        return sessions.size();
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    Broker broker() {
+        return broker;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    RsyncConfig config() {
+        return config;
+    }
+
+    void log(String line) {
+        log.accept("rsync: " + line);
+    }
+
+    /** The client's arguments go on to the node: from here on the transfer may run. */
+    void began(Exchange exchange) {
+        exchange.out().began();
+    }
+
+    void closed(ClientSession session) {
+        sessions.remove(session);
+    }
+}
--- /dev/null
+++ b/src/test/java/petrelstand/LayersTest.java
@@ -0,0 +1,51 @@
+package petrelstand;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The decisions and the core know no wire, no socket and no clock. */
+class LayersTest {
+    private static final Path ROOT = Path.of("src/main/java/petrelstand");
+    private static final Pattern FORBIDDEN = Pattern.compile("java\\.net|java\\.nio|java\\.io\\.|java\\.time|"
+            + "org\\.eclipse|com\\.google|nanoTime|currentTimeMillis|System\\.(in|out|err)|new Thread|"
+            + "petrelstand\\.(http|net|rsync|config|discovery|sim)\\b");
+
+    private static List<String> found(String layer, Pattern forbidden) throws IOException {
+        List<String> found = new ArrayList<>();
+        try (Stream<Path> files = Files.walk(ROOT.resolve(layer))) {
+            for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                for (String line : Files.readAllLines(file)) {
+                    if (forbidden.matcher(line).find()) {
+                        found.add(file.getFileName() + ": " + line.strip());
+                    }
+                }
+            }
+        }
+        return found;
+    }
+
+    @Test
+    void decisionAndCoreAreFreeOfTheWorld() throws IOException {
+        assertEquals(List.of(), found("decision", FORBIDDEN));
+        assertEquals(List.of(), found("core", FORBIDDEN));
+    }
+
+    @Test
+    void decisionDoesNotKnowTheCore() throws IOException {
+        assertEquals(List.of(), found("decision", Pattern.compile("petrelstand\\.core")));
+    }
+
+    @Test
+    void theScanFindsWhatItIsFor() throws IOException {
+        assertTrue(found("net", FORBIDDEN).size() > 3);
+    }
+}
--- /dev/null
+++ b/src/test/java/petrelstand/core/BrokerTest.java
@@ -0,0 +1,239 @@
+package petrelstand.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import petrelstand.decision.Scheduling;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.testing.Harness;
+
+/** The core against the real decision module, with a server side that the test plays. */
+class BrokerTest {
+    private final Harness world = new Harness();
+    private final List<Attempt> started = new ArrayList<>();
+    private final List<Attempt> abandoned = new ArrayList<>();
+    private final ServerSide server = new ServerSide() {
+        @Override
+        public void start(Attempt attempt) {
+            started.add(attempt);
+        }
+
+        @Override
+        public void abandon(Attempt attempt) {
+            abandoned.add(attempt);
+        }
+
+        @Override
+        public void probe(Node node, long timeoutUs, ProbeResult result) {
+            result.ended(Outcome.SERVED, Map.of());
+        }
+
+        @Override
+        public void forget(Node node) {}
+    };
+    private final Broker broker = world.broker(server);
+
+    private static final class Client implements ClientSide {
+        private final List<String> answers = new ArrayList<>();
+        private final List<Long> retryAfterUs = new ArrayList<>();
+        private Exchange exchange;
+
+        @Override
+        public void served(Object answer) {
+            answers.add("served");
+        }
+
+        @Override
+        public void refused(long retryUs) {
+            answers.add("refused");
+            retryAfterUs.add(retryUs);
+        }
+
+        @Override
+        public void failed(Attempt last) {
+            answers.add("failed");
+        }
+    }
+
+    private Client take(int requestClass, int shard, long leftUs) {
+        Client client = new Client();
+        broker.take(new Demand(requestClass, 0, 5, 9, 2, shard, 1, false, requestClass == 1, leftUs), "ask", client,
+                exchange -> client.exchange = exchange);
+        return client;
+    }
+
+    private void listOne() {
+        world.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
+    }
+
+    @Test
+    void aServedAttemptIsTheAnswer() {
+        listOne();
+        Client client = take(0, 3, 1_500_000);
+        assertEquals(1, started.size());
+        assertEquals(client.exchange.deadlineUs(), started.get(0).untilUs());
+        started.get(0).ended(Outcome.SERVED, "body", null);
+        started.get(0).ended(Outcome.RESET, null, null);
+        world.run(5_000_000);
+        assertEquals(List.of("served"), client.answers);
+        assertEquals(0, broker.open());
+    }
+
+    @Test
+    void withoutANodeTheRefusalComesAtOnceAndSaysWhenToComeBack() {
+        Client client = take(0, 3, 1_500_000);
+        assertEquals(List.of("refused"), client.answers);
+        assertTrue(client.retryAfterUs.get(0) > 0);
+    }
+
+    @Test
+    void aSilentNodeEndsInOneAnswerByTheDeadlineAndItsAttemptIsGivenUp() {
+        listOne();
+        Client client = take(0, 3, 1_500_000);
+        world.run(1_499_999);
+        assertEquals(1, client.answers.size());
+        world.run(1);
+        assertEquals(started, abandoned);
+        assertEquals(Outcome.TIMED_OUT, started.get(0).outcome());
+        assertEquals(1, client.answers.size());
+    }
+
+    @Test
+    void aTurnOfTheLoopThatComesAfterTheDeadlineStillAnswersOnce() {
+        listOne();
+        Client client = take(1, 3, 400_000);
+        world.late(3_000_000);
+        world.run(100_000);
+        assertEquals(1, client.answers.size());
+        assertEquals(Outcome.TIMED_OUT, started.get(0).outcome());
+    }
+
+    @Test
+    void aClientThatLeavesStopsItsAttemptAndIsOwedNothing() {
+        listOne();
+        Client client = take(0, 3, 1_500_000);
+        broker.clientGone(client.exchange);
+        assertEquals(started, abandoned);
+        world.run(5_000_000);
+        assertEquals(List.of(), client.answers);
+    }
+
+    @Test
+    void onceBytesWereRelayedABreakIsTheEnd() {
+        listOne();
+        Client client = take(0, 3, 1_500_000);
+        started.get(0).began();
+        started.get(0).ended(Outcome.RESET, null, null);
+        world.run(2_000_000);
+        assertEquals(1, started.size());
+        assertEquals(List.of("failed"), client.answers);
+    }
+
+    @Test
+    void aTransferThatRunsPastItsDeadlineIsCut() {
+        listOne();
+        Client client = take(2, 3, 5_000_000);
+        started.get(0).began();
+        world.run(4_999_999);
+        assertEquals(List.of(), client.answers);
+        world.run(1);
+        assertEquals(List.of("failed"), client.answers);
+        assertEquals(started, abandoned);
+    }
+
+    @Test
+    void aBreakBeforeTheNodeRanIsTriedAgain() {
+        listOne();
+        take(1, 3, 2_500_000);
+        started.get(0).ended(Outcome.NOT_CONNECTED, null, null);
+        world.run(1_000_000);
+        assertTrue(started.size() > 1);
+        assertEquals(1, started.get(1).number());
+    }
+
+    @Test
+    void aNewObjectNeverGoesToAPrivateShard() {
+        world.list(Harness.node("charts/127.0.0.1:1", Scheduling.PRIVATE_SHARDS, NodeState.READY, 0));
+        Client client = take(1, -1, 2_500_000);
+        assertEquals(List.of(), started);
+        assertEquals(List.of("refused"), client.answers);
+    }
+
+    @Test
+    void aFaultInTheModuleFailsItsRequestOnly() {
+        Client client = new Client();
+        Broker faulty = new Broker(world.settings, (now, settings, actions) -> {
+            actions.timer(now, 1);
+            return (petrelstand.decision.Scheduling.Events) java.lang.reflect.Proxy.newProxyInstance(
+                    getClass().getClassLoader(), new Class<?>[] {petrelstand.decision.Scheduling.Events.class},
+                    (proxy, method, args) -> {
+                        throw new IllegalStateException("broken");
+                    });
+        }, () -> world.nowUs, world.timers, server, world.counters, world.log::add);
+        faulty.take(new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1000), "ask", client, exchange -> {});
+        world.run(10_000);
+        assertEquals(List.of("failed"), client.answers);
+    }
+
+    @Test
+    void theModulesTimesAreRoundedUpSoThatNoTimerIsEarly() {
+        assertEquals(1001, Broker.us(1.0000001));
+        assertEquals(1.5, Broker.ms(1500));
+    }
+
+    @Test
+    void aNodesNumberIsMadeOfItsNameAlone() {
+        assertEquals(0x5be2a07cL, Node.numberOf("s-5be2a07c"));
+        assertEquals(Node.numberOf("rack/7"), Node.numberOf("rack/7"));
+        assertTrue(Node.numberOf("rack/7") != Node.numberOf("rack/8"));
+    }
+
+    /** Whatever happens to attempts and clients, each request ends once, in time, with one attempt out at most. */
+    @Property(tries = 300, seed = "20261201")
+    void eachRequestEndsOnceInTime(@ForAll @Size(max = 40) List<@IntRange(max = 11) Integer> steps) {
+        BrokerTest test = new BrokerTest();
+        test.listOne();
+        List<Client> clients = new ArrayList<>();
+        List<Client> left = new ArrayList<>();
+        for (int step : steps) {
+            Attempt out = test.started.stream().filter(a -> !a.isEnded()).findFirst().orElse(null);
+            switch (step) {
+                case 0, 1, 2 -> clients.add(test.take(step, 3, 100_000 * (step + 1)));
+                case 3 -> test.world.run(30_000);
+                case 4 -> test.world.late(170_000);
+                case 5 -> test.world.list(Harness.node("s-00000001", 3, NodeState.DRAINING, 0));
+                case 6 -> test.listOne();
+                case 7 -> clients.stream().filter(c -> c.answers.isEmpty()).findFirst().ifPresent(c -> {
+                    test.broker.clientGone(c.exchange);
+                    left.add(c);
+                });
+                default -> {
+                    if (out != null) {
+                        out.ended(List.of(Outcome.SERVED, Outcome.ERROR, Outcome.NOT_CONNECTED, Outcome.RESET)
+                                .get(step - 8), null, null);
+                    }
+                }
+            }
+            for (Client client : clients) {
+                long open = test.started.stream().filter(a -> a.exchange() == client.exchange && !a.isEnded()).count();
+                assertTrue(open <= 1);
+                boolean late = test.world.nowUs >= client.exchange.deadlineUs();
+                int owed = left.contains(client) ? 0 : 1;
+                assertTrue(client.answers.size() <= owed);
+                assertTrue(!late || client.answers.size() == owed);
+            }
+        }
+        test.world.run(6_000_000);
+        assertEquals(0, test.broker.open());
+        assertTrue(test.started.stream().allMatch(Attempt::isEnded));
+    }
+}
--- /dev/null
+++ b/src/test/java/petrelstand/testing/Harness.java
@@ -0,0 +1,162 @@
+package petrelstand.testing;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.io.Connection;
+import petrelstand.config.SettingsReader;
+import petrelstand.core.Broker;
+import petrelstand.core.Counters;
+import petrelstand.core.Node;
+import petrelstand.core.ServerSide;
+import petrelstand.core.Timers;
+import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.NodeEntry;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Settings;
+import petrelstand.net.EventLoop;
+
+/** What the tests share: a clock moved by hand, a broker on it, and connections that live in memory. */
+public final class Harness {
+    public static final String SETTINGS = """
+            balancers=1
+            index=0
+            period_ms=2.0
+            discovery=push
+            caps.most_tries=3
+            caps.cancel=true
+            caps.retry_after=true
+            caps.max_retry_after_ms=2000.0
+            caps.connect_timeout_ms=250.0
+            caps.idle_close_ms=15000.0
+            classes.count=3
+            classes.0.name=tile-read
+            classes.0.aim_ms=250.0
+            classes.0.hard_limit_ms=1500.0
+            classes.0.semantics=repeatable
+            classes.0.value=3.0
+            classes.1.name=survey-write
+            classes.1.aim_ms=500.0
+            classes.1.hard_limit_ms=2500.0
+            classes.1.semantics=by_key
+            classes.1.group=cell
+            classes.1.repeat_window_ms=2500.0
+            classes.1.value=3.0
+            classes.2.name=bulk-export
+            classes.2.aim_ms=1500.0
+            classes.2.hard_limit_ms=5000.0
+            classes.2.semantics=repeatable
+            classes.2.value=1.0
+            plans.count=1
+            plans.0.name=basic
+            plans.0.rate=40
+            plans.0.reservation=20
+            plans.0.price=1
+            extra.unit_mean=2.0
+            extra.units_top=8
+            extra.class_writes=false,true,false
+            extra.share_worth=0.3
+            extra.beyond_share=0.05
+            failure_domains=a,b
+            report.names=util
+            report.via=probe
+            rules.grace_to_answer_ms=8.0
+            rules.drain_grace_ms=500.0
+            """;
+    public static final String ADDRESS = "127.0.0.1:9001";
+
+    public final Settings settings = SettingsReader.ofText(SETTINGS);
+    public final Timers timers = new Timers();
+    public final Counters counters = new Counters();
+    public final List<String> log = new ArrayList<>();
+    public final List<Dialed> dialed = new ArrayList<>();
+    public long nowUs = 1_000_000_000L;
+    public Broker broker;
+
+    /** A connection out that the test lets come up or fail. */
+    public record Dialed(InetSocketAddress address, EventLoop.Connector connector) {}
+
+    /** Moves the clock and runs the timers on the way, each at its time. */
+    public void run(long us) {
+        long until = nowUs + us;
+        while (timers.nextUs() <= until) {
+            nowUs = Math.max(nowUs, timers.nextUs());
+            timers.run(nowUs);
+        }
+        nowUs = until;
+    }
+
+    /** A turn of the loop that comes late: the clock jumps, and all that is due runs at once. */
+    public void late(long us) {
+        nowUs += us;
+        timers.run(nowUs);
+    }
+
+    public Broker broker(ServerSide server) {
+        broker = new Broker(settings, 7, () -> nowUs, timers, server, counters, log::add);
+        return broker;
+    }
+
+    public SocketChannel dial(InetSocketAddress address, EventLoop.Connector connector) {
+        dialed.add(new Dialed(address, connector));
+        return null;
+    }
+
+    public static Node node(String name, int shard, NodeState state, double upSinceMs) {
+        return new Node(name, ADDRESS, new NodeEntry(Node.numberOf(name), 0, shard, state, 1, upSinceMs));
+    }
+
+    public void list(Node... nodes) {
+        broker.nodes(ListKind.WHOLE, List.of(nodes));
+    }
+
+    /** Brings the last dialed connection up and gives its end in memory. */
+    public MemoryEnd up() {
+        return open(dialed.remove(dialed.size() - 1).connector()::connected);
+    }
+
+    /** Makes a connection on an end in memory and opens it. */
+    public static MemoryEnd open(java.util.function.Function<org.eclipse.jetty.io.EndPoint, Connection> maker) {
+        MemoryEnd end = new MemoryEnd();
+        Connection connection = maker.apply(end);
+        end.setConnection(connection);
+        end.onOpen();
+        connection.onOpen();
+        return end;
+    }
+
+    /** An end point in memory whose callbacks run at once. */
+    public static final class MemoryEnd extends ByteArrayEndPoint {
+        MemoryEnd() {
+            super((org.eclipse.jetty.util.thread.Scheduler) null, 0);
+            setGrowOutput(true);
+        }
+
+        @Override
+        protected void execute(Runnable task) {
+            task.run();
+        }
+
+        public void put(String text) {
+            put(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        public void put(byte[] bytes) {
+            addInputAndExecute(ByteBuffer.wrap(bytes));
+        }
+
+        public void putEnd() {
+            addInputEOF();
+            getFillInterest().fillable();
+        }
+
+        /** What was written since the last call. */
+        public String taken() {
+            return takeOutputString(StandardCharsets.ISO_8859_1);
+        }
+    }
+}
