--- /dev/null
+++ b/src/test/java/petrelstand/http/FrontTest.java
@@ -0,0 +1,349 @@
+package petrelstand.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.testing.Harness;
+import petrelstand.testing.Harness.MemoryEnd;
+
+/** The platform's front and the pool towards the nodes, on connections in memory. */
+class FrontTest {
+    private final Harness world = new Harness();
+    private final NodePool pool = new NodePool(world::dial, () -> world.nowUs, world.timers, world.counters,
+            world.settings, "backend.local", 40);
+    private final Front front = new Front(world.broker(pool), world.timers, 50, world.log::add);
+    private final MemoryEnd client = Harness.open(front::accept);
+
+    private void listOne() {
+        world.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
+    }
+
+    private static String read(int number, String more) {
+        return "GET /tile-read/00000003b4d60021/7f3a9c21e0b4d655?v=%41&n=" + number + " HTTP/1.1\r\nHost: b\r\nX-Txn: t"
+                + number + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 1400\r\nX-Placement: units=2,shard=3,hosts=1\r\n"
+                + more + "\r\n";
+    }
+
+    private static String write(String body) {
+        return "PUT /survey-write/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: w1\r\n"
+                + "Idempotency-Key: k-77\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 2000\r\n"
+                + "X-Placement: units=2,shard=-1,hosts=1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Statuses of the answers in what a client got. */
+    private static List<String> statuses(String taken) {
+        List<String> statuses = new ArrayList<>();
+        for (String part : taken.split("HTTP/1.1 ")) {
+            if (!part.isEmpty()) {
+                statuses.add(part.substring(0, 3));
+            }
+        }
+        return statuses;
+    }
+
+    @Test
+    void aRequestPassesUnchangedAndSoDoesTheAnswersBody() {
+        listOne();
+        client.put(write("depth=17"));
+        MemoryEnd node = world.up();
+        String sent = node.taken();
+        assertTrue(sent.startsWith("PUT /survey-write/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\n"));
+        assertTrue(sent.contains("X-Txn: w1\r\n") && sent.contains("Idempotency-Key: k-77\r\n"));
+        assertTrue(sent.contains("X-Remaining-Ms: 2000\r\n") && sent.endsWith("\r\n\r\ndepth=17"));
+        node.put(ok("stored 17"));
+        String answer = client.taken();
+        assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n\r\nstored 17"));
+    }
+
+    @Test
+    void theQueryPassesAsItWasWritten() {
+        listOne();
+        client.put(read(1, ""));
+        assertTrue(world.up().taken().startsWith("GET /tile-read/00000003b4d60021/7f3a9c21e0b4d655?v=%41&n=1 HTTP/1.1"));
+    }
+
+    @Test
+    void pipelinedAndSplitRequestsAreAnsweredInTurn() {
+        listOne();
+        String both = read(1, "") + read(2, "");
+        for (char c : both.toCharArray()) {
+            client.put(String.valueOf(c));
+        }
+        MemoryEnd node = world.up();
+        assertTrue(node.taken().contains("X-Txn: t1\r\n"));
+        node.put(ok("one"));
+        assertTrue(node.taken().contains("X-Txn: t2\r\n"));
+        node.put(ok("two"));
+        String answers = client.taken();
+        assertTrue(answers.indexOf("one") > 0 && answers.indexOf("two") > answers.indexOf("one"));
+        assertEquals(0, world.dialed.size());
+    }
+
+    @Test
+    void malformedRequestsGetTheirStatus() {
+        String good = read(1, "");
+        String[][] cases = {
+            {"400", "no http at all\r\n\r\n"},
+            {"400", good.replace("X-Txn: t1\r\n", "")},
+            {"400", good.replace("=basic", "=x").replace(": basic", ": gold")},
+            {"400", good.replace("units=2", "units=many")},
+            {"400", good.replace("units=2", "units=NaN")},
+            {"400", good.replace("shard=3", "shard=1048576")},
+            {"400", good.replace("1400", "soon")},
+            {"400", good.replace("7f3a9c21e0b4d655", "7f3a9c21e0b4d65")},
+            {"400", good.replace("GET", "POST")},
+            {"400", write("x").replace("Idempotency-Key: k-77\r\n", "")},
+            {"404", good.replace("tile-read", "tiles")},
+            {"404", "GET / HTTP/1.1\r\nHost: b\r\n\r\n"},
+            {"413", write("x").replace("Content-Length: 1", "Content-Length: 65537")},
+            {"431", good.replace("Host: b", "Host: b\r\nX-Long: " + "y".repeat(9000))},
+            {"431", good.replace("7f3a9c21e0b4d655", "7".repeat(9000))},
+        };
+        for (String[] one : cases) {
+            MemoryEnd end = Harness.open(front::accept);
+            end.put(one[1]);
+            assertEquals(List.of(one[0]), statuses(end.taken()), one[1]);
+        }
+        assertEquals(0, world.counters.get("taken.tile-read"));
+    }
+
+    @Test
+    void aChunkedBodyOverTheBoundIsRefusedAsItComes() {
+        String head = write("").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        client.put(head);
+        for (int i = 0; i < 17 && client.isOpen(); i++) {
+            client.put("1000\r\n" + "z".repeat(4096) + "\r\n");
+        }
+        assertEquals(List.of("413"), statuses(client.taken()));
+    }
+
+    @Test
+    void aRefusalSaysWhenToComeBack() {
+        client.put(read(1, ""));
+        String answer = client.taken();
+        assertEquals(List.of("503"), statuses(answer));
+        assertTrue(answer.contains("Retry-After: 0.5\r\n"), answer);
+    }
+
+    @Test
+    void aClientThatClosesGivesUpItsAttempt() {
+        listOne();
+        client.put(read(1, ""));
+        MemoryEnd node = world.up();
+        client.putEnd();
+        assertFalse(node.isOpen());
+        assertEquals(0, world.broker.open());
+        assertEquals(0, pool.open());
+        assertEquals(1, world.counters.get("client_gone"));
+    }
+
+    @Test
+    void aNodeThatBreaksBeforeItsAnswerIsAReset() {
+        listOne();
+        client.put(read(1, ""));
+        MemoryEnd node = world.up();
+        node.put("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+        node.putEnd();
+        assertEquals(1, world.counters.get("outcome.reset"));
+    }
+
+    @Test
+    void theOutcomeTableIsThatOfTheProtocol() {
+        String[][] cases = {
+            {"served", ok("x")},
+            {"error", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"},
+            {"rejected", "HTTP/1.1 503 E\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"},
+            {"rejected", "HTTP/1.1 504 E\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"},
+            {"error", "HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n"},
+            {"error", "HTTP/1.1 404 E\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"},
+            {"reset", "garbage that is no answer\r\n\r\n"},
+        };
+        for (String[] one : cases) {
+            FrontTest fresh = new FrontTest();
+            fresh.listOne();
+            fresh.client.put(read(1, ""));
+            fresh.world.up().put(one[1]);
+            assertEquals(1, fresh.world.counters.get("outcome." + one[0]), one[1]);
+        }
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpIsNotConnectedAfterTheSettingsTime() {
+        listOne();
+        client.put(read(1, ""));
+        world.run(249_999);
+        assertEquals(0, world.counters.get("outcome.not_connected"));
+        world.run(1);
+        assertEquals(1, world.counters.get("outcome.not_connected"));
+        assertEquals(world.dialed.size() - 1, pool.open());
+    }
+
+    @Test
+    void aConnectionThatComesUpTooLateIsClosed() {
+        listOne();
+        client.put(read(1, ""));
+        Harness.Dialed first = world.dialed.remove(0);
+        world.run(2_000_000);
+        assertFalse(Harness.open(first.connector()::connected).isOpen());
+        assertEquals(0, pool.open());
+    }
+
+    @Test
+    void aTimedOutAttemptClosesItsConnectionAndItsAnswerIsDropped() {
+        listOne();
+        client.put(read(1, ""));
+        MemoryEnd node = world.up();
+        world.run(1_500_000);
+        assertFalse(node.isOpen());
+        assertEquals(1, statuses(client.taken()).size());
+        assertEquals(1, world.counters.get("outcome.timed_out"));
+    }
+
+    @Test
+    void aConnectionIsNotUsedAgainCloseToTheIdleLimit() {
+        listOne();
+        client.put(read(1, ""));
+        MemoryEnd node = world.up();
+        node.put(ok("x"));
+        world.run(11_000_000);
+        client.put(read(2, ""));
+        assertEquals(0, world.dialed.size());
+        node.put(ok("x"));
+        world.run(13_000_001);
+        assertFalse(node.isOpen());
+        client.put(read(3, ""));
+        assertEquals(1, world.dialed.size());
+    }
+
+    @Test
+    void aNodeThatClosesAnIdleConnectionCostsNoRequest() {
+        listOne();
+        client.put(read(1, ""));
+        MemoryEnd node = world.up();
+        node.put(ok("x"));
+        node.putEnd();
+        client.put(read(2, ""));
+        world.up().put(ok("y"));
+        assertEquals(List.of("200", "200"), statuses(client.taken()));
+    }
+
+    @Test
+    void aRestartedNodesOldConnectionsAreNotUsed() {
+        listOne();
+        client.put(read(1, ""));
+        MemoryEnd node = world.up();
+        node.put(ok("x"));
+        world.list(Harness.node("s-00000001", 3, NodeState.READY, 900_000));
+        assertFalse(node.isOpen());
+    }
+
+    @Test
+    void drainingAnswersAllAndClosesBetweenRequests() {
+        listOne();
+        front.ready();
+        client.put(read(1, ""));
+        MemoryEnd idle = Harness.open(front::accept);
+        front.drain();
+        idle.put("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n");
+        assertEquals(List.of("503"), statuses(idle.taken()));
+        MemoryEnd between = Harness.open(front::accept);
+        front.closeIdle();
+        assertFalse(between.isOpen());
+        world.up().put(ok("kept"));
+        String answer = client.taken();
+        assertTrue(answer.contains("Connection: close\r\n") && answer.endsWith("kept"));
+        client.putEnd();
+        assertFalse(client.isOpen());
+        assertEquals(0, front.answering());
+    }
+
+    @Test
+    void aRequestThatNeverEndsIsCut() {
+        client.put(read(1, "").substring(0, 60));
+        world.run(Front.REQUEST_US);
+        assertFalse(client.isOpen());
+    }
+
+    @Test
+    void aRequestOnAFullFrontTakesTheIdlestConnectionsPlace() {
+        for (int i = 0; i < 60; i++) {
+            Harness.open(front::accept);
+        }
+        assertEquals(50, front.connections());
+        assertFalse(client.isOpen());
+    }
+
+    @Test
+    void countersAreServed() {
+        client.put(read(1, ""));
+        client.put("GET /counters HTTP/1.1\r\nHost: b\r\n\r\n");
+        assertTrue(client.taken().contains("taken.tile-read 1\n"));
+    }
+
+    /** The model: requests written and not answered, in order; one is with the core, the rest wait in the buffer. */
+    @Property(tries = 300, seed = "20261202")
+    void aConnectionAnswersItsRequestsInOrderWhateverComes(@ForAll @Size(max = 60) List<@IntRange(max = 7) Integer> steps) {
+        FrontTest test = new FrontTest();
+        test.listOne();
+        Deque<String> waiting = new ArrayDeque<>();
+        StringBuilder unsent = new StringBuilder();
+        MemoryEnd node = null;
+        int asked = 0;
+        boolean open = true;
+        for (int step : steps) {
+            if (!open) {
+                break;
+            }
+            if (step <= 1 && waiting.size() < 8) {
+                unsent.append(read(asked, ""));
+                waiting.add("t" + asked++);
+            } else if (step <= 4) {
+                int length = step == 4 ? unsent.length() : Math.min(unsent.length(), 37 * step);
+                test.client.put(unsent.substring(0, length));
+                unsent.delete(0, length);
+            } else if (step == 7) {
+                test.client.putEnd();
+                open = false;
+            }
+            if (!test.world.dialed.isEmpty()) {
+                node = test.world.up();
+            }
+            String sent = node == null || !node.isOpen() ? "" : node.taken();
+            if (!sent.isEmpty()) {
+                assertTrue(sent.contains("X-Txn: " + waiting.peek() + "\r\n"));
+                if (open && step % 2 == 0) {
+                    node.put(ok("for " + waiting.peek()));
+                    assertTrue(test.client.taken().endsWith("for " + waiting.poll()));
+                } else if (open) {
+                    node.put("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n");
+                    while (!test.world.dialed.isEmpty() || !node.taken().isEmpty()) {
+                        node = test.world.dialed.isEmpty() ? node : test.world.up();
+                        node.put("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n");
+                    }
+                    test.world.run(2_000_000);
+                    assertEquals(1, statuses(test.client.taken()).size());
+                    waiting.poll();
+                    node = null;
+                }
+            }
+        }
+        test.world.run(20_000_000);
+        assertEquals(0, test.world.broker.open());
+        assertFalse(!open && test.client.isOpen());
+    }
+}
