--- a/src/test/java/petrelstand/testing/Harness.java
+++ b/src/test/java/petrelstand/testing/Harness.java
@@ -146,7 +146,9 @@
         }
 
         public void put(byte[] bytes) {
-            addInputAndExecute(ByteBuffer.wrap(bytes));
+            if (isOpen()) {
+                addInputAndExecute(ByteBuffer.wrap(bytes));
+            }
         }
 
         public void putEnd() {
