--- /dev/null
+++ b/src/test/java/petrelstand/LoopbackTest.java
@@ -0,0 +1,356 @@
+package petrelstand;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import petrelstand.config.GatewayConfig;
+import petrelstand.config.RsyncConfig;
+import petrelstand.rsync.Golden;
+import petrelstand.testing.Configs;
+import petrelstand.testing.StandIns;
+import petrelstand.testing.StandIns.Client;
+import petrelstand.testing.StandIns.Server;
+
+/** Whole gateways on loopback, between clients, storage nodes and rsync daemons that the tests play. */
+@Timeout(60)
+class LoopbackTest {
+    @TempDir
+    Path folder;
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private Gateway gateway;
+    private int httpPort;
+    private int rsyncPort;
+
+    private <T extends AutoCloseable> T opened(T one) {
+        opened.add(one);
+        return one;
+    }
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable one : opened) {
+            one.close();
+        }
+        if (gateway != null) {
+            gateway.stop();
+        }
+    }
+
+    private GatewayConfig config(Server node) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"),
+                Configs.gateway(node.port(), opened(StandIns.silent()).port()));
+        return GatewayConfig.load(Map.of("RELAY_CONFIG", file.toString()));
+    }
+
+    private void start(Server node, int idleMs, Map<Integer, String> daemons) throws Exception {
+        GatewayConfig config = config(node);
+        gateway = new Gateway(config, RsyncConfig.parse(Configs.rsync(idleMs, daemons), config.settings()), () -> {});
+        List<Integer> ports = gateway.start().get(20, TimeUnit.SECONDS);
+        httpPort = ports.get(0);
+        rsyncPort = ports.get(1);
+    }
+
+    private void startWith(Server daemon) throws Exception {
+        start(opened(StandIns.storageNode(1)), 10_000, Map.of(daemon.port(), "HEALTHY"));
+    }
+
+    /** A count, once it has come to be: what the loop counts may follow what a client sees. */
+    private void awaitCount(String name, long wanted) throws Exception {
+        long count = -1;
+        for (int i = 0; i < 2000 && count != wanted; i++) {
+            var read = new java.util.concurrent.CompletableFuture<Long>();
+            gateway.execute(() -> read.complete(gateway.broker().counters().get(name)));
+            count = read.get(20, TimeUnit.SECONDS);
+            Thread.sleep(5);
+        }
+        assertEquals(wanted, count, name);
+    }
+
+    private static Server goldenDaemon() throws IOException {
+        return StandIns.rsyncDaemon((arguments, in, out) -> {
+            boolean pull = arguments.contains("--sender");
+            out.write(pull ? Golden.pullDown() : Golden.SEED);
+            assertArrayEquals(pull ? Golden.pullUp() : Golden.pushUp(),
+                    in.readNBytes((pull ? Golden.pullUp() : Golden.pushUp()).length));
+            if (!pull) {
+                out.write(Golden.pushDown(), 4, Golden.pushDown().length - 4);
+            }
+        });
+    }
+
+    private Client asked(String module, String expected) throws IOException {
+        Client client = opened(new Client(rsyncPort));
+        assertEquals("@RSYNCD: 29.0\n" + expected, client.ask(module));
+        return client;
+    }
+
+    // ---- rsync ----
+
+    @Test
+    void aPullPassesUnchangedAndEndsWhole() throws Exception {
+        startWith(opened(goldenDaemon()));
+        Client client = asked("charts", "@RSYNCD: OK\n");
+        client.send(Golden.ARGUMENTS);
+        byte[] down = client.in.readNBytes(Golden.pullDown().length);
+        client.out.write(Golden.pullUp());
+        assertArrayEquals(Golden.pullDown(), down);
+        assertEquals(-1, client.in.read());
+        awaitCount("answered.served", 1);
+        awaitCount("outcome.served", 1);
+    }
+
+    @Test
+    void aPushPassesUnchangedAndEndsWhole() throws Exception {
+        startWith(opened(goldenDaemon()));
+        Client client = asked("charts", "@RSYNCD: OK\n");
+        client.send(Golden.PUSH_ARGUMENTS);
+        client.out.write(Golden.pushUp());
+        assertArrayEquals(Golden.pushDown(), client.in.readAllBytes());
+        awaitCount("answered.served", 1);
+    }
+
+    @Test
+    void modulesAreListedAndOtherOpeningsGetACleanError() throws Exception {
+        startWith(opened(goldenDaemon()));
+        asked("#list", "charts         \tChart editions\n@RSYNCD: EXIT\n");
+        asked("", "charts         \tChart editions\n@RSYNCD: EXIT\n");
+        asked("maps", "@ERROR: Unknown module 'maps'\n");
+        Client old = opened(new Client(rsyncPort));
+        old.send("@RSYNCD: 28.0\ncharts\n");
+        assertEquals("@RSYNCD: 29.0\n@ERROR: protocol version 28 is not carried here, 29 or later is\n",
+                new String(old.in.readAllBytes(), StandardCharsets.UTF_8));
+        Client other = opened(new Client(rsyncPort));
+        other.send("GET / HTTP/1.1\r\n\r\n");
+        assertEquals("@RSYNCD: 29.0\n@ERROR: protocol startup error\n",
+                new String(other.in.readAllBytes(), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void anOptionOutsideTheSubsetIsNamedInAnErrorFrame() throws Exception {
+        startWith(opened(goldenDaemon()));
+        Client client = asked("charts", "@RSYNCD: OK\n");
+        client.send("--server\n--sender\n-logDtprz\n.\ncharts/\n\n");
+        String answer = new String(client.in.readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertEquals("@ERROR: option -z is not carried here\n", answer.substring(8));
+        awaitCount("client_gone", 1);
+        awaitCount("outcome.cancelled", 1);
+    }
+
+    @Test
+    void aTransferCutHalfwayIsVisiblyIncompleteAndNotSentAgain() throws Exception {
+        byte[] half = java.util.Arrays.copyOf(Golden.pullDown(), 60);
+        Server daemon = opened(StandIns.rsyncDaemon((arguments, in, out) -> out.write(half)));
+        startWith(daemon);
+        Client client = asked("charts", "@RSYNCD: OK\n");
+        client.send(Golden.ARGUMENTS);
+        assertArrayEquals(half, client.in.readAllBytes());
+        awaitCount("answered.cut", 1);
+        awaitCount("outcome.reset", 1);
+        assertEquals(1, daemon.connections.get());
+    }
+
+    @Test
+    void aCutBetweenFramesIsToldInWords() throws Exception {
+        byte[] seed = Golden.SEED;
+        startWith(opened(StandIns.rsyncDaemon((arguments, in, out) -> out.write(seed))));
+        Client client = asked("charts", "@RSYNCD: OK\n");
+        client.send(Golden.ARGUMENTS);
+        String answer = new String(client.in.readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertEquals("@ERROR: failed, the transfer is not complete\n", answer.substring(8));
+    }
+
+    @Test
+    void aDaemonThatIsNotThereEndsInARefusalThatSaysWhenToComeBack() throws Exception {
+        Server daemon = goldenDaemon();
+        daemon.close();
+        startWith(daemon);
+        Client client = opened(new Client(rsyncPort));
+        String answer = client.ask("charts");
+        assertTrue(answer.matches("@RSYNCD: 29.0\n@ERROR: refused, come again in [0-9.]+ s\n"), answer);
+    }
+
+    @Test
+    void aDrainingEndpointGetsNoTransfer() throws Exception {
+        Server draining = opened(goldenDaemon());
+        start(opened(StandIns.storageNode(1)), 10_000, Map.of(draining.port(), "DRAINING"));
+        asked("charts", "@ERROR: refused, come again in 0.5 s\n");
+        assertEquals(0, draining.connections.get());
+    }
+
+    @Test
+    void aDrainingGatewayEndsWhatItTookAndRefusesTheRest() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        startWith(opened(StandIns.rsyncDaemon((arguments, in, out) -> {
+            out.write(Golden.SEED);
+            go.await();
+            out.write(Golden.pullDown(), 4, Golden.pullDown().length - 4);
+            in.readNBytes(Golden.pullUp().length);
+        })));
+        Client client = asked("charts", "@RSYNCD: OK\n");
+        client.send(Golden.ARGUMENTS);
+        byte[] first = client.in.readNBytes(4);
+        gateway.execute(gateway::drain);
+        asked("charts", "@ERROR: draining, come again in 2.0 s\n");
+        go.countDown();
+        byte[] rest = client.in.readNBytes(Golden.pullDown().length - 4);
+        client.out.write(Golden.pullUp());
+        assertEquals(-1, client.in.read());
+        assertArrayEquals(Golden.pullDown(), Golden.join(first, rest));
+    }
+
+    @Test
+    void aClientThatStallsIsCutAndTheGatewayKeepsLittleOfWhatItDidNotTake() throws Exception {
+        AtomicLong sent = new AtomicLong();
+        Server daemon = opened(StandIns.endlessDaemon(endlessStart(), sent));
+        start(opened(StandIns.storageNode(1)), 300, Map.of(daemon.port(), "HEALTHY"));
+        Client client = opened(Client.small(rsyncPort));
+        client.ask("charts");
+        client.send(Golden.ARGUMENTS);
+        awaitCount("rsync.idle", 1);
+        awaitCount("client_gone", 1);
+        awaitCount("outcome.cancelled", 1);
+        // What both sockets' buffers hold, and no more: the relay itself keeps 16 KiB a direction.
+        assertTrue(sent.get() < 24L << 20, "the daemon could send " + sent);
+    }
+
+    /** The golden pull up to its data, then one token of a gigabyte. */
+    private static byte[] endlessStart() {
+        byte[] files = java.util.Arrays.copyOf(Golden.pullDown(), 4 + 4 + filesLength());
+        byte[] token = Golden.hex("01000000" + "0080" + "00000000" + "00000000" + "00000000" + "00000000" + "00000040");
+        byte[] head = Golden.hex("1a000007");
+        return Golden.join(files, head, token);
+    }
+
+    private static int filesLength() {
+        byte[] down = Golden.pullDown();
+        return (down[4] & 0xff) | (down[5] & 0xff) << 8 | (down[6] & 0xff) << 16;
+    }
+
+    @Test
+    void tileReadsKeepTheirAnswersInASurgeWhileRsyncClientsStall() throws Exception {
+        AtomicLong sent = new AtomicLong();
+        Server daemon = opened(StandIns.endlessDaemon(endlessStart(), sent));
+        start(opened(StandIns.storageNode(2)), 20_000, Map.of(daemon.port(), "HEALTHY"));
+        Client stalled = opened(Client.small(rsyncPort));
+        stalled.ask("charts");
+        stalled.send(Golden.ARGUMENTS);
+        Client silent = opened(new Client(rsyncPort));
+        ExecutorService clients = Executors.newFixedThreadPool(16);
+        List<Future<Integer>> served = new ArrayList<>();
+        for (int c = 0; c < 16; c++) {
+            int number = c;
+            served.add(clients.submit(() -> {
+                int good = 0;
+                try (Client client = new Client(httpPort)) {
+                    for (int i = 0; i < 12; i++) {
+                        boolean tile = number < 4;
+                        String txn = number + "-" + i;
+                        String answer = client.http(tile ? "tile-read" : "bulk-export", txn);
+                        good += tile && answer.equals("200 node:" + txn) ? 1 : 0;
+                        Thread.sleep(tile ? 20 : 1);
+                    }
+                }
+                return good;
+            }));
+        }
+        int good = 0;
+        for (Future<Integer> one : served) {
+            good += one.get(40, TimeUnit.SECONDS);
+        }
+        clients.shutdown();
+        assertEquals(48, good);
+        awaitCount("rsync.idle", 0);
+        assertTrue(silent.in.read() == '@');
+    }
+
+    // ---- The program itself ----
+
+    private Process serve(Path configFile) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "petrelstand.Main", "serve");
+        builder.environment().put("RELAY_CONFIG", configFile.toString());
+        builder.redirectErrorStream(true);
+        Process process = builder.start();
+        opened.add(process::destroyForcibly);
+        return process;
+    }
+
+    @Test
+    void sigtermAnswersAllThatWasTakenThenEndsWithTheCounters() throws Exception {
+        Server node = opened(StandIns.storageNode(700));
+        Path file = folder.resolve("serve.json");
+        int port = freePort();
+        Files.writeString(file, Configs.gateway(node.port(), opened(StandIns.silent()).port())
+                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        Process process = serve(file);
+        var log = process.inputReader();
+        while (!log.readLine().contains("ready: n1")) {
+            // The lines before it tell of the nodes.
+        }
+        Client taken = opened(new Client(port));
+        Client idle = opened(new Client(port));
+        idle.send("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n");
+        assertEquals("200 ready\n", idle.answer());
+        taken.send("GET /tile-read/00000000000000a1/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: t1\r\n"
+                + "X-Qos-Policy: basic\r\nX-Remaining-Ms: 1500\r\nX-Placement: units=1,shard=3,hosts=1\r\n\r\n");
+        while (node.connections.get() == 0) {
+            Thread.sleep(2);
+        }
+        process.toHandle().destroy();
+        while (!log.readLine().contains("draining")) {
+            // The hook has asked the loop to drain.
+        }
+        assertTrue(opened(new Client(port)).http("tile-read", "t2").startsWith("200 node:t2"));
+        assertEquals("200 node:t1", taken.answer());
+        assertEquals("closed", idle.answer());
+        String last = log.lines().reduce("", (a, b) -> b);
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+        assertTrue(last.contains("ended:") && last.contains("answered.served=2") && last.contains("taken.tile-read=2"),
+                last);
+    }
+
+    private static int freePort() throws IOException {
+        try (var socket = new java.net.ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Test
+    void aBadFileGivesOnePlainLineAndANonZeroExit() throws Exception {
+        String good = Configs.gateway(1, 2);
+        String[][] cases = {
+            {"{", "the text is not JSON"},
+            {good.replace("\"aim_ms\":250.0", "\"aim_ms\":\"soon\""), "settings: classes.0.aim_ms is not a number"},
+            {good.replace("127.0.0.1:0", "here"), "listen is not an address with a port: 'here'"},
+            {good.replace("\"up\"", "\"odd\""), "node s-00000001 has an unknown state: odd"},
+        };
+        for (String[] one : cases) {
+            Process process = serve(Files.writeString(folder.resolve("bad.json"), one[0]));
+            List<String> lines = process.inputReader().lines().toList();
+            assertEquals(1, lines.size(), lines.toString());
+            assertTrue(lines.get(0).startsWith("petrelstand: ") && lines.get(0).contains(one[1]), lines.get(0));
+            assertEquals(1, process.waitFor());
+        }
+        assertEquals(1, serve(folder.resolve("missing.json")).waitFor());
+    }
+}
--- /dev/null
+++ b/src/test/java/petrelstand/testing/StandIns.java
@@ -0,0 +1,238 @@
+package petrelstand.testing;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Stand-ins on loopback: storage nodes, an rsync daemon and clients, with blocking sockets and a thread each. */
+public final class StandIns {
+    private StandIns() {}
+
+    /** Plays one connection of a server. */
+    public interface Play {
+        void on(Socket socket, InputStream in, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    /** A server on a free loopback port. */
+    public static final class Server implements Closeable {
+        public final AtomicInteger connections = new AtomicInteger();
+        private final ServerSocket listener;
+        private final List<Socket> open = new CopyOnWriteArrayList<>();
+
+        public Server(Play play) throws IOException {
+            listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+            thread(() -> {
+                while (true) {
+                    Socket socket = listener.accept();
+                    open.add(socket);
+                    connections.incrementAndGet();
+                    thread(() -> {
+                        try (socket) {
+                            play.on(socket, socket.getInputStream(), socket.getOutputStream());
+                        }
+                    });
+                }
+            });
+        }
+
+        public int port() {
+            return listener.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+            for (Socket socket : open) {
+                socket.close();
+            }
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private static void thread(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException | InterruptedException e) {
+                // The test has closed the socket, or its peer has.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A storage node that takes a while for each request and answers with the request's id. */
+    public static Server storageNode(long serviceMs) throws IOException {
+        return new Server((socket, in, out) -> {
+            for (String head = head(in); !head.isEmpty(); head = head(in)) {
+                in.readNBytes(length(head));
+                Thread.sleep(serviceMs);
+                String body = "node:" + field(head, "X-Txn");
+                out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                        .getBytes(StandardCharsets.US_ASCII));
+            }
+        });
+    }
+
+    /** A server that accepts and says nothing. */
+    public static Server silent() throws IOException {
+        return new Server((socket, in, out) -> in.readAllBytes());
+    }
+
+    /** What an rsync daemon does once it has the arguments. */
+    public interface Transfer {
+        void on(String arguments, InputStream in, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    /** An rsync daemon: greeting, module, OK, arguments, then the transfer. */
+    public static Server rsyncDaemon(Transfer transfer) throws IOException {
+        return new Server((socket, in, out) -> {
+            write(out, "@RSYNCD: 31.0 sha512 md5 md4\n");
+            if (!line(in).startsWith("@RSYNCD: 29")) {
+                write(out, "@ERROR: version\n");
+                return;
+            }
+            if (!line(in).equals("charts")) {
+                write(out, "@ERROR: Unknown module\n");
+                return;
+            }
+            write(out, "welcome to the stand-in\n@RSYNCD: OK\n");
+            StringBuilder arguments = new StringBuilder();
+            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+                arguments.append(line).append('\n');
+            }
+            transfer.on(arguments.toString(), in, out);
+        });
+    }
+
+    /** A daemon that sends without an end, and counts what the other side has taken. */
+    public static Server endlessDaemon(byte[] start, AtomicLong taken) throws IOException {
+        return rsyncDaemon((arguments, in, out) -> {
+            out.write(start);
+            byte[] frame = new byte[4 + 32 * 1024];
+            frame[1] = (byte) 0x80;
+            frame[3] = 7;
+            while (true) {
+                out.write(frame);
+                taken.addAndGet(frame.length);
+            }
+        });
+    }
+
+    /** A client's connection to the gateway. */
+    public static final class Client implements Closeable {
+        private final Socket socket;
+        public final InputStream in;
+        public final OutputStream out;
+
+        public Client(int port) throws IOException {
+            socket = new Socket(InetAddress.getByName("127.0.0.1"), port);
+            socket.setSoTimeout(20_000);
+            socket.setTcpNoDelay(true);
+            in = socket.getInputStream();
+            out = socket.getOutputStream();
+        }
+
+        /** A client whose receive buffer is small, so that it stalls its server soon. */
+        public static Client small(int port) throws IOException {
+            Client client = new Client(port);
+            client.socket.setReceiveBufferSize(4096);
+            return client;
+        }
+
+        public void send(String text) {
+            try {
+                out.write(text.getBytes(StandardCharsets.UTF_8));
+                out.flush();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        /** Greets as a current client does and names a module; the lines that came back, until one decides. */
+        public String ask(String module) throws IOException {
+            send("@RSYNCD: 31.0 sha512 md5 md4\n" + module + "\n");
+            StringBuilder lines = new StringBuilder();
+            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+                lines.append(line).append('\n');
+                if (line.equals("@RSYNCD: OK") || line.startsWith("@ERROR") || line.equals("@RSYNCD: EXIT")) {
+                    break;
+                }
+            }
+            return lines.toString();
+        }
+
+        /** Sends a request of the platform's protocol and gives its status and body. */
+        public String http(String requestClass, String txn) throws IOException {
+            send("GET /" + requestClass + "/00000000000000a1/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: " + txn
+                    + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 1500\r\n"
+                    + "X-Placement: units=1,shard=3,hosts=1\r\n\r\n");
+            return answer();
+        }
+
+        public String answer() throws IOException {
+            String head = head(in);
+            return head.isEmpty() ? "closed" : head.substring(9, 12) + " "
+                    + new String(in.readNBytes(length(head)), StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** A line without its end; empty at the end of the input too. */
+    public static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
+            line.write(b);
+        }
+        return line.toString(StandardCharsets.UTF_8);
+    }
+
+    /** A message's head; empty where the input ends. */
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int b = in.read();
+            if (b < 0) {
+                return "";
+            }
+            head.append((char) b);
+        }
+        return head.toString();
+    }
+
+    private static int length(String head) {
+        String length = field(head, "Content-Length");
+        return length.isEmpty() ? 0 : Integer.parseInt(length);
+    }
+
+    public static String field(String head, String name) {
+        for (String line : head.split("\r\n")) {
+            if (line.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
+                return line.substring(name.length() + 1).strip();
+            }
+        }
+        return "";
+    }
+}
