--- /dev/null
+++ b/Makefile
@@ -0,0 +1,12 @@
+# build: jar and class-data archive; test: all tests; lint: the compiler's warnings as errors, and the size limits;
+# run: one gateway, as RELAY_CONFIG says.
+.PHONY: build test lint run
+build:
+	sh deploy/build
+test:
+	mvn -B verify
+lint:
+	mvn -q -B test-compile
+	sh deploy/limits
+run: build
+	$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -20,6 +20,7 @@
 import petrelstand.discovery.Watch;
 import petrelstand.http.Front;
 import petrelstand.http.NodePool;
+import petrelstand.http.Rehearsal;
 import petrelstand.net.Addresses;
 import petrelstand.net.Clock;
 import petrelstand.net.EventLoop;
@@ -36,6 +37,10 @@
     private static final long LAST_LINGER_US = 600_000;
     /** Descriptors kept back for the selector, the jars and the listeners. */
     private static final int OTHER_DESCRIPTORS = 64;
+    /** For each transfer a client's and a node's, and a client's that is refused. */
+    private static final int RSYNC_DESCRIPTORS = 3;
+    /** Requests played in memory before the start; more of them take longer than they save. */
+    private static final int REHEARSED = 400;
 
     private final Clock clock = new Clock();
     private final Timers timers = new Timers();
@@ -59,14 +64,15 @@
         this.atEnd = atEnd;
         this.rsync = rsync;
         this.loop = new EventLoop(clock, timers);
-        int sockets = Math.max(64, config.sockets() - OTHER_DESCRIPTORS);
+        int transfers = rsync == null ? 0 : RSYNC_DESCRIPTORS * rsync.mostTransfers();
+        int sockets = Math.max(64, config.sockets() - OTHER_DESCRIPTORS - transfers);
         NodePool pool = new NodePool(loop::connect, clock::nowUs, timers, counters, config.settings(),
                 "backend.local", sockets * 2 / 5);
         this.broker = new Broker(config.settings(), config.seed(), clock::nowUs, timers,
                 rsync == null ? pool : new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers,
                         config.settings().may().connectTimeoutMs())), counters, log);
         this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
-        this.front = new Front(broker, timers, sockets * 3 / 5, log);
+        this.front = new Front(broker, timers, sockets * 3 / 5);
         this.watch = new Watch(loop::connect, clock::nowUs, timers, config.discovery(), "backend.local",
                 config.settings().zones(), config.known().version(), this::heard, counters, log);
     }
@@ -92,6 +98,8 @@
     }
 
     private void begin() {
+        long served = Rehearsal.play(config.settings(), REHEARSED);
+        log.accept("rehearsed: " + served + " of " + REHEARSED + " requests in memory");
         broker.nodes(ListKind.CACHED, withOperators(config.known().nodes()));
         watch.start();
         listen(config.listen(), front::accept);
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -3,8 +3,13 @@
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import petrelstand.config.GatewayConfig;
@@ -12,7 +17,8 @@
 import petrelstand.sim.InstanceLoop;
 import petrelstand.sim.LinkException;
 
-/** Command line of the jar: serves as a gateway, or plays the simulator's wire. */
+/** Command line of the jar: serves as a gateway, plays the simulator's wire, or
+ * rehearses for the build's class-data archive. */
 public final class Main {
     private Main() {}
 
@@ -21,8 +27,10 @@
             serve();
         } else if (args.length == 1 && args[0].equals("wirehost")) {
             wirehost();
+        } else if (args.length == 1 && args[0].equals("rehearse")) {
+            rehearse();
         } else {
-            System.err.println("usage: java -jar petrelstand.jar serve | wirehost");
+            System.err.println("usage: java -jar petrelstand.jar serve | wirehost | rehearse");
             System.exit(2);
         }
     }
@@ -60,6 +68,26 @@
         }
     }
 
+    /** A start and an end on loopback, with one request: what it loads goes into the class-data archive. */
+    private static void rehearse() {
+        try (InputStream file = Main.class.getResourceAsStream("/rehearsal.json")) {
+            GatewayConfig config = GatewayConfig.parse(new String(file.readAllBytes(), StandardCharsets.UTF_8), Map.of());
+            CountDownLatch ended = new CountDownLatch(1);
+            Gateway gateway = new Gateway(config, null, ended::countDown);
+            int port = gateway.start().get().get(0);
+            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                client.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                client.getInputStream().read();
+            }
+            gateway.execute(gateway::drain);
+            ended.await();
+            System.exit(0);
+        } catch (Exception e) {
+            System.err.println("petrelstand: the rehearsal failed: " + e);
+            System.exit(1);
+        }
+    }
+
     private static void wirehost() {
         try {
             new InstanceLoop().run(new BufferedInputStream(System.in, 1 << 16),
--- a/src/main/java/petrelstand/config/GatewayConfig.java
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -33,7 +33,7 @@
         }
     }
 
-    static GatewayConfig parse(String text, Map<String, String> env) {
+    public static GatewayConfig parse(String text, Map<String, String> env) {
         JsonObject json = object(text);
         JsonObject limits = json.has("limits") && json.get("limits").isJsonObject()
                 ? json.getAsJsonObject("limits") : new JsonObject();
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -27,6 +27,9 @@
  * timers set for the module and the counters; it decides nothing that the module can decide.
  */
 public final class Broker {
+    /** The guard on a forgotten request comes after the time-outs at the deadline, and within the rule's grace. */
+    private static final long GUARD_US = 2_000;
+
     private final Settings settings;
     private final LongSupplier clock;
     private final Timers timers;
@@ -104,7 +107,7 @@
         counters.add("taken." + kind.name());
         exchanges.put(exchange.id(), exchange);
         taken.accept(exchange);
-        exchange.guard(timers.at(exchange.deadlineUs(), () -> overdue(exchange)));
+        exchange.guard(timers.at(exchange.deadlineUs() + GUARD_US, () -> overdue(exchange)));
         Request request = new Request(exchange.id(), demand.requestClass(), demand.plan(), demand.key(),
                 ms(demand.leftUs()), demand.volume(), demand.units(), demand.shard(), demand.setSize(),
                 demand.repeat(), demand.write());
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -27,6 +27,7 @@
     enum State { READING, TAKEN, ANSWERING, LINGERING, CLOSED }
 
     private final Front front;
+    private final boolean full;
     private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
     private final ByteBuffer input = BufferUtil.allocate(4096);
     private State state = State.READING;
@@ -43,9 +44,10 @@
     private ByteArrayOutputStream body;
     private boolean persistent;
 
-    ClientConnection(EndPoint endPoint, Front front) {
+    ClientConnection(EndPoint endPoint, Front front, boolean full) {
         super(endPoint);
         this.front = front;
+        this.full = full;
     }
 
     State state() {
@@ -54,12 +56,29 @@
 
     /** Between requests, with nothing read of the next. */
     boolean idle() {
-        return state == State.READING && method == null && BufferUtil.isEmpty(input);
+        return state == State.READING && limit == null && BufferUtil.isEmpty(input);
+    }
+
+    /** Closes between requests; one that has arrived by now is still taken, and closes with its answer. */
+    void closeIfIdle() {
+        try {
+            if (idle() && getEndPoint().fill(input) > 0) {
+                parse();
+            }
+        } catch (IOException e) {
+            close();
+        }
+        if (idle()) {
+            close();
+        }
     }
 
     @Override
     public void onOpen() {
         super.onOpen();
+        if (full) {
+            limit = front.timers().at(front.broker().nowUs() + Front.FULL_US, this::close);
+        }
         fillInterested();
     }
 
@@ -197,7 +216,10 @@
         stopLimit();
         byte[] bytes = body == null ? new byte[0] : body.toByteArray();
         try {
-            if (target.equals("/ready")) {
+            if (full) {
+                front.broker().counters().add("connections.full");
+                answer(503, null, Front.FULL_US, new byte[0], true);
+            } else if (target.equals("/ready")) {
                 local(front.isReady() ? 200 : 503, front.isReady() ? "ready\n" : "not ready\n");
             } else if (target.equals("/counters")) {
                 local(200, front.broker().counters().text());
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import petrelstand.core.Broker;
@@ -16,6 +15,8 @@
     /** A client that does not take its answer is cut after this time. */
     static final long ANSWER_US = 10_000_000;
 
+    /** When a client that found no room may come back, and how long it may take to ask. */
+    static final long FULL_US = 500_000;
     /** How long bytes that come after the last answer are dropped before the connection closes. */
     static final long LINGER_US = 500_000;
 
@@ -23,26 +24,27 @@
     private final Timers timers;
     private final DemandReader reader;
     private final int mostConnections;
-    private final Consumer<String> log;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private boolean ready;
     private boolean draining;
     private boolean closing;
 
-    public Front(Broker broker, Timers timers, int mostConnections, Consumer<String> log) {
+    public Front(Broker broker, Timers timers, int mostConnections) {
         this.broker = broker;
         this.timers = timers;
         this.mostConnections = mostConnections;
-        this.log = log;
         this.reader = new DemandReader(broker.settings());
     }
 
-    /** A connection from a client; where there are too many, the one idle for longest makes room. */
+    /**
+     * A connection from a client. Where there are too many, the one idle for longest makes room; where none is idle,
+     * the new one is only refused: what it sends counts as taken, so closing it unread would lose a request.
+     */
     public Connection accept(EndPoint endPoint) {
         if (connections.size() >= mostConnections) {
             connections.stream().filter(ClientConnection::idle).findFirst().ifPresent(ClientConnection::close);
         }
-        ClientConnection connection = new ClientConnection(endPoint, this);
+        ClientConnection connection = new ClientConnection(endPoint, this, connections.size() >= mostConnections);
         connections.add(connection);
         broker.counters().add("connections.clients");
         return connection;
@@ -61,7 +63,7 @@
     /** Closes what is between requests; the rest closes with its answer. */
     public void closeIdle() {
         closing = true;
-        List.copyOf(connections).stream().filter(ClientConnection::idle).forEach(ClientConnection::close);
+        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
 
     public int connections() {
@@ -97,10 +99,6 @@
         return reader;
     }
 
-    void log(String line) {
-        log.accept(line);
-    }
-
     /** Moves to the end of the order in which idle connections are closed. */
     void used(ClientConnection connection) {
         if (connections.remove(connection)) {
--- /dev/null
+++ b/src/main/java/petrelstand/net/MemoryEnd.java
@@ -0,0 +1,48 @@
+package petrelstand.net;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+
+/** An end point in memory whose callbacks run at once: for the rehearsal before a start, and for tests. */
+public final class MemoryEnd extends ByteArrayEndPoint {
+    private MemoryEnd() {
+        setGrowOutput(true);
+    }
+
+    /** Makes a connection on an end in memory and opens it. */
+    public static MemoryEnd open(Function<EndPoint, Connection> maker) {
+        MemoryEnd end = new MemoryEnd();
+        Connection connection = maker.apply(end);
+        end.setConnection(connection);
+        end.onOpen();
+        connection.onOpen();
+        return end;
+    }
+
+    @Override
+    protected void execute(Runnable task) {
+        task.run();
+    }
+
+    /** The other side sends. */
+    public void put(String text) {
+        if (isOpen()) {
+            addInputAndExecute(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    /** The other side ends its sending. */
+    public void putEnd() {
+        addInputEOF();
+        getFillInterest().fillable();
+    }
+
+    /** What was written since the last call. */
+    public String taken() {
+        return takeOutputString(StandardCharsets.ISO_8859_1);
+    }
+}
--- a/src/main/java/petrelstand/rsync/ClientSession.java
+++ b/src/main/java/petrelstand/rsync/ClientSession.java
@@ -40,10 +40,12 @@
         this.full = full;
     }
 
-    State state() {
-        return state;
+    /** A session that found no room and waits only to be told. */
+    boolean isRefusedOnly() {
+        return full;
     }
 
+
     @Override
     void opened() {
         write(Lines.GREETING);
--- a/src/main/java/petrelstand/rsync/RsyncFront.java
+++ b/src/main/java/petrelstand/rsync/RsyncFront.java
@@ -13,6 +13,9 @@
 
 /** The rsync front: its client sessions, and what they share. */
 public final class RsyncFront {
+    /** Sessions that are only refused may be as many again as those that transfer. */
+    static final int REFUSED_TIMES = 2;
+
     private final Broker broker;
     private final Timers timers;
     private final RsyncConfig config;
@@ -28,6 +31,9 @@
     }
 
     public Connection accept(EndPoint endPoint) {
+        if (sessions.size() >= REFUSED_TIMES * config.mostTransfers()) {
+            sessions.stream().filter(ClientSession::isRefusedOnly).findFirst().ifPresent(ClientSession::close);
+        }
         boolean full = sessions.size() >= config.mostTransfers();
         ClientSession session = new ClientSession(endPoint, this, full);
         sessions.add(session);
--- /dev/null
+++ b/src/test/java/petrelstand/http/RehearsalTest.java
@@ -0,0 +1,13 @@
+package petrelstand.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import petrelstand.testing.Harness;
+
+class RehearsalTest {
+    @Test
+    void theRehearsalServesWhatItPlays() {
+        assertEquals(60, Rehearsal.play(new Harness().settings, 60));
+    }
+}
--- /dev/null
+++ b/src/test/java/petrelstand/net/EventLoopTest.java
@@ -0,0 +1,108 @@
+package petrelstand.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import petrelstand.core.Timers;
+
+/** The loop on real sockets of its own. */
+@Timeout(60)
+class EventLoopTest {
+    private final Clock clock = new Clock();
+    private final Timers timers = new Timers();
+    private final EventLoop loop = new EventLoop(clock, timers);
+
+    @BeforeEach
+    void start() throws Exception {
+        loop.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        loop.stop();
+    }
+
+    private static class Quiet extends LoopConnection {
+        Quiet(EndPoint endPoint) {
+            super(endPoint);
+        }
+
+        @Override
+        public void onFillable() {}
+    }
+
+    /** Guards against a connect timeout of 0, with which Jetty failed each connection that came up. */
+    @Test
+    void connectionsComeUpAndAllRunsOnOneThread() throws Exception {
+        CompletableFuture<String> accepted = new CompletableFuture<>();
+        CompletableFuture<String> connected = new CompletableFuture<>();
+        ServerSocketChannel server = loop.listen(new InetSocketAddress("127.0.0.1", 0), endPoint -> {
+            accepted.complete(Thread.currentThread().getName());
+            return new Quiet(endPoint);
+        });
+        loop.execute(() -> {
+            try {
+                loop.connect((InetSocketAddress) server.getLocalAddress(), new EventLoop.Connector() {
+                    @Override
+                    public Connection connected(EndPoint endPoint) {
+                        connected.complete(Thread.currentThread().getName());
+                        return new Quiet(endPoint);
+                    }
+
+                    @Override
+                    public void connectFailed(Throwable cause) {
+                        connected.completeExceptionally(cause);
+                    }
+                });
+            } catch (java.io.IOException e) {
+                connected.completeExceptionally(e);
+            }
+        });
+        assertEquals("loop", connected.get(20, TimeUnit.SECONDS));
+        assertEquals("loop", accepted.get(20, TimeUnit.SECONDS));
+    }
+
+    /** Guards against an exception that Jetty would take for a broken selector, closing every connection. */
+    @Test
+    void aFaultInATaskOrTimerLeavesTheLoopRunning() throws Exception {
+        CompletableFuture<Void> after = new CompletableFuture<>();
+        loop.execute(() -> {
+            throw new IllegalStateException("meant by the test");
+        });
+        loop.execute(() -> {
+            timers.at(clock.nowUs(), () -> {
+                throw new IllegalStateException("meant by the test");
+            });
+            timers.at(clock.nowUs() + 1000, () -> after.complete(null));
+        });
+        after.get(20, TimeUnit.SECONDS);
+    }
+
+    /** Discovery tells starts in Unix time; on the loop's clock the same number is the same moment. */
+    @Test
+    void theClockStandsAtUnixTimeAndDoesNotGoBack() {
+        long before = clock.nowUs();
+        assertTrue(Math.abs(before / 1000 - System.currentTimeMillis()) < 60_000);
+        clock.turn();
+        assertTrue(clock.nowUs() >= before);
+    }
+
+    @Test
+    void addressesAreNumbersOnly() {
+        assertEquals(9000, Addresses.parse("10.0.0.4:9000").getPort());
+        for (String text : new String[] {"host:1", "10.0.0.4", "10.0.0.4:x", ":1", "10.0.0.4:99999"}) {
+            assertThrows(IllegalArgumentException.class, () -> Addresses.parse(text), text);
+        }
+    }
+}
