--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -51,7 +51,7 @@
     private final Broker broker;
     private final Front front;
     private final Watch watch;
-    private final RsyncConfig rsync;
+    private RsyncConfig rsync;
     private final RsyncFront rsyncFront;
     private final Runnable atEnd;
     private final List<ServerSocketChannel> listeners = new ArrayList<>();
@@ -129,6 +129,17 @@
         }
     }
 
+    /** Takes the operator's file as it is now, but for its address. On the loop's thread. */
+    void reload(RsyncConfig changed) {
+        List<Node> nodes = new ArrayList<>(changed.nodes());
+        List<Long> kept = changed.nodes().stream().map(Node::number).toList();
+        rsync.nodes().stream().filter(node -> !kept.contains(node.number())).forEach(node -> nodes.add(node.asGone()));
+        rsync = changed;
+        rsyncFront.reload(changed);
+        log.accept("rsync: the operator's file was read anew, " + changed.modules().size() + " modules");
+        broker.nodes(ListKind.CHANGES, nodes);
+    }
+
     /** Discovery's list and the operator's nodes, which discovery does not know and must not end. */
     private List<Node> withOperators(List<Node> listed) {
         List<Node> all = new ArrayList<>(listed);
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -46,6 +46,10 @@
                 Runtime.getRuntime().halt(0);
             });
             gateway.start().get();
+            if (rsync) {
+                RsyncConfig.follow(file, config.settings(), changed -> gateway.execute(() -> gateway.reload(changed)),
+                        why -> System.out.println("petrelstand: rsync: the former file stays in use: " + why));
+            }
             // SIGTERM: the hook holds the process until the gateway has answered all and ended it.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 gateway.execute(gateway::drain);
--- a/src/main/java/petrelstand/config/RsyncConfig.java
+++ b/src/main/java/petrelstand/config/RsyncConfig.java
@@ -5,12 +5,14 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import petrelstand.core.Node;
 import petrelstand.decision.Scheduling;
 import petrelstand.decision.Scheduling.NodeEntry;
@@ -22,6 +24,8 @@
  * clusters and endpoints in xDS JSON. A cluster is a shard of its own: any of its endpoints holds its data.
  */
 public record RsyncConfig(String listen, long idleUs, int mostTransfers, List<Module> modules, List<Node> nodes) {
+    private static final long FOLLOW_MS = 1000;
+
     /** An rsync module, and how the decision module counts its transfers. */
     public record Module(String name, String comment, int requestClass, int plan, long volume, double units,
             int shard) {}
@@ -42,6 +46,41 @@
         }
     }
 
+    /** Watches the file on a thread of its own, since reading it may block, and hands on what it says when it changes. */
+    public static Thread follow(Path file, Settings settings, Consumer<RsyncConfig> changed, Consumer<String> wrong) {
+        FileTime first = modified(file);
+        Thread thread = new Thread(() -> {
+            FileTime seen = first;
+            while (!Thread.currentThread().isInterrupted()) {
+                try {
+                    Thread.sleep(FOLLOW_MS);
+                } catch (InterruptedException e) {
+                    return;
+                }
+                FileTime now = modified(file);
+                if (!now.equals(seen)) {
+                    seen = now;
+                    try {
+                        changed.accept(load(file, settings));
+                    } catch (IllegalArgumentException e) {
+                        wrong.accept(e.getMessage());
+                    }
+                }
+            }
+        }, "operator-file");
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private static FileTime modified(Path file) {
+        try {
+            return Files.getLastModifiedTime(file);
+        } catch (IOException e) {
+            return FileTime.fromMillis(0);
+        }
+    }
+
     public static RsyncConfig parse(String text, Settings settings) {
         Fields file = new Fields("", GatewayConfig.object(text));
         Map<String, Integer> shards = new LinkedHashMap<>();
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -16,7 +16,6 @@
 import petrelstand.decision.Scheduling.Events;
 import petrelstand.decision.Scheduling.ListKind;
 import petrelstand.decision.Scheduling.NodeEntry;
-import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.decision.Scheduling.Request;
 import petrelstand.decision.Scheduling.RequestClass;
@@ -170,9 +169,7 @@
         List<Long> listed = entries.stream().map(NodeEntry::node).toList();
         for (Node node : List.copyOf(nodes.values())) {
             if (!listed.contains(node.number()) && !node.gone()) {
-                NodeEntry e = node.entry();
-                nodes.put(node.number(), new Node(node.name(), node.address(), new NodeEntry(e.node(), e.zone(),
-                        e.shard(), NodeState.GONE, e.rating(), e.upSinceMs())));
+                nodes.put(node.number(), node.asGone());
                 server.forget(node);
                 log.accept("node " + node.name() + ": no longer listed");
             }
--- a/src/main/java/petrelstand/core/Node.java
+++ b/src/main/java/petrelstand/core/Node.java
@@ -13,6 +13,12 @@
         return entry.state() == NodeState.GONE;
     }
 
+    /** The same node, no longer listed. */
+    public Node asGone() {
+        return new Node(name, address, new NodeEntry(entry.node(), entry.zone(), entry.shard(), NodeState.GONE,
+                entry.rating(), entry.upSinceMs()));
+    }
+
     /**
      * The number by which the decision module knows a node. The module's turns at a cold node count on one number
      * for a node at all gateways, so it is made of the name alone: the hex digits of an "s-" name, else a hash.
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -1,6 +1,5 @@
 package petrelstand.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -41,7 +40,7 @@
     private String method;
     private String target;
     private HttpFields.Mutable fields;
-    private ByteArrayOutputStream body;
+    private final Body body = new Body(Wire.MOST_BODY);
     private boolean persistent;
 
     ClientConnection(EndPoint endPoint, Front front, boolean full) {
@@ -162,7 +161,7 @@
         method = newMethod;
         target = uri;
         fields = HttpFields.build();
-        body = null;
+        body.take();
         persistent = version == HttpVersion.HTTP_1_1;
     }
 
@@ -189,18 +188,11 @@
 
     @Override
     public boolean content(ByteBuffer item) {
-        if (body == null) {
-            body = new ByteArrayOutputStream(Math.min(Wire.MOST_BODY, Math.max(64, item.remaining())));
-        }
-        if (body.size() + item.remaining() > Wire.MOST_BODY) {
+        boolean fits = body.add(item);
+        if (!fits) {
             malformed(413, "the body is over " + Wire.MOST_BODY + " bytes");
-            BufferUtil.clear(item);
-            return true;
         }
-        byte[] bytes = BufferUtil.toArray(item);
-        body.write(bytes, 0, bytes.length);
-        BufferUtil.clear(item);
-        return false;
+        return !fits;
     }
 
     @Override
@@ -214,7 +206,7 @@
             return true;
         }
         stopLimit();
-        byte[] bytes = body == null ? new byte[0] : body.toByteArray();
+        byte[] bytes = body.take();
         try {
             if (full) {
                 front.broker().counters().add("connections.full");
@@ -299,7 +291,7 @@
         method = null;
         target = null;
         fields = null;
-        body = null;
+        body.take();
         front.used(this);
         if (parsing) {
             resetDue = true;
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -1,6 +1,5 @@
 package petrelstand.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.function.BiConsumer;
@@ -18,7 +17,6 @@
 public class UpstreamConnection extends LoopConnection implements HttpParser.ResponseHandler {
     enum State { IDLE, SENDING, WAITING, CLOSED }
 
-    private final int mostBody;
     /** Told when the connection is free again (true) or closed (false). */
     private final BiConsumer<UpstreamConnection, Boolean> owner;
     private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
@@ -27,14 +25,14 @@
     private Call call;
     private int status;
     private HttpFields.Mutable fields;
-    private ByteArrayOutputStream body;
+    private final Body body;
     private boolean persistent;
     private boolean whole;
     private long idleSinceUs;
 
     public UpstreamConnection(EndPoint endPoint, int mostBody, BiConsumer<UpstreamConnection, Boolean> owner) {
         super(endPoint);
-        this.mostBody = mostBody;
+        this.body = new Body(mostBody);
         this.owner = owner;
     }
 
@@ -117,8 +115,7 @@
         boolean reusable = persistent && state == State.WAITING && !BufferUtil.hasContent(input);
         Call done = call;
         call = null;
-        ByteBuffer content = body == null ? BufferUtil.EMPTY_BUFFER : ByteBuffer.wrap(body.toByteArray());
-        body = null;
+        ByteBuffer content = ByteBuffer.wrap(body.take());
         HttpFields headers = fields;
         if (reusable) {
             state = State.IDLE;
@@ -134,7 +131,7 @@
     public void startResponse(HttpVersion version, int newStatus, String reason) {
         status = newStatus;
         fields = HttpFields.build();
-        body = null;
+        body.take();
         persistent = version == HttpVersion.HTTP_1_1;
     }
 
@@ -153,18 +150,11 @@
 
     @Override
     public boolean content(ByteBuffer item) {
-        if (body == null) {
-            body = new ByteArrayOutputStream(Math.max(64, item.remaining()));
-        }
-        if (body.size() + item.remaining() > mostBody) {
-            BufferUtil.clear(item);
+        boolean fits = body.add(item);
+        if (!fits) {
             end();
-            return true;
         }
-        byte[] bytes = BufferUtil.toArray(item);
-        body.write(bytes, 0, bytes.length);
-        BufferUtil.clear(item);
-        return false;
+        return !fits;
     }
 
     @Override
--- a/src/main/java/petrelstand/rsync/RsyncFront.java
+++ b/src/main/java/petrelstand/rsync/RsyncFront.java
@@ -18,7 +18,7 @@
 
     private final Broker broker;
     private final Timers timers;
-    private final RsyncConfig config;
+    private RsyncConfig config;
     private final Consumer<String> log;
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
     private boolean draining;
@@ -51,6 +51,11 @@
         List.copyOf(sessions).forEach(ClientSession::endIfIdle);
     }
 
+    /** Takes the operator's file as it is now; transfers that were taken go on. */
+    public void reload(RsyncConfig changed) {
+        config = changed;
+    }
+
     public int sessions() {
         return sessions.size();
     }
--- a/src/test/java/petrelstand/LoopbackTest.java
+++ b/src/test/java/petrelstand/LoopbackTest.java
@@ -196,6 +196,32 @@
         assertEquals(0, draining.connections.get());
     }
 
+    @Test
+    void anEndpointThatTheChangedFileDrainsGetsNoMore() throws Exception {
+        Server daemon = opened(goldenDaemon());
+        startWith(daemon);
+        asked("charts", "@RSYNCD: OK\n");
+        GatewayConfig config = config(daemon);
+        Path file = folder.resolve("rsync.json");
+        Files.writeString(file, "{");
+        var bad = new java.util.concurrent.CompletableFuture<String>();
+        Thread follower = RsyncConfig.follow(file, config.settings(),
+                changed -> gateway.execute(() -> gateway.reload(changed)), bad::complete);
+        opened.add(follower::interrupt);
+        Files.writeString(file, "[");
+        Files.setLastModifiedTime(file, java.nio.file.attribute.FileTime.fromMillis(1000));
+        assertTrue(bad.get(20, TimeUnit.SECONDS).contains("rsync.json: the text is not"));
+        Files.writeString(file, Configs.rsync(10_000, Map.of(daemon.port(), "DRAINING")));
+        String answer = "";
+        for (int i = 0; i < 1000 && !answer.contains("refused, come again in 0.5 s"); i++) {
+            Thread.sleep(20);
+            try (Client client = new Client(rsyncPort)) {
+                answer = client.ask("charts");
+            }
+        }
+        assertTrue(answer.contains("refused, come again in 0.5 s"), answer);
+    }
+
     @Test
     void aDrainingGatewayEndsWhatItTookAndRefusesTheRest() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
--- a/src/test/java/petrelstand/http/FrontTest.java
+++ b/src/test/java/petrelstand/http/FrontTest.java
@@ -11,6 +11,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import petrelstand.core.Node;
+import petrelstand.decision.Scheduling.ListKind;
 import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.net.MemoryEnd;
 import petrelstand.testing.Harness;
@@ -250,6 +252,41 @@
         assertFalse(node.isOpen());
     }
 
+    @Test
+    void aNodeThatMovedIsReachedAtItsNewAddress() {
+        listOne();
+        client.put(read(1, ""));
+        MemoryEnd old = world.up();
+        old.put(ok("x"));
+        Node listed = Harness.node("s-00000001", 3, NodeState.READY, 0);
+        world.list(new Node(listed.name(), "127.0.0.2:9002", listed.entry()));
+        assertFalse(old.isOpen());
+        client.put(read(2, ""));
+        assertEquals("/127.0.0.2:9002", world.dialed.get(0).address().toString());
+    }
+
+    @Test
+    void aRemovedNodeAndOneThatAWholeListLeavesOutGetNothing() {
+        listOne();
+        world.broker.nodes(ListKind.CHANGES, List.of(Harness.node("s-00000001", 3, NodeState.GONE, 0)));
+        client.put(read(1, ""));
+        listOne();
+        world.list(Harness.node("s-00000002", 4, NodeState.READY, 0));
+        client.put(read(2, ""));
+        assertEquals(List.of(), world.dialed);
+        assertEquals(List.of("503", "503"), statuses(client.taken()));
+    }
+
+    @Test
+    void aKnownListThatWasStaleGivesWayToTheWholeOne() {
+        world.broker.nodes(ListKind.CACHED, List.of(Harness.node("s-00000009", 3, NodeState.READY, 0)));
+        listOne();
+        client.put(read(1, ""));
+        assertEquals(1, world.dialed.size());
+        world.up().put(ok("x"));
+        assertEquals(List.of("200"), statuses(client.taken()));
+    }
+
     @Test
     void drainingAnswersAllAndClosesBetweenRequests() {
         listOne();
