Session model finds two faults of the rsync relay; the private shards decided in the module

Seen by the new model (SessionModelTest): a daemon that speaks before it has the arguments met a null in Transfer.down, and one that was gone by then met one in upRaw. At fault: NodeSession read on before the transfer began. Now it waits until the arguments have left.

--- a/src/main/java/petrelstand/config/NodeList.java
+++ b/src/main/java/petrelstand/config/NodeList.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import petrelstand.core.Node;
-import petrelstand.decision.Scheduling;
 import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.NodeState;
 
@@ -48,7 +47,7 @@
         int zone = json.has("zone") ? Math.max(0, zones.indexOf(json.get("zone").getAsString())) : 0;
         String address = json.has("addr") ? json.get("addr").getAsString() : "";
         int cell = number(json, "cell", -1).intValue();
-        if (cell >= Scheduling.PRIVATE_SHARDS) {
+        if (cell >= NodeEntry.PRIVATE) {
             throw new IllegalArgumentException("node " + name + " has a cell that is out of range: " + cell);
         }
         if (state != NodeState.GONE) {
--- a/src/main/java/petrelstand/config/RsyncConfig.java
+++ b/src/main/java/petrelstand/config/RsyncConfig.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import petrelstand.core.Node;
-import petrelstand.decision.Scheduling;
 import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.decision.Scheduling.Settings;
@@ -87,7 +86,7 @@
         List<Node> nodes = new ArrayList<>();
         for (Fields cluster : file.list("clusters")) {
             String name = cluster.text("name");
-            if (shards.putIfAbsent(name, Scheduling.PRIVATE_SHARDS + shards.size()) != null) {
+            if (shards.putIfAbsent(name, NodeEntry.PRIVATE + shards.size()) != null) {
                 throw cluster.wrong("name", "is there twice: '" + name + "'");
             }
             String type = cluster.textOr("type", "STATIC");
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import petrelstand.decision.Policy;
-import petrelstand.decision.Scheduling;
 import petrelstand.decision.Scheduling.Actions;
 import petrelstand.decision.Scheduling.AttemptEnd;
 import petrelstand.decision.Scheduling.Events;
@@ -275,7 +274,8 @@
             Attempt attempt = new Attempt(Broker.this, exchange, to, exchange.attempts().size(), now, until);
             boolean alone = settings.may().secondCopies() || !exchange.outstanding();
             exchange.attempts().add(attempt);
-            boolean holds = to != null && Scheduling.holds(to.entry().shard(), exchange.demand().shard());
+            int wanted = exchange.demand().shard();
+            boolean holds = to != null && (wanted < 0 ? !to.isPrivate() : to.entry().shard() == wanted);
             if (exchange.over() || exchange.begun() || now >= until || !holds || !alone
                     || attempt.number() >= settings.may().maxAttempts()) {
                 attempt.ended(Outcome.NOT_SENT, null, null);
--- a/src/main/java/petrelstand/core/Node.java
+++ b/src/main/java/petrelstand/core/Node.java
@@ -13,6 +13,11 @@
         return entry.state() == NodeState.GONE;
     }
 
+    /** Only requests that name its shard may go there: it does not speak the platform's protocol. */
+    public boolean isPrivate() {
+        return entry.shard() >= NodeEntry.PRIVATE;
+    }
+
     /** The same node, no longer listed. */
     public Node asGone() {
         return new Node(name, address, new NodeEntry(entry.node(), entry.zone(), entry.shard(), NodeState.GONE,
--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -114,8 +114,7 @@
     /** A storage node as this host sees it. */
     private static final class Node {
         final long id;
-        int zone;
-        int shard;
+        int zone, shard;
         NodeState state = NodeState.READY;
         double upSinceMs;
         final TreeSet<Item> held = new TreeSet<>(BY_DEADLINE);
@@ -241,8 +240,9 @@
     private Node nodeFor(double nowMs, Item item) {
         Node best = null;
         double bestFinish = Double.POSITIVE_INFINITY;
+        int wanted = item.request.shard();
         for (Node node : nodes.values()) {
-            boolean holds = Scheduling.holds(node.shard, item.request.shard());
+            boolean holds = wanted < 0 ? node.shard < NodeEntry.PRIVATE : node.shard == wanted;
             if (node.state == NodeState.READY && holds && mayGoTo(nowMs, item, node)) {
                 double finish = (emulate(nowMs, node, item, Set.of()).endMs - nowMs + node.latencyMs)
                         * (1 + random.nextDouble());
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -4,16 +4,8 @@
 
 /** The decision module's interface: the types, the events a host reports, and the actions it carries out. */
 public final class Scheduling {
-    /** Shards from here on are private: only a request that names one goes there, a new object never does. */
-    public static final int PRIVATE_SHARDS = 1 << 20;
-
     private Scheduling() {}
 
-    /** Whether a node of a shard may serve a request that names a shard, or none (-1: a new object). */
-    public static boolean holds(int nodeShard, int wanted) {
-        return wanted < 0 ? nodeShard < PRIVATE_SHARDS : nodeShard == wanted;
-    }
-
     /** What a repeated execution of a request of a class would do. */
     public enum Effect { REPEATABLE, KEYED, UNSAFE }
 
@@ -107,7 +99,10 @@
     }
 
     /** A line of the node list. A start time of 0 means long past. */
-    public record NodeEntry(long node, int zone, int shard, NodeState state, double rating, double upSinceMs) {}
+    public record NodeEntry(long node, int zone, int shard, NodeState state, double rating, double upSinceMs) {
+        /** Shards from here on are private: only a request that names one goes there, a new object never does. */
+        public static final int PRIVATE = 1 << 20;
+    }
 
     /** A request taken by this host. A shard of -1 is a new object, which any node may take. */
     public record Request(long id, int requestClass, int plan, long key, double timeLeftMs, long volume,
--- a/src/main/java/petrelstand/http/DemandReader.java
+++ b/src/main/java/petrelstand/http/DemandReader.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 import org.eclipse.jetty.http.HttpFields;
 import petrelstand.core.Demand;
-import petrelstand.decision.Scheduling;
 import petrelstand.decision.Scheduling.Effect;
+import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.RequestClass;
 import petrelstand.decision.Scheduling.Settings;
 
@@ -68,7 +68,7 @@
         double units = number("units", placement.get("units"));
         int shard = whole("shard", placement.get("shard"), -1);
         int hosts = whole("hosts", placement.getOrDefault("hosts", "0"), 0);
-        if (shard >= Scheduling.PRIVATE_SHARDS) {
+        if (shard >= NodeEntry.PRIVATE) {
             throw new Malformed(400, "there is no shard " + shard);
         }
         if (!(units > 0 && units <= 1e9)) {
--- a/src/main/java/petrelstand/net/MemoryEnd.java
+++ b/src/main/java/petrelstand/net/MemoryEnd.java
@@ -30,8 +30,12 @@
 
     /** The other side sends. */
     public void put(String text) {
+        putBytes(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    public void putBytes(byte[] bytes) {
         if (isOpen()) {
-            addInputAndExecute(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+            addInputAndExecute(ByteBuffer.wrap(bytes));
         }
     }
 
--- a/src/main/java/petrelstand/rsync/ByWire.java
+++ b/src/main/java/petrelstand/rsync/ByWire.java
@@ -3,12 +3,11 @@
 import petrelstand.core.Attempt;
 import petrelstand.core.Node;
 import petrelstand.core.ServerSide;
-import petrelstand.decision.Scheduling;
 
 /** Sends each attempt to the server side that speaks its node's wire: private shards are rsync nodes. */
 public record ByWire(ServerSide platform, ServerSide rsync) implements ServerSide {
     private ServerSide of(Node node) {
-        return node.entry().shard() >= Scheduling.PRIVATE_SHARDS ? rsync : platform;
+        return node.isPrivate() ? rsync : platform;
     }
 
     @Override
--- a/src/main/java/petrelstand/rsync/ClientSession.java
+++ b/src/main/java/petrelstand/rsync/ClientSession.java
@@ -176,7 +176,7 @@
         transfer.begin(options);
         front.began(exchange);
         String all = String.join("\n", arguments) + "\n\n";
-        transfer.upRaw(ByteBuffer.wrap(all.getBytes(StandardCharsets.UTF_8)), this::resume);
+        transfer.upArguments(ByteBuffer.wrap(all.getBytes(StandardCharsets.UTF_8)), this::resume);
     }
 
     // ---- The relay ----
--- a/src/main/java/petrelstand/rsync/NodeSession.java
+++ b/src/main/java/petrelstand/rsync/NodeSession.java
@@ -38,6 +38,10 @@
     @Override
     boolean use(ByteBuffer bytes) {
         while (bytes.hasRemaining()) {
+            if (state == State.OPEN && !transfer.begun()) {
+                // A daemon may not speak before it has the arguments; how to read it is not known until then.
+                return false;
+            }
             if (state == State.OPEN) {
                 transfer.down(bytes.duplicate(), () -> {
                     bytes.position(bytes.limit());
@@ -76,6 +80,11 @@
         write(bytes, left);
     }
 
+    @Override
+    public void begin() {
+        resume();
+    }
+
     @Override
     public void finished() {
         end(Outcome.SERVED);
--- a/src/main/java/petrelstand/rsync/Transfer.java
+++ b/src/main/java/petrelstand/rsync/Transfer.java
@@ -17,6 +17,9 @@
     /** The node's end is told when the transfer has ended whole. */
     interface NodeEnd extends End {
         void finished();
+
+        /** Goes on reading, after it had to wait. */
+        void begin();
     }
 
     /** The client's end hears that a node has opened the module. */
@@ -79,9 +82,13 @@
         node.relay(bytes, left);
     }
 
-    /** The client's arguments, as they came. */
-    void upRaw(ByteBuffer bytes, Runnable left) {
-        node.relay(bytes, left);
+    /** The client's arguments, as they came. The node is read from only when they have left: it may not speak sooner. */
+    void upArguments(ByteBuffer bytes, Runnable left) {
+        NodeEnd to = node;
+        to.relay(bytes, () -> {
+            to.begin();
+            left.run();
+        });
     }
 
     void down(ByteBuffer bytes, Runnable left) {
--- a/src/test/java/petrelstand/config/ConfigTest.java
+++ b/src/test/java/petrelstand/config/ConfigTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import petrelstand.decision.Scheduling;
+import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.testing.Configs;
 import petrelstand.testing.Harness;
@@ -63,7 +63,7 @@
         RsyncConfig.Module module = config.module("charts");
         assertEquals(2, module.requestClass());
         assertEquals(0xb1, module.volume());
-        assertEquals(Scheduling.PRIVATE_SHARDS, module.shard());
+        assertEquals(NodeEntry.PRIVATE, module.shard());
         assertEquals(500_000, config.idleUs());
         assertEquals("127.0.0.1:8731", config.nodes().get(0).address());
         assertEquals(module.shard(), config.nodes().get(0).entry().shard());
--- a/src/test/java/petrelstand/core/BrokerTest.java
+++ b/src/test/java/petrelstand/core/BrokerTest.java
@@ -11,7 +11,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
-import petrelstand.decision.Scheduling;
+import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.testing.Harness;
@@ -164,7 +164,7 @@
 
     @Test
     void aNewObjectNeverGoesToAPrivateShard() {
-        world.list(Harness.node("charts/127.0.0.1:1", Scheduling.PRIVATE_SHARDS, NodeState.READY, 0));
+        world.list(Harness.node("charts/127.0.0.1:1", NodeEntry.PRIVATE, NodeState.READY, 0));
         Client client = take(1, -1, 2_500_000);
         assertEquals(List.of(), started);
         assertEquals(List.of("refused"), client.answers);
--- a/src/test/java/petrelstand/rsync/ReadersTest.java
+++ b/src/test/java/petrelstand/rsync/ReadersTest.java
@@ -37,6 +37,9 @@
             @Override
             public void finished() {}
 
+            @Override
+            public void begin() {}
+
             @Override
             public void relay(ByteBuffer bytes, Runnable left) {}
 
--- /dev/null
+++ b/src/test/java/petrelstand/rsync/SessionModelTest.java
@@ -0,0 +1,162 @@
+package petrelstand.rsync;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import petrelstand.config.RsyncConfig;
+import petrelstand.net.MemoryEnd;
+import petrelstand.testing.Configs;
+import petrelstand.testing.Harness;
+
+/** Sessions on connections in memory, against a model: two scripts, each sent in pieces, each perhaps cut. */
+class SessionModelTest {
+    private static final String TAKEN = "taken.bulk-export";
+    private final Harness world = new Harness();
+    private final RsyncConfig config = RsyncConfig.parse(Configs.rsync(2000, Map.of(8731, "HEALTHY")), world.settings);
+    private final RsyncFront front = new RsyncFront(world.broker(
+            new RsyncNodes(world::dial, () -> world.nowUs, world.timers, 250)), world.timers, config, world.log::add);
+    private final MemoryEnd client;
+    private final StringBuilder clientGot = new StringBuilder();
+    private final StringBuilder nodeGot = new StringBuilder();
+    private String clientScript = "@RSYNCD: 31.0\ncharts\n" + Golden.ARGUMENTS + text(Golden.pullUp());
+    private String nodeScript = "@RSYNCD: 31.0\n@RSYNCD: OK\n" + text(Golden.pullDown());
+    private MemoryEnd node;
+    private int dials;
+
+    SessionModelTest() {
+        config.nodes().forEach(listed -> assertTrue(listed.isPrivate()));
+        world.list(config.nodes().toArray(petrelstand.core.Node[]::new));
+        client = MemoryEnd.open(front::accept);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private void clientSends(int size) {
+        int now = Math.min(size, clientScript.length());
+        client.putBytes(clientScript.substring(0, now).getBytes(StandardCharsets.ISO_8859_1));
+        clientScript = clientScript.substring(now);
+    }
+
+    private void nodeSends(int size) {
+        if (node == null && !world.dialed.isEmpty()) {
+            node = world.up();
+            dials++;
+        }
+        if (node != null) {
+            int now = Math.min(size, nodeScript.length());
+            node.putBytes(nodeScript.substring(0, now).getBytes(StandardCharsets.ISO_8859_1));
+            nodeScript = nodeScript.substring(now);
+        }
+    }
+
+    private void collect() {
+        clientGot.append(client.taken());
+        if (node != null) {
+            nodeGot.append(node.taken());
+        }
+    }
+
+    private long count(String name) {
+        return world.counters.get(name);
+    }
+
+    /** Each request ends once, nothing stays open, and what is called served has passed whole and unchanged. */
+    @Property(tries = 500, seed = "20261205")
+    void aTransferEndsOnceAndIsServedOnlyWhole(
+            @ForAll @Size(max = 60) List<@IntRange(max = 15) Integer> steps, @ForAll @IntRange(min = 20, max = 200) int size) {
+        SessionModelTest test = new SessionModelTest();
+        boolean cut = false;
+        for (int step : steps) {
+            switch (step) {
+                case 0 -> {
+                    if (!cut && test.client.isOpen()) {
+                        test.client.putEnd();
+                    }
+                    cut = true;
+                }
+                case 1 -> {
+                    if (!cut && test.node != null && test.node.isOpen()) {
+                        test.node.putEnd();
+                        cut = true;
+                    }
+                }
+                case 2 -> test.world.run(150_000);
+                default -> {
+                    if (step % 2 == 0 && !cut) {
+                        test.clientSends(size);
+                    } else if (!cut) {
+                        test.nodeSends(size);
+                    }
+                }
+            }
+            test.collect();
+        }
+        test.world.run(12_000_000);
+        test.collect();
+        assertEquals(0, test.world.broker.open());
+        assertEquals(0, test.front.sessions());
+        assertEquals(test.count(TAKEN), test.count("answered.served") + test.count("answered.refused")
+                + test.count("answered.failed") + test.count("answered.cut") + test.count("client_gone"));
+        boolean served = test.count("answered.served") == 1;
+        assertEquals(served, test.clientScript.isEmpty() && test.nodeScript.isEmpty() && test.dials == 1
+                && test.clientGot.toString().equals("@RSYNCD: 29.0\n@RSYNCD: OK\n" + text(Golden.pullDown()))
+                && test.nodeGot.toString().equals("@RSYNCD: 29.0\ncharts\n" + Golden.ARGUMENTS + text(Golden.pullUp())));
+    }
+
+    @Test
+    void theModelsScriptsAreServedWhereNothingIsCut() {
+        for (int i = 0; i < 40; i++) {
+            clientSends(50);
+            nodeSends(50);
+        }
+        assertEquals(1, count("answered.served"));
+    }
+
+    @Test
+    void aDaemonThatAcceptsAndSaysNothingIsNotConnected() {
+        clientSends(22);
+        world.up();
+        world.run(1_000_000);
+        assertEquals(1, count("outcome.not_connected"));
+    }
+
+    /** Nothing has run at a node that died before it had the arguments: another attempt may open the module. */
+    @Test
+    void aDaemonThatDiesBeforeTheArgumentsIsReplacedUnseen() {
+        clientSends(22);
+        nodeSends(26);
+        node.putEnd();
+        node = null;
+        nodeScript = "@RSYNCD: 31.0\n@RSYNCD: OK\n" + text(Golden.pullDown());
+        world.run(400_000);
+        for (int i = 0; i < 40; i++) {
+            clientSends(50);
+            nodeSends(50);
+        }
+        assertEquals(2, dials);
+        assertEquals(1, count("answered.served"));
+    }
+
+    @Test
+    void aTransferPastItsDeadlineIsCutOnceAndItsNodeLetGo() {
+        clientSends(22 + Golden.ARGUMENTS.length());
+        nodeSends(26);
+        for (int i = 0; i < 60; i++) {
+            world.run(100_000);
+            nodeSends(1);
+        }
+        assertEquals(1, count("answered.cut"));
+        assertEquals(1, count("outcome.timed_out"));
+        assertTrue(!node.isOpen());
+    }
+}
