SIGHUP reads the gateway's file anew and moves the watch to the new discovery

Nothing handled SIGHUP, and a virtual machine takes an unhandled one for an order to end: Main's shutdown hook drained and ended the gateway. Ruled out: the drain itself (rolling restarts kept their rules) and discovery (no call to a new address was ever made). At fault: Main.serve() set no handler, and Watch.address was final.

The file is read and checked off the loop, one signal after another; the move itself is a task of the loop. Watch.move ends the call that is out, cancels the rest after a failed one (else two loops would run), and goes on from the version reached. A bad file leaves all as it was, with one log line.

Tests: five on the watch in memory, one on the program itself with a bad file, several signals in a row, and one round SIGTERM.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -132,6 +132,24 @@
         }
     }
 
+    /**
+     * SIGHUP: takes the new address of discovery from the gateway's file. The rest of it is fixed at the start, and
+     * its node list is older than the one in use. On the loop's thread.
+     */
+    void reload(GatewayConfig changed) {
+        counters.add("reloads");
+        List<String> later = config.fixedChanges(changed);
+        log.accept("reload: discovery at " + changed.discovery()
+                + (later.isEmpty() ? "" : "; only a restart takes the changed " + String.join(", ", later)));
+        watch.move(changed.discovery());
+    }
+
+    /** SIGHUP with a file that is wrong: all stays as it was. On the loop's thread. */
+    void reloadFailed(String why) {
+        counters.add("reloads.failed");
+        log.accept("reload: the former file stays in use: " + why);
+    }
+
     /** Takes the operator's file as it is now, but for its address. On the loop's thread. */
     void reload(RsyncConfig changed) {
         List<Node> nodes = new ArrayList<>(changed.nodes());
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import petrelstand.config.GatewayConfig;
@@ -36,6 +37,10 @@
     }
 
     private static void serve() {
+        // SIGHUP ends a virtual machine that does not handle it, so it is handled from the first moment on; one
+        // that comes before the gateway serves waits for that.
+        CompletableFuture<Gateway> serving = new CompletableFuture<>();
+        Signals.on("HUP", () -> serving.thenAccept(Main::reload));
         try {
             GatewayConfig config = GatewayConfig.load(System.getenv());
             Path file = Path.of(System.getenv().getOrDefault("PETRELSTAND_RSYNC", "deploy/rsync.json"));
@@ -46,6 +51,7 @@
                 Runtime.getRuntime().halt(0);
             });
             gateway.start().get();
+            serving.complete(gateway);
             if (rsync) {
                 RsyncConfig.follow(file, config.settings(), changed -> gateway.execute(() -> gateway.reload(changed)),
                         why -> System.out.println("petrelstand: rsync: the former file stays in use: " + why));
@@ -72,6 +78,19 @@
         }
     }
 
+    /**
+     * The gateway's file is read and checked whole off the loop, one signal after another; the last one read is
+     * the last one taken.
+     */
+    private static synchronized void reload(Gateway gateway) {
+        try {
+            GatewayConfig changed = GatewayConfig.load(System.getenv());
+            gateway.execute(() -> gateway.reload(changed));
+        } catch (RuntimeException e) {
+            gateway.execute(() -> gateway.reloadFailed(e.getMessage()));
+        }
+    }
+
     /** A start and an end on loopback, with one request: what it loads goes into the class-data archive. */
     private static void rehearse() {
         try (InputStream file = Main.class.getResourceAsStream("/rehearsal.json")) {
--- a/src/main/java/petrelstand/config/GatewayConfig.java
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -56,6 +56,24 @@
                 seed(word(json, "seed", "0")), whole(limits, "sockets", 1024), settings, known);
     }
 
+    /** What differs in another file that a running gateway cannot take, by the names the file has for it. */
+    public List<String> fixedChanges(GatewayConfig other) {
+        List<String> names = new ArrayList<>();
+        if (!name.equals(other.name)) {
+            names.add("name");
+        }
+        if (!listen.equals(other.listen)) {
+            names.add("listen");
+        }
+        if (sockets != other.sockets) {
+            names.add("limits");
+        }
+        if (!settings.equals(other.settings)) {
+            names.add("settings");
+        }
+        return names;
+    }
+
     static JsonObject object(String text) {
         try {
             JsonElement element = JsonParser.parseString(text);
--- a/src/main/java/petrelstand/discovery/Watch.java
+++ b/src/main/java/petrelstand/discovery/Watch.java
@@ -36,7 +36,7 @@
     private final NodePool.Dialer dialer;
     private final LongSupplier clock;
     private final Timers timers;
-    private final String address;
+    private String address;
     private final String host;
     private final List<String> zones;
     private final Consumer<NodeList> heard;
@@ -46,6 +46,8 @@
     private int failures;
     private UpstreamConnection connection;
     private Round round;
+    /** The rest after a failed call. */
+    private Timers.Timer rest;
 
     public Watch(NodePool.Dialer dialer, LongSupplier clock, Timers timers, String address, String host,
             List<String> zones, long version, Consumer<NodeList> heard, Counters counters, Consumer<String> log) {
@@ -65,6 +67,32 @@
         next();
     }
 
+    /**
+     * Goes on at another address, at once and from the version reached. The call that is out ends unheard: what it
+     * would have told is newer than that version, so the next call tells it. Guards against two loops side by side,
+     * where a failed call was resting, and against a connection to the old address that comes up late.
+     */
+    public void move(String newAddress) {
+        if (newAddress.equals(address)) {
+            return;
+        }
+        address = newAddress;
+        failures = 0;
+        if (round == null) {
+            return;
+        }
+        round.finish();
+        if (rest != null) {
+            rest.cancel();
+        }
+        UpstreamConnection old = connection;
+        connection = null;
+        if (old != null) {
+            old.drop();
+        }
+        next();
+    }
+
     private void next() {
         round = new Round();
         round.timeout = timers.at(clock.getAsLong() + WAIT_MS * 1000 + SLACK_US, round::late);
@@ -166,7 +194,7 @@
                 if (failures++ == 0) {
                     log.accept("discovery: " + why + "; asking again");
                 }
-                timers.at(clock.getAsLong() + REST_US, Watch.this::next);
+                rest = timers.at(clock.getAsLong() + REST_US, Watch.this::next);
             }
         }
     }
--- a/src/test/java/petrelstand/LoopbackTest.java
+++ b/src/test/java/petrelstand/LoopbackTest.java
@@ -357,6 +357,52 @@
                 last);
     }
 
+    private static void signal(Process process, String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    private static String awaitLine(java.io.BufferedReader log, String wanted) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(wanted)) {
+            line = log.readLine();
+        }
+        return String.valueOf(line);
+    }
+
+    /** An unhandled SIGHUP ends a virtual machine: this program reads its file anew instead, and serves on. */
+    @Test
+    void sighupMovesTheWatchAndABadFileLeavesTheFormerInUse() throws Exception {
+        Server node = opened(StandIns.storageNode(1));
+        Server first = opened(StandIns.silent());
+        Server second = opened(StandIns.silent());
+        Path file = folder.resolve("hup.json");
+        int port = freePort();
+        String at = Configs.gateway(node.port(), first.port()).replace("127.0.0.1:0", "127.0.0.1:" + port);
+        Files.writeString(file, at);
+        Process process = serve(file);
+        var log = process.inputReader();
+        awaitLine(log, "ready: n1");
+        Files.writeString(file, at.substring(0, at.length() / 2));
+        signal(process, "HUP");
+        assertTrue(awaitLine(log, "reload:").contains("the former file stays in use: " + file));
+        Files.writeString(file, at.replace(":" + first.port(), ":" + second.port()).replace("\"n1\"", "\"n2\""));
+        for (int i = 0; i < 3; i++) {
+            signal(process, "HUP");
+        }
+        String line = awaitLine(log, "reload:");
+        assertTrue(line.endsWith("discovery at 127.0.0.1:" + second.port() + "; only a restart takes the changed name"), line);
+        while (second.connections.get() == 0) {
+            Thread.sleep(2);
+        }
+        assertTrue(opened(new Client(port)).http("tile-read", "t1").startsWith("200 node:t1"));
+        signal(process, "HUP");
+        process.toHandle().destroy();
+        signal(process, "HUP");
+        String last = log.lines().reduce("", (a, b) -> b);
+        assertEquals(0, process.waitFor());
+        assertTrue(last.contains("answered.served=1") && last.contains("reloads.failed=1"), last);
+    }
+
     private static int freePort() throws IOException {
         try (var socket = new java.net.ServerSocket(0)) {
             return socket.getLocalPort();
--- a/src/test/java/petrelstand/discovery/WatchTest.java
+++ b/src/test/java/petrelstand/discovery/WatchTest.java
@@ -83,4 +83,59 @@
         world.run(150_000);
         assertTrue(agent.taken().startsWith("GET /v1/endpoints?index=41"));
     }
+
+    private static final String NEW = "127.0.0.3:8600";
+
+    private void atNewAddress() {
+        assertEquals("/" + NEW, world.dialed.get(world.dialed.size() - 1).address().toString());
+        assertTrue(world.up().taken().startsWith("GET /v1/endpoints?index=41&wait=2000"));
+        world.run(2_500_000);
+        assertEquals(0, world.dialed.size(), "one call at a time");
+    }
+
+    @Test
+    void aMoveClosesTheOldCallAndGoesOnFromTheSameVersionAtOnce() {
+        Watch watch = watch(41);
+        MemoryEnd old = world.up();
+        watch.move(NEW);
+        assertFalse(old.isOpen());
+        atNewAddress();
+    }
+
+    @Test
+    void aMoveWhileAFailedCallRestsLeavesOneLoop() {
+        Watch watch = watch(41);
+        world.dialed.remove(0).connector().connectFailed(new java.io.IOException("refused"));
+        watch.move(NEW);
+        atNewAddress();
+    }
+
+    @Test
+    void aMoveWhileTheOldConnectionComesUpLeavesIt() {
+        Watch watch = watch(41);
+        Harness.Dialed old = world.dialed.remove(0);
+        watch.move(NEW);
+        assertFalse(MemoryEnd.open(old.connector()::connected).isOpen());
+        atNewAddress();
+    }
+
+    @Test
+    void aMoveToTheSameAddressKeepsTheCall() {
+        Watch watch = watch(41);
+        MemoryEnd agent = world.up();
+        watch.move(Harness.ADDRESS);
+        assertTrue(agent.isOpen());
+        assertEquals(0, world.dialed.size());
+    }
+
+    @Test
+    void severalMovesBeforeAnyConnectionComesUpEndAtTheLast() {
+        Watch watch = watch(41);
+        watch.move("127.0.0.4:8600");
+        watch.move(NEW);
+        assertEquals(3, world.dialed.size());
+        MemoryEnd.open(world.dialed.remove(0).connector()::connected);
+        MemoryEnd.open(world.dialed.remove(0).connector()::connected);
+        atNewAddress();
+    }
 }
