Answers up to 1 MiB pass whole; spoilt ones and bad clients end at once

A probe that printed why node connections end showed them all in UpstreamConnection.content(): the body was over KEPT_ANSWER, 64 KiB. Ruled out: idle closes (0), the clients' leaving (counted as cancelled), and CPU (0.20 s a second once warm).

Answers now pass up to 1 MiB each, within a budget over all connections. With that goes all of the reading of answers: two lengths, a length and a coding, no framing at all, a length over the bound, another version, 101, chunks that can't be read end at once as an error of the node (it ran, and it is alive: a reset would put its health in doubt). An answer that begins and stops for 150 ms ends too. Before a connection is used again it is read once more: a second copy behind an answer would have been served to the next request. NaN, negative and infinite figures of a load report are dropped.

Clients: ClientConnection set no limit before the first byte and 10 s after it, now 2.5 s for both, with a 408 for half a request. Content-Length with Transfer-Encoding and repeated lengths are errors here and no longer left to the parser's defaults; an X-Txn of an open request is a 409 (Front.claim); X-Remaining-Ms must be whole and not negative, longer than the class waits is still cut to that. Each error ends its connection; what still comes is dropped, 64 KiB a turn, until 500 ms of silence. Where room is short silent newcomers go before kept connections.

--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -253,8 +253,8 @@
     }
 
     private void forgetIfDone(Exchange exchange) {
-        if (exchange.over() && !exchange.outstanding()) {
-            exchanges.remove(exchange.id());
+        if (exchange.over() && !exchange.outstanding() && exchanges.remove(exchange.id()) != null) {
+            exchange.client().forgotten(exchange);
         }
     }
 
--- a/src/main/java/petrelstand/core/ClientSide.java
+++ b/src/main/java/petrelstand/core/ClientSide.java
@@ -10,4 +10,7 @@
 
     /** Failed: nothing is promised about the request's effect. */
     void failed(Attempt last);
+
+    /** Nothing of the exchange is out any more: it was answered or given up, and so was its last attempt. */
+    default void forgotten(Exchange exchange) {}
 }
--- a/src/main/java/petrelstand/discovery/Watch.java
+++ b/src/main/java/petrelstand/discovery/Watch.java
@@ -13,6 +13,7 @@
 import petrelstand.config.NodeList;
 import petrelstand.core.Counters;
 import petrelstand.core.Timers;
+import petrelstand.http.Budget;
 import petrelstand.http.Call;
 import petrelstand.http.NodePool;
 import petrelstand.http.UpstreamConnection;
@@ -121,7 +122,7 @@
 
         @Override
         public Connection connected(EndPoint endPoint) {
-            return new UpstreamConnection(endPoint, MOST_LIST, (c, free) -> {
+            return new UpstreamConnection(endPoint, MOST_LIST, new Budget(MOST_LIST), (c, free) -> {
                 if (!free && connection == c) {
                     connection = null;
                 }
@@ -176,8 +177,8 @@
         }
 
         @Override
-        public void broke(boolean written) {
-            failed("the connection broke");
+        public void broke(Break how) {
+            failed(how == Break.SPOILT ? "an answer that can't be read" : "the connection broke");
         }
 
         private void late() {
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -25,8 +25,13 @@
 final class ClientConnection extends LoopConnection implements HttpParser.RequestHandler, ClientSide {
     enum State { READING, TAKEN, ANSWERING, LINGERING, CLOSED }
 
+    /** Ranks of those that may make room, the first to go first. */
+    static final int RANKS = 4;
+
     private final Front front;
     private final boolean full;
+    private final boolean unwanted;
+    private final long openedUs;
     private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
     private final ByteBuffer input = BufferUtil.allocate(4096);
     private State state = State.READING;
@@ -34,19 +39,33 @@
     private boolean inputFull;
     private boolean sawEnd;
     private boolean resetDue;
+    /** A byte of the request being read has come. */
+    private boolean begun;
+    private long begunUs;
+    /** A request has come whole on this connection. */
+    private boolean used;
+    private boolean lingerHeard;
+    private long lingerUntilUs;
     private Timers.Timer limit;
     private Exchange exchange;
 
     private String method;
     private String target;
+    private HttpVersion version;
     private HttpFields.Mutable fields;
-    private final Body body = new Body(Wire.MOST_BODY);
+    private final Body body;
+    /** Bytes of an answer that are not wholly written. */
+    private int writing;
     private boolean persistent;
 
-    ClientConnection(EndPoint endPoint, Front front, boolean full) {
+    /** One that is unwanted closes as it opens. */
+    ClientConnection(EndPoint endPoint, Front front, boolean full, boolean unwanted) {
         super(endPoint);
         this.front = front;
+        this.body = new Body(Wire.MOST_BODY, front.requests());
         this.full = full;
+        this.unwanted = unwanted;
+        this.openedUs = front.broker().nowUs();
     }
 
     State state() {
@@ -55,7 +74,26 @@
 
     /** Between requests, with nothing read of the next. */
     boolean idle() {
-        return state == State.READING && limit == null && BufferUtil.isEmpty(input);
+        return state == State.READING && !begun && BufferUtil.isEmpty(input);
+    }
+
+    /** Place among those that may make room: silent newcomers, kept ones, half requests, new ones; -1: none. */
+    int rank(long nowUs) {
+        if (idle()) {
+            return used ? 1 : nowUs >= openedUs + Front.SILENT_US ? 0 : 3;
+        }
+        return state == State.READING && begun && nowUs >= begunUs + Front.HALF_US ? 2 : -1;
+    }
+
+    /** Closes to make room, but for what has just sent a whole request; half of one is told so first. */
+    boolean giveWay() {
+        if (idle()) {
+            closeIfIdle();
+        } else {
+            malformed(408, "the request did not come whole while there was room");
+            close();
+        }
+        return state == State.CLOSED;
     }
 
     /** Closes between requests; one that has arrived by now is still taken, and closes with its answer. */
@@ -75,19 +113,42 @@
     @Override
     public void onOpen() {
         super.onOpen();
-        if (full) {
-            limit = front.timers().at(front.broker().nowUs() + Front.FULL_US, this::close);
+        if (unwanted) {
+            close();
+            return;
         }
+        limit = front.timers().at(openedUs + (full ? Front.FULL_US : Front.REQUEST_US), this::late);
         fillInterested();
     }
 
+    /** Guards against clients that say nothing, or half a request: the one is closed, the other told. */
+    private void late() {
+        limit = null;
+        front.broker().counters().add("connections.late");
+        if (idle()) {
+            close();
+        } else {
+            malformed(408, "the request did not come whole in time");
+        }
+    }
+
     @Override
     public void onFillable() {
         try {
-            while (state != State.CLOSED) {
+            for (int read = 0; state != State.CLOSED;) {
+                if (read >= Front.MOST_READ) {
+                    fillInterested();
+                    return;
+                }
                 if (state == State.LINGERING) {
-                    BufferUtil.clear(input);
-                } else if (BufferUtil.space(input) == 0) {
+                    int filled = drop();
+                    if (filled <= 0) {
+                        return;
+                    }
+                    read += filled;
+                    continue;
+                }
+                if (BufferUtil.space(input) == 0) {
                     BufferUtil.compact(input);
                 }
                 if (BufferUtil.space(input) == 0) {
@@ -103,6 +164,7 @@
                     fillInterested();
                     return;
                 }
+                read += filled;
                 parse();
             }
         } catch (IOException e) {
@@ -110,6 +172,20 @@
         }
     }
 
+    /** Reads what follows the last answer, and drops it. */
+    private int drop() throws IOException {
+        BufferUtil.clear(input);
+        BufferUtil.clear(front.dropped());
+        int filled = getEndPoint().fill(front.dropped());
+        if (filled < 0) {
+            ended();
+        } else if (filled == 0) {
+            fillInterested();
+        }
+        lingerHeard |= filled > 0;
+        return filled;
+    }
+
     @Override
     protected void onFillInterestedFailed(Throwable cause) {
         ended();
@@ -122,7 +198,7 @@
     private void ended() {
         if (state == State.TAKEN) {
             front.broker().clientGone(exchange);
-            answer(500, null, 0, "the client closed its side".getBytes(StandardCharsets.UTF_8), true);
+            answer(500, null, 0, BufferUtil.toBuffer("the client closed its side"), true);
         } else if (state == State.ANSWERING) {
             sawEnd = true;
         } else {
@@ -138,8 +214,12 @@
         parsing = true;
         try {
             while (state == State.READING && BufferUtil.hasContent(input)) {
+                if (!begun) {
+                    begun = true;
+                    begunUs = front.broker().nowUs();
+                }
                 if (limit == null) {
-                    limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::close);
+                    limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
                 }
                 boolean paused = parser.parseNext(input);
                 if (resetDue) {
@@ -157,7 +237,8 @@
     // ---- What the parser tells ----
 
     @Override
-    public void startRequest(String newMethod, String uri, HttpVersion version) {
+    public void startRequest(String newMethod, String uri, HttpVersion newVersion) {
+        version = newVersion;
         method = newMethod;
         target = uri;
         fields = HttpFields.build();
@@ -175,8 +256,16 @@
 
     @Override
     public boolean headerComplete() {
-        long length = fields.getLongField(HttpHeader.CONTENT_LENGTH);
-        if (length > Wire.MOST_BODY) {
+        if (!Wire.speaks(version)) {
+            malformed(505, "the version is neither 1.0 nor 1.1");
+            return true;
+        }
+        String wrong = Wire.wrongFraming(fields);
+        if (wrong != null) {
+            malformed(400, wrong);
+            return true;
+        }
+        if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > Wire.MOST_BODY) {
             malformed(413, "the body is over " + Wire.MOST_BODY + " bytes");
             return true;
         }
@@ -206,11 +295,12 @@
             return true;
         }
         stopLimit();
-        byte[] bytes = body.take();
+        used = true;
+        byte[] bytes = BufferUtil.toArray(body.take());
         try {
             if (full) {
                 front.broker().counters().add("connections.full");
-                answer(503, null, Front.FULL_US, new byte[0], true);
+                answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
             } else if (target.equals("/ready")) {
                 local(front.isReady() ? 200 : 503, front.isReady() ? "ready\n" : "not ready\n");
             } else if (target.equals("/counters")) {
@@ -220,20 +310,30 @@
             }
         } catch (DemandReader.Malformed e) {
             front.broker().counters().add("malformed." + e.status());
-            local(e.status(), e.getMessage() + "\n");
+            answer(e.status(), "text/plain", 0, BufferUtil.toBuffer(e.getMessage() + "\n"), true);
         }
         return true;
     }
 
     private void take(byte[] bytes) throws DemandReader.Malformed {
-        var demand = front.reader().read(method, target, fields);
+        var demand = front.reader().read(method, target, fields, bytes.length);
+        String txn = fields.get(Wire.TXN);
+        // Guards against a second copy of another client's request: nodes count attempts by this id.
+        if (!front.claim(txn)) {
+            throw new DemandReader.Malformed(409, Wire.TXN + " is that of an open request");
+        }
         state = State.TAKEN;
-        front.broker().take(demand, new Message.Ask(method, target, fields.get(Wire.TXN),
-                fields.get(Wire.EFFECT_KEY), fields.get(HttpHeader.CONTENT_TYPE), bytes), this, taken -> exchange = taken);
+        front.broker().take(demand, new Message.Ask(method, target, txn, fields.get(Wire.EFFECT_KEY),
+                fields.get(HttpHeader.CONTENT_TYPE), bytes), this, taken -> exchange = taken);
+    }
+
+    @Override
+    public void forgotten(Exchange done) {
+        front.release(((Message.Ask) done.message()).txn());
     }
 
     private void local(int status, String text) {
-        answer(status, "text/plain", 0, text.getBytes(StandardCharsets.UTF_8), false);
+        answer(status, "text/plain", 0, BufferUtil.toBuffer(text, StandardCharsets.UTF_8), false);
     }
 
     @Override
@@ -245,13 +345,14 @@
     private void malformed(int status, String why) {
         if (state == State.READING) {
             front.broker().counters().add("malformed." + status);
-            answer(status, "text/plain", 0, (why + "\n").getBytes(StandardCharsets.UTF_8), true);
+            answer(status, "text/plain", 0, BufferUtil.toBuffer(why + "\n", StandardCharsets.UTF_8), true);
         }
     }
 
     @Override
     public void earlyEOF() {
-        close();
+        // The parser, which is never told of the real end, says so of chunks that can't be read.
+        malformed(400, "the body's chunks can't be read");
     }
 
     // ---- The final answer ----
@@ -259,22 +360,30 @@
     @Override
     public void served(Object answer) {
         Message.Answer whole = (Message.Answer) answer;
-        answer(200, whole.type(), 0, BufferUtil.toArray(whole.body()), false);
+        if (front.answers().take(whole.body().remaining())) {
+            writing = whole.body().remaining();
+            answer(200, whole.type(), 0, whole.body(), false);
+        } else {
+            // Guards the memory against clients that do not take large answers.
+            front.broker().counters().add("answers_no_room");
+            answer(502, null, 0, BufferUtil.EMPTY_BUFFER, false);
+        }
     }
 
     @Override
     public void refused(long retryAfterUs) {
-        answer(503, null, retryAfterUs, new byte[0], false);
+        answer(503, null, retryAfterUs, BufferUtil.EMPTY_BUFFER, false);
     }
 
     @Override
     public void failed(Attempt last) {
         boolean late = last == null || !last.isEnded() || last.outcome() == Outcome.TIMED_OUT;
-        answer(late ? 504 : 502, null, 0, new byte[0], false);
+        answer(late ? 504 : 502, null, 0, BufferUtil.EMPTY_BUFFER, false);
     }
 
-    private void answer(int status, String type, long retryAfterUs, byte[] bytes, boolean close) {
+    private void answer(int status, String type, long retryAfterUs, ByteBuffer content, boolean close) {
         if (state != State.READING && state != State.TAKEN) {
+            releaseAnswer();
             return;
         }
         stopLimit();
@@ -282,12 +391,18 @@
         exchange = null;
         boolean last = close || !persistent || front.closesAfterAnswer();
         limit = front.timers().at(front.broker().nowUs() + Front.ANSWER_US, this::close);
-        ByteBuffer head = Wire.answer(status, type, retryAfterUs, last, bytes.length);
-        getEndPoint().write(nonBlocking(() -> written(last), this::notWritten), head, ByteBuffer.wrap(bytes));
+        ByteBuffer head = Wire.answer(status, type, retryAfterUs, last, content.remaining());
+        getEndPoint().write(nonBlocking(() -> written(last), this::notWritten), head, content);
+    }
+
+    private void releaseAnswer() {
+        front.answers().give(writing);
+        writing = 0;
     }
 
     private void next() {
         state = State.READING;
+        begun = false;
         method = null;
         target = null;
         fields = null;
@@ -308,7 +423,18 @@
     private void linger() {
         state = State.LINGERING;
         getEndPoint().shutdownOutput();
-        limit = front.timers().at(front.broker().nowUs() + Front.LINGER_US, this::close);
+        lingerUntilUs = front.broker().nowUs() + Front.LINGER_MOST_US;
+        limit = front.timers().at(front.broker().nowUs() + Front.LINGER_US, this::lingered);
+    }
+
+    private void lingered() {
+        long now = front.broker().nowUs();
+        if (!lingerHeard || now >= lingerUntilUs) {
+            close();
+        } else {
+            lingerHeard = false;
+            limit = front.timers().at(Math.min(now + Front.LINGER_US, lingerUntilUs), this::lingered);
+        }
     }
 
     private void resume() {
@@ -320,6 +446,7 @@
 
     private void written(boolean last) {
         stopLimit();
+        releaseAnswer();
         if (state != State.ANSWERING) {
             return;
         }
@@ -351,6 +478,8 @@
             State before = state;
             state = State.CLOSED;
             stopLimit();
+            releaseAnswer();
+            body.take();
             front.closed(this);
             getEndPoint().close();
             if (before == State.TAKEN && exchange != null) {
--- a/src/main/java/petrelstand/http/DemandReader.java
+++ b/src/main/java/petrelstand/http/DemandReader.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import petrelstand.core.Demand;
 import petrelstand.decision.Scheduling.Effect;
@@ -27,6 +28,9 @@
         }
     }
 
+    /** The longest X-Txn or Idempotency-Key. */
+    private static final int MOST_ID = 256;
+
     private final Settings settings;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> plans = new HashMap<>();
@@ -41,7 +45,7 @@
         }
     }
 
-    Demand read(String method, String target, HttpFields fields) throws Malformed {
+    Demand read(String method, String target, HttpFields fields, int bodyLength) throws Malformed {
         int query = target.indexOf('?');
         String[] parts = (query < 0 ? target : target.substring(0, query)).split("/", -1);
         if (parts.length != 4 || !parts[0].isEmpty() || !classes.containsKey(parts[1])) {
@@ -50,20 +54,25 @@
         if (!method.equals("GET") && !method.equals("PUT")) {
             throw new Malformed(400, "the method is neither GET nor PUT");
         }
+        if (method.equals("GET") && bodyLength > 0) {
+            throw new Malformed(400, "a GET has no body");
+        }
+        if (!visible(target)) {
+            throw new Malformed(400, "the path holds more than visible ASCII");
+        }
         int requestClass = classes.get(parts[1]);
         RequestClass kind = settings.classes().get(requestClass);
         long volume = hex(parts[2]);
         long key = hex(parts[3]);
-        needed(fields, Wire.TXN);
+        id(fields, Wire.TXN);
         Integer plan = plans.get(needed(fields, Wire.PLAN));
         if (plan == null) {
             throw new Malformed(400, Wire.PLAN + " names no plan");
         }
         if (kind.effect() == Effect.KEYED) {
-            needed(fields, Wire.EFFECT_KEY);
+            id(fields, Wire.EFFECT_KEY);
         }
-        String left = fields.get(Wire.REMAINING);
-        double leftMs = left == null ? kind.deadlineMs() : number(Wire.REMAINING, left);
+        double leftMs = fields.contains(Wire.REMAINING) ? remaining(needed(fields, Wire.REMAINING)) : kind.deadlineMs();
         Map<String, String> placement = placement(needed(fields, Wire.PLACEMENT));
         double units = number("units", placement.get("units"));
         int shard = whole("shard", placement.get("shard"), -1);
@@ -74,8 +83,9 @@
         if (!(units > 0 && units <= 1e9)) {
             throw new Malformed(400, "units are not a size");
         }
-        long leftUs = (long) (Math.max(0, Math.min(leftMs, kind.deadlineMs())) * 1000);
-        return new Demand(requestClass, plan, key, volume, units, shard, hosts, "1".equals(fields.get(Wire.RESENT)),
+        // A client may say that it waits longer than its class does; the class's time is all that is promised.
+        long leftUs = (long) (Math.min(leftMs, kind.deadlineMs()) * 1000);
+        return new Demand(requestClass, plan, key, volume, units, shard, Math.min(hosts, settings.hosts()), "1".equals(fields.get(Wire.RESENT)),
                 method.equals("PUT"), leftUs);
     }
 
@@ -91,25 +101,71 @@
     }
 
     private static String needed(HttpFields fields, String name) throws Malformed {
-        String value = fields.get(name);
+        String value = null;
+        for (HttpField field : fields) {
+            if (field.is(name)) {
+                if (value != null) {
+                    throw new Malformed(400, name + " comes more than once");
+                }
+                value = field.getValue();
+            }
+        }
         if (value == null || value.isBlank()) {
             throw new Malformed(400, name + " is missing");
         }
         return value.strip();
     }
 
+    /** An id passes on byte for byte, so it may hold only what every hop writes alike. */
+    private static void id(HttpFields fields, String name) throws Malformed {
+        String id = needed(fields, name);
+        if (id.length() > MOST_ID || !visible(id)) {
+            throw new Malformed(400, name + " is not an id");
+        }
+    }
+
+    private static boolean visible(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) >= 0x7f) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whole milliseconds, as the protocol has them; more digits than that are no time that a client waits. */
+    private static double remaining(String text) throws Malformed {
+        double value = text.length() <= 9 ? number(Wire.REMAINING, text) : -1;
+        if (value < 0 || value != Math.rint(value)) {
+            throw new Malformed(400, Wire.REMAINING + " is not a time in whole milliseconds");
+        }
+        return value;
+    }
+
     private static long hex(String text) throws Malformed {
-        if (text.length() != 16 || !text.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 128)) {
+        long value = 0;
+        boolean digits = text.length() == 16;
+        for (int i = 0; digits && i < 16; i++) {
+            int digit = text.charAt(i) < 0x7f ? Character.digit(text.charAt(i), 16) : -1;
+            digits = digit >= 0;
+            value = value << 4 | digit;
+        }
+        if (!digits) {
             throw new Malformed(400, "a name in the path is not 16 hex digits");
         }
-        return Long.parseUnsignedLong(text, 16);
+        return value;
     }
 
     private static double number(String name, String text) throws Malformed {
+        // Not all that Java reads as a number is one here: it takes "0x1p3", "1d" and "NaN".
+        boolean digits = text != null && !text.isEmpty() && text.length() <= 24;
+        for (int i = 0; digits && i < text.length(); i++) {
+            char c = text.charAt(i);
+            digits = c >= '0' && c <= '9' || c == '.' || c == '-' && i == 0;
+        }
         try {
-            double value = Double.parseDouble(String.valueOf(text));
-            if (Double.isFinite(value)) {
-                return value;
+            if (digits) {
+                return Double.parseDouble(text);
             }
         } catch (NumberFormatException e) {
             // The message below says it.
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -1,30 +1,55 @@
 package petrelstand.http;
 
+import java.nio.ByteBuffer;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.core.Broker;
 import petrelstand.core.Timers;
 
 /** The platform's front: its client connections, and what they share. */
 public final class Front {
-    /** A request must have come whole within this time of its first byte. */
-    static final long REQUEST_US = 10_000_000;
+    /**
+     * A request must have come whole within this time of its first byte, a connection's first one within this time
+     * of its opening: a client that says nothing, or half a request, is owed an end within 3 s.
+     */
+    static final long REQUEST_US = 2_500_000;
     /** A client that does not take its answer is cut after this time. */
     static final long ANSWER_US = 10_000_000;
 
     /** When a client that found no room may come back, and how long it may take to ask. */
     static final long FULL_US = 500_000;
-    /** How long bytes that come after the last answer are dropped before the connection closes. */
+    /** Silence after the last answer until the connection closes, and the longest that bytes are dropped there. */
     static final long LINGER_US = 500_000;
-
+    static final long LINGER_MOST_US = 5_000_000;
+    /** What one connection may read in a turn: one that sends without end must not hold up the others. */
+    static final int MOST_READ = 64 * 1024;
+    /** Age from which a connection that has said nothing is taken for one that will not. */
+    static final long SILENT_US = 100_000;
+    /** Time that half a request is given where room is short. */
+    static final long HALF_US = 1_000_000;
+    /** Connections beyond the bound that are told so; more than these are closed at once. */
+    private static final int MOST_TOLD = 16;
+
+    /** Bytes of requests being read, and of answers not yet written, over all connections. */
+    private static final long MOST_REQUESTS = 8L * 1024 * 1024;
+    private static final long MOST_ANSWERS = 16L * 1024 * 1024;
+
+    private final Budget requests = new Budget(MOST_REQUESTS);
+    private final Budget answers = new Budget(MOST_ANSWERS);
     private final Broker broker;
     private final Timers timers;
     private final DemandReader reader;
     private final int mostConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    /** Ids of the requests that are not over, or have an attempt out. */
+    private final Set<String> openIds = new HashSet<>();
+    /** Takes what is read only to be dropped; on the loop's thread. */
+    private final ByteBuffer dropped = BufferUtil.allocateDirect(MOST_READ);
     private boolean ready;
     private boolean draining;
     private boolean closing;
@@ -37,19 +62,56 @@
     }
 
     /**
-     * A connection from a client. Where there are too many, the one idle for longest makes room; where none is idle,
-     * the new one is only refused: what it sends counts as taken, so closing it unread would lose a request.
+     * A connection from a client. Where there are too many, one makes room; where none can, the new one is only
+     * refused: what it sends counts as taken, so closing it unread would lose a request. Past a few of those the
+     * descriptors are at stake, and it closes at once.
      */
     public Connection accept(EndPoint endPoint) {
+        broker.counters().add("connections.clients");
         if (connections.size() >= mostConnections) {
-            connections.stream().filter(ClientConnection::idle).findFirst().ifPresent(ClientConnection::close);
+            makeRoom();
         }
-        ClientConnection connection = new ClientConnection(endPoint, this, connections.size() >= mostConnections);
+        ClientConnection connection = new ClientConnection(endPoint, this, connections.size() >= mostConnections,
+                connections.size() >= mostConnections + MOST_TOLD);
         connections.add(connection);
-        broker.counters().add("connections.clients");
         return connection;
     }
 
+    /**
+     * Closes one connection that owes nothing. Newcomers that stay silent go before the kept connections of clients
+     * that do ask: guards against hundreds of silent ones that push out all the others. Kept ones go in the order of
+     * their last use, newcomers that may yet be about to speak last.
+     */
+    private void makeRoom() {
+        long now = broker.nowUs();
+        for (int rank = 0; rank < ClientConnection.RANKS; rank++) {
+            for (ClientConnection connection : List.copyOf(connections)) {
+                if (connection.rank(now) == rank && connection.giveWay()) {
+                    broker.counters().add("connections.gave_way");
+                    return;
+                }
+            }
+        }
+    }
+
+    /** Takes an id for a request; false where an open request carries it. */
+    boolean claim(String id) {
+        return openIds.add(id);
+    }
+
+    void release(String id) {
+        openIds.remove(id);
+    }
+
+    /** Ids of requests that are still open. */
+    int openIds() {
+        return openIds.size();
+    }
+
+    ByteBuffer dropped() {
+        return dropped;
+    }
+
     /** From here on /ready answers 200. */
     public void ready() {
         ready = true;
@@ -87,6 +149,14 @@
         return closing;
     }
 
+    Budget requests() {
+        return requests;
+    }
+
+    Budget answers() {
+        return answers;
+    }
+
     Broker broker() {
         return broker;
     }
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -6,7 +6,9 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpFields;
@@ -32,7 +34,16 @@
 
     /** Part of the idle limit up to which a connection is used again: the node's clock and the way take the rest. */
     private static final double REUSE_PART = 0.8;
-    private static final int KEPT_ANSWER = Wire.MOST_BODY;
+    /**
+     * The largest answer that is kept, and all that are being read together. The protocol's 64 KiB bound bodies, yet
+     * nodes have answered with up to 380 KB; an answer over the bound is worth nothing to its client.
+     */
+    static final int MOST_ANSWER = 1024 * 1024;
+    private static final long MOST_ANSWERS = 12L * 1024 * 1024;
+    /** An answer that began goes on within this time: nodes write theirs in one go. */
+    static final long STALL_US = 150_000;
+    /** Rest of a connection after an answer, where another is at hand: what follows an answer has come by then. */
+    private static final long SETTLE_US = 2_000;
 
     private final Dialer dialer;
     private final LongSupplier clock;
@@ -42,6 +53,7 @@
     private final long connectUs;
     private final long reuseUs;
     private final int mostOpen;
+    private final Budget answers = new Budget(MOST_ANSWERS);
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private int open;
     private boolean sweeping;
@@ -101,8 +113,12 @@
         ArrayDeque<UpstreamConnection> kept = idle.get(node.address());
         long now = clock.getAsLong();
         while (kept != null && !kept.isEmpty()) {
-            UpstreamConnection connection = kept.pollLast();
-            if (now - connection.idleSinceUs() <= reuseUs && connection.state() == UpstreamConnection.State.IDLE) {
+            UpstreamConnection connection = settled(kept, now);
+            kept.remove(connection);
+            if (kept.isEmpty()) {
+                idle.remove(node.address());
+            }
+            if (now - connection.idleSinceUs() <= reuseUs && connection.quiet()) {
                 leg.on(connection);
                 return;
             }
@@ -116,6 +132,17 @@
         dial(leg);
     }
 
+    /** The one last used of those that have rested, else the one that has rested longest. */
+    private static UpstreamConnection settled(ArrayDeque<UpstreamConnection> kept, long now) {
+        for (Iterator<UpstreamConnection> newest = kept.descendingIterator(); newest.hasNext();) {
+            UpstreamConnection connection = newest.next();
+            if (now - connection.idleSinceUs() >= SETTLE_US) {
+                return connection;
+            }
+        }
+        return kept.peekFirst();
+    }
+
     private boolean dropOldestIdle() {
         UpstreamConnection oldest = null;
         for (ArrayDeque<UpstreamConnection> kept : idle.values()) {
@@ -156,7 +183,7 @@
 
         @Override
         public Connection connected(EndPoint endPoint) {
-            UpstreamConnection connection = new UpstreamConnection(endPoint, KEPT_ANSWER, NodePool.this::changed) {
+            UpstreamConnection connection = new UpstreamConnection(endPoint, MOST_ANSWER, answers, NodePool.this::changed) {
                 @Override
                 public void onOpen() {
                     super.onOpen();
@@ -260,6 +287,23 @@
             free.send(this);
         }
 
+        /**
+         * Guards against answers that begin and never end, on a connection that stays open: they would be waited for
+         * until the client's time is up.
+         */
+        @Override
+        public void partial() {
+            watch(connection.received());
+        }
+
+        private void watch(long received) {
+            timers.at(clock.getAsLong() + STALL_US, () -> {
+                if (connection.goesOn(this, received)) {
+                    watch(connection.received());
+                }
+            });
+        }
+
         abstract void notConnected();
 
         void drop() {
@@ -304,8 +348,9 @@
         }
 
         @Override
-        public void broke(boolean written) {
-            attempt.ended(written ? Outcome.RESET : Outcome.NOT_CONNECTED, null, null);
+        public void broke(Break how) {
+            counters.add("connections.broke." + how.name().toLowerCase(Locale.ROOT));
+            attempt.ended(outcome(how), null, null);
         }
 
         @Override
@@ -323,6 +368,15 @@
         return turnedAway ? Outcome.REJECTED : Outcome.ERROR;
     }
 
+    /** A spoilt answer is the node's failure; a node that sends one is there, which a reset would put in doubt. */
+    static Outcome outcome(Call.Break how) {
+        return switch (how) {
+            case UNWRITTEN -> Outcome.NOT_CONNECTED;
+            case ENDED -> Outcome.RESET;
+            case SPOILT -> Outcome.ERROR;
+        };
+    }
+
     private final class Probe extends Leg {
         private final ProbeResult result;
         private Timers.Timer timeout;
@@ -353,8 +407,8 @@
         }
 
         @Override
-        public void broke(boolean written) {
-            end(written ? Outcome.RESET : Outcome.NOT_CONNECTED, Map.of());
+        public void broke(Break how) {
+            end(outcome(how), Map.of());
         }
 
         @Override
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -13,26 +13,45 @@
 import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.net.LoopConnection;
 
-/** An HTTP/1.1 connection to a node or to discovery, one call at a time. */
+/**
+ * An HTTP/1.1 connection to a node or to discovery, one call at a time. Only a whole, well-formed answer that ends
+ * where it says is given to the call; anything else ends the connection at once, so that neither its bytes nor its
+ * memory stay.
+ */
 public class UpstreamConnection extends LoopConnection implements HttpParser.ResponseHandler {
     enum State { IDLE, SENDING, WAITING, CLOSED }
 
+    private static final int READ = 4096;
+    /** A body over this is read in larger pieces. */
+    private static final int READ_LARGE = 32 * 1024;
+    /** Interim answers (1xx) that may come ahead of the real one. */
+    private static final int MOST_INTERIM = 16;
+
     /** Told when the connection is free again (true) or closed (false). */
     private final BiConsumer<UpstreamConnection, Boolean> owner;
     private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
-    private final ByteBuffer input = BufferUtil.allocate(4096);
+    private ByteBuffer input = BufferUtil.allocate(READ);
     private State state = State.IDLE;
     private Call call;
     private int status;
+    private int interim;
     private HttpFields.Mutable fields;
+    private final int mostBody;
     private final Body body;
+    private HttpVersion version;
+    private boolean sawEnd;
     private boolean persistent;
     private boolean whole;
+    private boolean toldPartial;
+    private long received;
     private long idleSinceUs;
 
-    public UpstreamConnection(EndPoint endPoint, int mostBody, BiConsumer<UpstreamConnection, Boolean> owner) {
+    /** A body over the bound, or for which the budget has no room, ends the connection. */
+    public UpstreamConnection(EndPoint endPoint, int mostBody, Budget budget,
+            BiConsumer<UpstreamConnection, Boolean> owner) {
         super(endPoint);
-        this.body = new Body(mostBody);
+        this.mostBody = mostBody;
+        this.body = new Body(mostBody, budget);
         this.owner = owner;
     }
 
@@ -61,7 +80,9 @@
         }
         state = State.SENDING;
         call = next;
-        getEndPoint().write(nonBlocking(this::sent, cause -> end()), next.bytes());
+        toldPartial = false;
+        interim = 0;
+        getEndPoint().write(nonBlocking(this::sent, cause -> end(false)), next.bytes());
     }
 
     private void sent() {
@@ -70,65 +91,131 @@
         }
     }
 
+    /**
+     * True where nothing has come since the last answer, not even an end; else it closes. Guards against a second
+     * copy or noise right behind an answer, which would be read as the answer to the next request.
+     */
+    boolean quiet() {
+        try {
+            if (state == State.IDLE && getEndPoint().fill(input) == 0) {
+                return true;
+            }
+        } catch (IOException e) {
+            // It is closed below.
+        }
+        drop();
+        return false;
+    }
+
+    /** Bytes read so far. */
+    long received() {
+        return received;
+    }
+
+    /** Ends a call whose answer has stopped since so many bytes; false once it ended. What has come is read first. */
+    boolean goesOn(Call of, long since) {
+        if (call == of && readAll() && call == of && received == since) {
+            end(true);
+        }
+        return call == of;
+    }
+
     @Override
     public void onFillable() {
+        if (readAll()) {
+            fillInterested();
+        }
+    }
+
+    /** Reads all that has come; false once closed. An answer is given only when nothing more of it waits. */
+    private boolean readAll() {
         try {
             while (state != State.CLOSED) {
                 BufferUtil.compact(input);
                 int filled = getEndPoint().fill(input);
                 if (filled < 0) {
-                    parser.atEOF();
-                    parser.parseNext(BufferUtil.EMPTY_BUFFER);
-                    end();
-                    return;
-                }
-                if (filled == 0) {
-                    fillInterested();
-                    return;
+                    sawEnd = true;
+                    if (!whole) {
+                        parser.atEOF();
+                        parser.parseNext(BufferUtil.EMPTY_BUFFER);
+                    }
+                    persistent = false;
+                    finish();
+                    end(false);
+                } else if (filled == 0) {
+                    if (call != null && !whole && !toldPartial && !parser.isStart()) {
+                        toldPartial = true;
+                        call.partial();
+                    }
+                    finish();
+                    return state != State.CLOSED;
+                } else {
+                    received += filled;
+                    read();
                 }
-                read();
             }
         } catch (IOException e) {
-            end();
+            end(false);
         }
+        return false;
     }
 
     private void read() {
         while (state != State.CLOSED && BufferUtil.hasContent(input)) {
+            if (whole) {
+                // Bytes behind a whole answer: it was good, but the connection can't be trusted with another.
+                persistent = false;
+                finish();
+                return;
+            }
             if (call == null) {
-                // Bytes that no call asked for: the connection can't be trusted with another.
-                end();
+                end(true);
                 return;
             }
-            if (!parser.parseNext(input) && !whole) {
+            int before = input.remaining();
+            parser.parseNext(input);
+            if (!whole && input.remaining() == before) {
                 return;
             }
-            finish();
+        }
+        if (state != State.CLOSED && !whole && input.capacity() < READ_LARGE
+                && fields != null && fields.getLongField(HttpHeader.CONTENT_LENGTH) > READ_LARGE) {
+            input = BufferUtil.allocate(READ_LARGE);
         }
     }
 
+    /** Gives a whole answer to its call, and the connection back or up. */
     private void finish() {
         if (!whole || call == null) {
             return;
         }
         whole = false;
-        boolean reusable = persistent && state == State.WAITING && !BufferUtil.hasContent(input);
+        if (state == State.SENDING && status == 200) {
+            // Nodes begin once a request's last byte has come, so this answers something else.
+            end(true);
+            return;
+        }
         Call done = call;
         call = null;
-        ByteBuffer content = ByteBuffer.wrap(body.take());
+        ByteBuffer content = body.take();
         HttpFields headers = fields;
-        if (reusable) {
+        fields = null;
+        if (persistent && state == State.WAITING) {
             state = State.IDLE;
             parser.reset();
+            if (input.capacity() > READ) {
+                input = BufferUtil.allocate(READ);
+            }
             owner.accept(this, true);
         } else {
-            end();
+            drop();
         }
         done.answered(status, headers, content);
     }
 
     @Override
-    public void startResponse(HttpVersion version, int newStatus, String reason) {
+    public void startResponse(HttpVersion newVersion, int newStatus, String reason) {
+        version = newVersion;
         status = newStatus;
         fields = HttpFields.build();
         body.take();
@@ -143,8 +230,19 @@
         }
     }
 
+    /**
+     * Guards against answers whose end can't be told: two lengths, none at all, or more than is kept here. An
+     * interim answer has no body and no length; a change of protocol was never asked for.
+     */
     @Override
     public boolean headerComplete() {
+        boolean framed = fields.contains(HttpHeader.CONTENT_LENGTH) || fields.contains(HttpHeader.TRANSFER_ENCODING);
+        if (!Wire.speaks(version) || status == 101 || status < 200 && (framed || ++interim > MOST_INTERIM) || status == 200 && !framed
+                || Wire.wrongFraming(fields) != null || fields.getLongField(HttpHeader.CONTENT_LENGTH) > mostBody) {
+            end(true);
+            return true;
+        }
+        body.announced(fields.getLongField(HttpHeader.CONTENT_LENGTH));
         return false;
     }
 
@@ -152,7 +250,7 @@
     public boolean content(ByteBuffer item) {
         boolean fits = body.add(item);
         if (!fits) {
-            end();
+            end(true);
         }
         return !fits;
     }
@@ -169,39 +267,35 @@
             parser.reset();
             return false;
         }
-        if (state != State.CLOSED) {
-            whole = true;
-            if (parser.isAtEOF()) {
-                persistent = false;
-                finish();
-            }
-        }
+        whole = state != State.CLOSED;
         return true;
     }
 
     @Override
     public void earlyEOF() {
-        end();
+        // The parser says so of chunks that can't be read, too.
+        end(!sawEnd);
     }
 
     @Override
     public void badMessage(HttpException failure) {
-        end();
+        end(true);
     }
 
     @Override
     protected void onFillInterestedFailed(Throwable cause) {
-        end();
+        end(false);
     }
 
-    /** Closes; a call that is out hears that the connection broke. */
-    private void end() {
+    /** Closes; a call that is out hears how. */
+    private void end(boolean spoilt) {
         if (state != State.CLOSED) {
-            boolean written = state == State.WAITING;
+            Call.Break how = state != State.WAITING ? Call.Break.UNWRITTEN
+                    : spoilt ? Call.Break.SPOILT : Call.Break.ENDED;
             Call broken = call;
             drop();
             if (broken != null) {
-                broken.broke(written);
+                broken.broke(how);
             }
         }
     }
@@ -211,6 +305,7 @@
         if (state != State.CLOSED) {
             state = State.CLOSED;
             call = null;
+            body.take();
             getEndPoint().close();
             owner.accept(this, false);
         }
@@ -218,12 +313,12 @@
 
     @Override
     public void close() {
-        end();
+        end(false);
     }
 
     @Override
     public void onClose(Throwable cause) {
         super.onClose(cause);
-        end();
+        end(false);
     }
 }
--- a/src/main/java/petrelstand/http/Wire.java
+++ b/src/main/java/petrelstand/http/Wire.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.http.HttpHeader;
@@ -27,9 +28,39 @@
     /** The largest body, by the protocol. */
     public static final int MOST_BODY = 64 * 1024;
     static final int MOST_HEADER = 8 * 1024;
+    /** No figure of a load report can be larger. */
+    private static final double MOST_LOAD = 1e6;
 
     private Wire() {}
 
+    static boolean speaks(HttpVersion version) {
+        return version == HttpVersion.HTTP_1_1 || version == HttpVersion.HTTP_1_0;
+    }
+
+    /**
+     * What is wrong with how a message says where it ends; null where nothing is. Two ways to find the end may find
+     * two ends: a request could be hidden between them, and an answer cut short.
+     */
+    static String wrongFraming(HttpFields fields) {
+        int lengths = 0;
+        int codings = 0;
+        boolean chunked = true;
+        for (HttpField field : fields) {
+            lengths += field.getHeader() == HttpHeader.CONTENT_LENGTH ? 1 : 0;
+            if (field.getHeader() == HttpHeader.TRANSFER_ENCODING) {
+                codings++;
+                chunked &= field.getValue().equalsIgnoreCase("chunked");
+            }
+        }
+        if (lengths > 1) {
+            return "more than one Content-Length";
+        }
+        if (codings > 0 && lengths > 0) {
+            return "both Content-Length and Transfer-Encoding";
+        }
+        return codings <= 1 && chunked ? null : "the Transfer-Encoding is not chunked";
+    }
+
     /** The head of an answer with a body of a length. */
     static ByteBuffer answer(int status, String type, long retryAfterUs, boolean close, int length) {
         HttpFields.Mutable fields = HttpFields.build();
@@ -73,15 +104,16 @@
         return head;
     }
 
-    /** A load report, "TEXT inflight=7, queue=2, util=0.61": what cannot be read is left out. */
+    /** A load report, "TEXT inflight=7, queue=2, util=0.61": what cannot be read, or cannot be, is left out. */
     static Map<String, Double> load(String text) {
         Map<String, Double> load = new LinkedHashMap<>();
         if (text != null) {
             for (String part : text.strip().replaceFirst("^TEXT\\s+", "").split("[,\\s]+")) {
                 int split = part.indexOf('=');
                 try {
-                    if (split > 0) {
-                        load.put(part.substring(0, split), Double.valueOf(part.substring(split + 1)));
+                    double value = split > 0 ? Double.parseDouble(part.substring(split + 1)) : -1;
+                    if (value >= 0 && value <= MOST_LOAD) {
+                        load.put(part.substring(0, split), value);
                     }
                 } catch (NumberFormatException e) {
                     // A value that is no number tells nothing.
