--- /dev/null
+++ b/src/main/java/petrelstand/Descriptors.java
@@ -0,0 +1,18 @@
+package petrelstand;
+
+import petrelstand.http.Front;
+
+/**
+ * How a gateway shares out its descriptors: some kept back for the selector, the jars and the listeners, three fifths
+ * of the rest for the platform's clients, two fifths for storage nodes, and the rsync front's own. Clients may have
+ * requests on a third of all, so their part is never less.
+ */
+record Descriptors(int clients, int nodes) {
+    private static final int KEPT = 64;
+
+    /** The clients' part leaves room for those that are only told that there is none. */
+    static Descriptors of(int sockets, int rsync) {
+        int rest = Math.max(sockets / 2, sockets - KEPT - rsync);
+        return new Descriptors(rest * 3 / 5 - Front.MOST_TOLD, rest * 2 / 5);
+    }
+}
--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -35,8 +35,6 @@
     private static final long END_CHECK_US = 10_000;
     /** Lingering connections are not waited for longer than this once all is answered. */
     private static final long LAST_LINGER_US = 600_000;
-    /** Descriptors kept back for the selector, the jars and the listeners. */
-    private static final int OTHER_DESCRIPTORS = 64;
     /** For each transfer a client's and a node's, and a client's that is refused. */
     private static final int RSYNC_DESCRIPTORS = 3;
     /**
@@ -68,14 +66,14 @@
         this.rsync = rsync;
         this.loop = new EventLoop(clock, timers);
         int transfers = rsync == null ? 0 : RSYNC_DESCRIPTORS * rsync.mostTransfers();
-        int sockets = Math.max(64, config.sockets() - OTHER_DESCRIPTORS - transfers);
+        Descriptors parts = Descriptors.of(config.sockets(), transfers);
         NodePool pool = new NodePool(loop::connect, clock::nowUs, timers, counters, config.settings(),
-                "backend.local", sockets * 2 / 5);
+                "backend.local", parts.nodes());
         this.broker = new Broker(config.settings(), config.seed(), clock::nowUs, timers,
                 rsync == null ? pool : new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers,
                         config.settings().may().connectTimeoutMs())), counters, log);
         this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
-        this.front = new Front(broker, timers, sockets * 3 / 5);
+        this.front = new Front(broker, timers, parts.clients());
         this.watch = new Watch(loop::connect, clock::nowUs, timers, config.discovery(), "backend.local",
                 config.settings().zones(), config.known().version(), this::heard, counters, log);
     }
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -33,7 +33,7 @@
     /** Time that half a request is given where room is short. */
     static final long HALF_US = 1_000_000;
     /** Connections beyond the bound that are told so; more than these are closed at once. */
-    private static final int MOST_TOLD = 16;
+    public static final int MOST_TOLD = 16;
 
     /** Bytes of requests being read, and of answers not yet written, over all connections. */
     private static final long MOST_REQUESTS = 8L * 1024 * 1024;
