--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -217,9 +217,6 @@
                 if (!begun) {
                     begun = true;
                     begunUs = front.broker().nowUs();
-                    if (used) {
-                        stopLimit();
-                    }
                 }
                 if (limit == null) {
                     limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
@@ -411,9 +408,6 @@
         fields = null;
         body.take();
         front.used(this);
-        // Guards against clients that ask once and keep their connection for good: their own descriptors, and the
-        // gateway's, are used up by connections that nobody will use again.
-        limit = front.timers().at(front.broker().nowUs() + Front.KEPT_US, this::closeIfIdle);
         if (parsing) {
             resetDue = true;
         } else {
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -32,8 +32,6 @@
     static final long SILENT_US = 100_000;
     /** Time that half a request is given where room is short. */
     static final long HALF_US = 1_000_000;
-    /** A kept connection closes when it has been idle for this time. */
-    static final long KEPT_US = 2_000_000;
     /** Connections beyond the bound that are told so; more than these are closed at once. */
     public static final int MOST_TOLD = 16;
 
