Cold nodes bear more than even parts of the safe figure, less than a request each

Counted over all 14 gateways, by second and cause: 2,953 of some 4,900 final answers without service were requests held for a cold node until their aim had passed, 464 more were refused by its emulation; 4,655 requests asked for cold nodes and 830 were sent. Cause: withinCold. The settings' always safe figure is 6 units for all hosts in 1.5 s; a fourteenth of it is 0.43, a request has 2. Such hosts took turns by windows: one of 20 might send in each 1.5 s, and the others' requests were past their aim before their turn. The nodes stood almost idle: their answers took 60 to 150 ms a unit, as alone there. Ruled out: errors of nodes (921, none cold), full nodes (none), connections (none failed), descriptors (162 of 384). Change: the host's part, however small, fills a turn from moment to moment (TokenBucket), begun at random since all hosts hear of a node at once; the part follows the node's own answers where these show more than the safe figure, from an assumed start as slow as the settings allow. A fixed bound on what all hosts have out together stays below what pushes a one-core node over with every host asking all the time (SizeTest, 40 to 300 hosts). The wait for the rest, computed from the present part, was tried first: as the part grew, all rests ended together (9 requests in half a second of 40 hosts).

--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -33,7 +33,7 @@
     static final double LATENCY_WEIGHT = 0.1;
     /** Usual latency assumed of a node not yet heard, in slots. */
     public static final double LATENCY_START_SLOTS = 2;
-    /** Age at which a wait seen at a node counts for half, and a probe sees anew, in slots: about an aim. */
+    /** Age at which a wait seen at a node counts for half, in slots: about an aim. */
     static final double EVIDENCE_SLOTS = 8;
     /** Silence beyond the usual latency after which a node is exposed to tests only, ms: over most pauses. */
     static final double STUCK_MS = 300;
@@ -51,6 +51,10 @@
     static final double FINAL_MARGIN_TICKS = 2, FINAL_MARGIN_MS = 5;
     /** Wait for news of the node list, ms: after a failed call, and advised where no node has the shard. */
     static final double LIST_RETRY_MS = 500;
+    /** Part of what answers show a cold node to bear that is relied on: work and arrivals vary. */
+    static final double COLD_MARGIN = 0.5;
+    /** Requests that all hosts together may keep out at a cold node: as many as it surely serves at once. */
+    static final double COLD_OUT_TOGETHER = 1.5;
     /** Volumes that a host keeps the stores of; the one longest unused goes first. */
     public static final int MOST_VOLUMES = 4096;
     private static final double NEVER = Double.NEGATIVE_INFINITY;
@@ -66,8 +70,6 @@
     private final Map<Long, Volume> volumes = new LinkedHashMap<>(16, 0.75f, true);
     private final Map<Long, KeyTurn> turns = new HashMap<>();
     private final SlidingSum slots = new SlidingSum(RATE_SPAN_MS), served = new SlidingSum(RATE_SPAN_MS);
-    private final SlidingSum placeMs = new SlidingSum(RATE_SPAN_MS), places = new SlidingSum(RATE_SPAN_MS);
-    private final int queueIndex;
     /** More hosts than a window has room for: each seldom has two requests at a node. */
     private final boolean many;
     private final SlidingSum taken, further;
@@ -121,13 +123,15 @@
         final List<Attempt> out = new ArrayList<>();
         final SlidingSum slots = new SlidingSum(RATE_SPAN_MS), served = new SlidingSum(RATE_SPAN_MS);
         final SlidingSum coldSent;
+        /** Turn at the node while it is cold and this host's part there is less than a request. */
+        final TokenBucket turn = new TokenBucket(0, 0, 1, 0);
         double slotUnits;
         boolean slotHeld;
         double window = WINDOW_START;
         /** Weight of the next answer; after a recall 1, then 1/2, 1/3: the first one ends what was known. */
         double learning = LATENCY_WEIGHT;
         double latencyMs, standingMs;
-        double halvedMs = NEVER, askedMs = NEVER, standingAtMs = NEVER, heardMs = NEVER;
+        double halvedMs = NEVER, standingAtMs = NEVER, heardMs = NEVER;
         double newestAnsweredMs = NEVER, lastSentMs = NEVER, restUntilMs = NEVER;
         int unanswered;
         boolean suspect, late;
@@ -181,7 +185,6 @@
         this.random = new SplittableRandom(seed);
         this.startedMs = forgotMs = nowMs;
         this.many = settings.hosts() > WINDOW_CEILING;
-        this.queueIndex = settings.loadNames().indexOf("queue");
         this.tightestAimMs = settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElseThrow();
         this.slotMs = Math.min(SLOT_MS, SLOT_PART * tightestAimMs);
         this.latencyStartMs = LATENCY_START_SLOTS * slotMs;
@@ -223,6 +226,10 @@
         Node node = nodes.get(entry.node());
         if (node == null || entry.upSinceMs() > node.upSinceMs) {
             Node fresh = new Node(entry.node(), rules.fallMs(), latencyStartMs);
+            fresh.upSinceMs = entry.upSinceMs();
+            if (cold(nowMs, fresh)) {
+                startCold(nowMs, fresh);
+            }
             if (node != null) {
                 fresh.out.addAll(node.out);
                 fresh.held.addAll(node.held);
@@ -237,6 +244,17 @@
         node.upSinceMs = Math.max(node.upSinceMs, entry.upSinceMs());
     }
 
+    /**
+     * Until its own answers tell, a cold node is taken to be as much slower than the warm ones as it may be.
+     * All hosts hear of it at once, so each begins with some part of a turn.
+     */
+    private void startCold(double nowMs, Node node) {
+        node.latencyMs = nodes.values().stream().filter(other -> !cold(nowMs, other) && other.heardMs > NEVER)
+                .mapToDouble(other -> other.latencyMs).average().orElse(latencyStartMs) / rules.coldShare();
+        node.learning = 1 / 3.0;
+        node.turn.take(nowMs, -random.nextDouble());
+    }
+
     /** What is held for a node that takes no more goes to another that holds the shard, or is refused. */
     private void moveHeld(double nowMs, Node node) {
         for (Item item : List.copyOf(node.held)) {
@@ -278,7 +296,7 @@
         double mean = (node.served.sum(nowMs) + assumed * ASSUMED_SLOTS)
                 / (node.slots.sum(nowMs) + ASSUMED_SLOTS);
         double shown = window(node, item) * settings.meanUnits() * slotMs / node.latencyMs;
-        double paced = settings.meanUnits() * slotMs / node.latencyMs * Math.max(1, coldRest(nowMs, node));
+        double paced = settings.meanUnits() * slotMs / node.latencyMs * coldRest(nowMs, node);
         return cold(nowMs, node) ? Math.min(Math.max(mean, shown), paced) : Math.max(mean, shown);
     }
 
@@ -328,7 +346,6 @@
             conclude(nowMs, item, LIST_RETRY_MS);
             return;
         }
-        askLoad(nowMs, node);
         if (!withinLimit(nowMs, item)) {
             double missing = item.units() - item.volume.limit.level(nowMs);
             conclude(nowMs, item, missing * 1000 * item.volume.setSize / item.volume.plan.limit());
@@ -344,18 +361,6 @@
         holdOrConclude(nowMs, item, node, 0);
     }
 
-    /**
-     * Where nodes tell their load to probes and hosts are many, one without fresh evidence is probed first;
-     * departure waits for that. Harm: a node that stands still costs a slot of the aim.
-     */
-    private void askLoad(double nowMs, Node node) {
-        if (many && queueIndex >= 0 && settings.may().probes() && nowMs >= node.askedMs + slotMs
-                && nowMs >= node.standingAtMs + EVIDENCE_SLOTS * slotMs) {
-            node.askedMs = nowMs;
-            act.probe(node.id);
-        }
-    }
-
     /** When a request must end; what is due to nobody leaves room for what is. */
     private static double dueMs(double nowMs, Item item) {
         return nowMs + (item.aimMs - nowMs) * (item.charged == null ? SPARE_AIM_PART : 1);
@@ -368,7 +373,8 @@
         double rate = unitsPerSlot(nowMs, node, added);
         double begin = nowMs + Math.max(silentMs(nowMs, node), standingMs(nowMs, node));
         boolean idle = (silent(nowMs, node) ? testDue(nowMs, node) : node.out.isEmpty())
-                && node.held.isEmpty() && !cold(nowMs, node) && nowMs + standingMs(nowMs, node) < added.aimMs;
+                && node.held.isEmpty() && withinCold(nowMs, node, added)
+                && nowMs + standingMs(nowMs, node) < added.aimMs;
         boolean holds = !node.suspect;
         double units = 0;
         double addedEnd = Double.POSITIVE_INFINITY;
@@ -524,8 +530,7 @@
      * looks silent.
      */
     private boolean hasRoom(double nowMs, Node node, Item item) {
-        boolean asking = nowMs < node.askedMs + slotMs && node.standingAtMs < node.askedMs;
-        if (asking || nowMs < node.restUntilMs) {
+        if (nowMs < node.restUntilMs) {
             return false;
         }
         if (silent(nowMs, node)) {
@@ -604,6 +609,7 @@
         node.lastSentMs = nowMs;
         node.unanswered++;
         node.coldSent.add(nowMs, item.units());
+        node.turn.take(nowMs, Math.min(1, node.turn.level(nowMs)));
         act.send(item.request.id(), node.id, 0);
     }
 
@@ -812,53 +818,50 @@
 
     /** Rule on the attempt budget; both counts lean to the safe side by a tick. */
     private boolean mayTryFurther(double nowMs) {
-        if (rules.freeFurther() < 0 && rules.furtherShare() < 0) {
-            return true;
-        }
+        boolean free = rules.freeFurther() < 0 && rules.furtherShare() < 0;
         double share = Math.max(0, rules.furtherShare()) * taken.sum(nowMs);
-        double allowed = Math.max(0, rules.freeFurther()) + share;
-        return further.sum(nowMs) + 1 <= allowed;
+        return free || further.sum(nowMs) + 1 <= Math.max(0, rules.freeFurther()) + share;
     }
 
     private boolean cold(double nowMs, Node node) {
         return node.upSinceMs > 0 && nowMs < node.upSinceMs + rules.warmUpMs() + rules.fallMs();
     }
 
-    /** The rule's windows since a node's start: all hosts count them alike. */
-    private double coldWindow(double nowMs, Node node) {
-        return Math.floor(Math.max(0, nowMs - node.upSinceMs) / rules.fallMs());
-    }
-
     /** This host's even part of what a cold node bears in a window, by the slowest promised warm-up. */
     private double coldPart(double nowMs, Node node) {
-        double age = Math.max(0, coldWindow(nowMs, node) - 1) * rules.fallMs();
+        double age = Math.max(0, nowMs - node.upSinceMs - 2 * rules.fallMs());
         double warmth = rules.coldShare() + (1 - rules.coldShare()) * Math.min(1, age / rules.warmUpMs());
         return settings.coldUnits() / settings.hosts() * warmth / rules.coldShare();
     }
 
-    /** Requests of mean size that may be out at a cold node: the rest of the multiple. */
+    /**
+     * Requests of mean size that this host may have out at a cold node. No more reaches a node than it
+     * finishes and what is out; so all hosts' together may be what it does in the rest of the multiple, by the
+     * figure that is always safe, or by what its answers took, at one request after another.
+     */
     private double coldRest(double nowMs, Node node) {
-        return coldPart(nowMs, node) * (1 - 1 / rules.fallMultiple()) / settings.meanUnits();
+        double room = rules.fallMultiple() - 1;
+        double part = coldPart(nowMs, node) / rules.fallMultiple() / settings.meanUnits();
+        double safe = part * room >= 1 ? part * room : part * Math.min(room, node.latencyMs / rules.fallMs());
+        double shown = Math.min(COLD_OUT_TOGETHER, COLD_MARGIN * room * rules.fallMs() / node.latencyMs);
+        return Math.max(safe, shown / settings.hosts());
     }
 
     /**
      * Rule on cold nodes; a host that just started may have spent its part, and waits one window. Beyond the
-     * part, as much may be out as the rest of the multiple has room for, one request of mean size at least:
-     * no more reaches the node than it finishes, and what is out. Hosts beyond that room take turns by
-     * window, half as many at once, since two turns may meet. Harm: work far above its stated units.
+     * part, as much may be out as the rest of the multiple has room for; where that is less than a request,
+     * its fraction fills a turn while the usual latency passes. Harm: work far above its stated units.
      */
     private boolean withinCold(double nowMs, Node node, Item item) {
         if (!cold(nowMs, node)) {
             return true;
         }
-        double part = coldPart(nowMs, node);
         double rest = coldRest(nowMs, node);
-        long turns = rest >= 1 ? 1 : (long) Math.ceil(2 / rest);
+        node.turn.reshape(nowMs, 1000 * rest / node.latencyMs, 1);
         double out = item.units() + node.out.stream().mapToDouble(attempt -> attempt.item().units()).sum();
-        boolean paced = !node.suspect
-                && out <= settings.meanUnits() * (node.out.isEmpty() ? Math.max(1, rest) : rest)
-                && ((long) coldWindow(nowMs, node) + node.id + settings.index()) % turns == 0;
-        paced |= node.coldSent.sum(nowMs) + item.units() <= part;
+        boolean paced = !node.suspect && (out <= settings.meanUnits() * rest
+                || node.out.isEmpty() && node.turn.level(nowMs) >= 1);
+        paced |= node.coldSent.sum(nowMs) + item.units() <= coldPart(nowMs, node);
         return paced && nowMs >= startedMs + rules.fallMs();
     }
 
@@ -891,19 +894,11 @@
         return many ? node.standingMs * aged : 0;
     }
 
-    /** A reported queue stands for the wait that answers found behind such queues on all nodes. */
-    private void noteWait(double nowMs, Node node, double waitMs, List<Double> load) {
-        double place = places.sum(nowMs) > 0 ? placeMs.sum(nowMs) / places.sum(nowMs) : 0;
-        node.standingMs = Math.max(0, Math.max(waitMs, load(load) * place));
+    private static void noteWait(double nowMs, Node node, double waitMs) {
+        node.standingMs = Math.max(0, waitMs);
         node.standingAtMs = nowMs;
     }
 
-    /** The reported queue; negative where there is none, or none that can be. */
-    private double load(List<Double> load) {
-        double queue = queueIndex >= 0 && queueIndex < load.size() ? load.get(queueIndex) : -1;
-        return Double.isFinite(queue) ? queue : -1;
-    }
-
     /** How much longer than usual a node has been silent while something is out there. */
     private static double silentMs(double nowMs, Node node) {
         double since = node.out.isEmpty() ? nowMs : Math.max(node.heardMs, node.out.get(0).sentMs());
@@ -922,9 +917,7 @@
                 node.slotUnits += item.units();
                 item.volume.ownServed.add(nowMs, item.units());
                 node.late = end.elapsedMs() > item.kind.aimMs();
-                placeMs.add(nowMs, load(end.load()) < 0 ? 0 : end.elapsedMs());
-                places.add(nowMs, load(end.load()) < 0 ? 0 : load(end.load()) + WINDOW_START);
-                noteWait(nowMs, node, end.elapsedMs() - latencyStartMs * work(item), end.load());
+                noteWait(nowMs, node, end.elapsedMs() - latencyStartMs * work(item));
                 node.latencyMs += node.learning * (end.elapsedMs() - node.latencyMs);
                 node.learning = Math.max(LATENCY_WEIGHT, node.learning / (1 + node.learning));
                 if (nowMs > item.aimMs || node.latencyMs > AIM_PART_AT_NODE * tightestAimMs) {
@@ -935,14 +928,14 @@
                 }
             }
             case REJECTED, NOT_CONNECTED -> {
-                noteWait(nowMs, node, item.kind.aimMs(), end.load());
+                noteWait(nowMs, node, item.kind.aimMs());
                 node.suspect |= end.outcome() == Outcome.NOT_CONNECTED;
                 node.restUntilMs = nowMs + slotMs;
                 halve(nowMs, node);
             }
             case TIMED_OUT, RESET, CANCELLED -> {
                 node.late |= end.elapsedMs() > item.kind.aimMs();
-                noteWait(nowMs, node, Math.max(end.elapsedMs(), standingMs(nowMs, node)), end.load());
+                noteWait(nowMs, node, Math.max(end.elapsedMs(), standingMs(nowMs, node)));
                 if (node.heardMs <= attempt.sentMs()) {
                     node.suspect |= end.outcome() != Outcome.CANCELLED;
                     halve(nowMs, node);
@@ -961,14 +954,8 @@
         }
     }
 
-    @Override
-    public void probed(double nowMs, long node, double elapsedMs, Outcome outcome, List<Double> load) {
-        Node known = nodes.get(node);
-        if (known != null && outcome == Outcome.SERVED) {
-            noteWait(nowMs, known, 0, load);
-            depart(nowMs, known);
-        }
-    }
+    @Override // Nodes are not asked for their load.
+    public void probed(double nowMs, long node, double elapsedMs, Outcome outcome, List<Double> load) {}
 
     @Override
     public void peerMessage(double nowMs, int sender, byte[] message) {} // Hosts tell each other nothing.
