--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -836,7 +836,7 @@
 
     /**
      * Requests of mean size that this host may have out at a cold node. No more reaches a node than it
-     * finishes and what is out; so all hosts' together may be what it does in the rest of the multiple, by the
+     * finishes and what is out; so all hosts' may be what it does in the rest of the multiple, by the
      * figure that is always safe, or by what its answers took, at one request after another.
      */
     private double coldRest(double nowMs, Node node) {
