Gateways that know each other: members with suspicion, a view with version and digest

Need: agreed rules, duties held by one and shared limits all ask who is there, who has failed, how much of the fleet a gateway sees and whether it was away itself; a gateway knew no other.

Change: package members (messages and time in, messages and changes out, held to it by LayersTest): watchers on three rings, suspicion that two must share, refutation by incarnation, self-doubt after standing still, tombstones, nonces against old messages, one name for one process, digests in parts. Section [fleet], off where missing, no class loaded (tested). petrelstand fleet members. Ways weighed in docs/design/members.md, operators' page docs/FLEET.md.

--- /dev/null
+++ b/src/main/java/petrelstand/FleetPart.java
@@ -0,0 +1,55 @@
+package petrelstand;
+
+import java.io.IOException;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import petrelstand.config.FleetConfig;
+import petrelstand.config.GatewayConfig;
+import petrelstand.core.Counters;
+import petrelstand.core.Timers;
+import petrelstand.fleet.Fleet;
+import petrelstand.fleet.FleetMetrics;
+import petrelstand.http.Front;
+import petrelstand.logging.JsonLog;
+
+/** The fleet's part of a gateway, put together; loaded only where the operator's file has {@code [fleet]}. */
+final class FleetPart {
+    private final FleetConfig config;
+    private final Fleet fleet;
+
+    FleetPart(FleetConfig config, GatewayConfig gateway, Timers timers, LongSupplier nowUs, Executor loop,
+            Counters counters, Consumer<String> log) {
+        this.config = config;
+        this.fleet = new Fleet(config, gateway.name(), gateway.seed(), timers, nowUs, loop, counters, log);
+        if (log instanceof JsonLog json) {
+            json.view(fleet::version);
+        }
+    }
+
+    void open() throws IOException {
+        fleet.open();
+    }
+
+    void start(Front front) {
+        fleet.start();
+        if (config.page()) {
+            front.offer("/members", fleet::page);
+        }
+        if (config.metrics()) {
+            front.offer("/metrics", () -> FleetMetrics.text(fleet));
+        }
+    }
+
+    void reload(FleetConfig changed) {
+        fleet.reload(changed);
+    }
+
+    void leave() {
+        fleet.leave();
+    }
+
+    void afterLeaving(Runnable then) {
+        fleet.afterLeaving(then);
+    }
+}
--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -59,6 +59,7 @@
     private final RsyncFront rsyncFront;
     private final StateKeeper keeper;
     private AccountsPage accounts;
+    private final FleetPart fleet;
     private final Runnable atEnd;
     private final List<ServerSocketChannel> listeners = new ArrayList<>();
     private final CompletableFuture<List<Integer>> ports = new CompletableFuture<>();
@@ -92,6 +93,8 @@
         if (operator != null && operator.accounts() != null) {
             account(operator.accounts());
         }
+        this.fleet = operator == null || operator.fleet() == null ? null
+                : new FleetPart(operator.fleet(), config, timers, clock::nowUs, loop::execute, counters, log);
     }
 
     /** Switches the accounts on; where they are off nothing of them is loaded. */
@@ -114,6 +117,9 @@
         if (keeper != null) {
             keeper.open();
         }
+        if (fleet != null) {
+            fleet.open();
+        }
         loop.start();
         loop.execute(this::begin);
         return ports;
@@ -145,6 +151,9 @@
             listen(rsync.listen(), rsyncFront::accept);
             log.accept("rsync: " + rsync.modules().size() + " modules on " + rsync.listen());
         }
+        if (fleet != null) {
+            fleet.start(front);
+        }
         front.ready();
         ports.complete(listeners.stream().map(listener -> listener.socket().getLocalPort()).toList());
         log.accept("ready: " + config.name() + " on " + config.listen() + ", " + config.known().nodes().size()
@@ -187,6 +196,9 @@
 
     /** Takes the rsync front's modules and nodes of the operator's file as it is now. On the loop's thread. */
     void reload(OperatorConfig file) {
+        if (fleet != null && file.fleet() != null) {
+            fleet.reload(file.fleet());
+        }
         RsyncConfig changed = file.rsync();
         if (rsync == null || changed == null) {
             log.accept("the operator's file was read anew; only a restart switches a part on or off");
@@ -218,6 +230,9 @@
         draining = true;
         log.accept("draining: " + broker.open() + " requests open, " + front.connections() + " connections");
         front.drain();
+        if (fleet != null) {
+            fleet.leave();
+        }
         if (rsyncFront != null) {
             rsyncFront.drain();
         }
@@ -259,9 +274,17 @@
 
     private void endAccounts() {
         if (accounts == null) {
+            endFleet();
+        } else {
+            accounts.close(loop::execute, this::endFleet);
+        }
+    }
+
+    private void endFleet() {
+        if (fleet == null) {
             ended();
         } else {
-            accounts.close(loop::execute, this::ended);
+            fleet.afterLeaving(this::ended);
         }
     }
 
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -60,6 +60,9 @@
         } catch (IllegalArgumentException e) {
             System.err.println("petrelstand: " + e.getMessage());
             System.exit(1);
+        } catch (IOException e) {
+            System.err.println("petrelstand: " + e.getMessage());
+            Runtime.getRuntime().halt(1);
         } catch (Exception e) {
             System.err.println("petrelstand: internal fault: " + e);
             System.exit(1);
--- a/src/main/java/petrelstand/cli/LabCommand.java
+++ b/src/main/java/petrelstand/cli/LabCommand.java
@@ -123,6 +123,9 @@
         @Option(names = "--state", paramLabel = "DIR", defaultValue = "target/state",
                 description = "the folder of learned state; target/state")
         private Path state;
+        @Option(names = "--operator", paramLabel = "FILE.ini",
+                description = "an operator's file, in the place of the one that keeps learned state")
+        private Path operator;
         private final Cli.Gateways gateways;
 
         Serve(Cli.Gateways gateways) {
@@ -132,7 +135,8 @@
         @Override
         public Integer call() throws Exception {
             try (StandInPlatform platform = new StandInPlatform(nodes)) {
-                IniFile ini = new IniFile(Path.of("tryout.ini"), "[state]\nfolder = " + state.toAbsolutePath());
+                IniFile ini = operator != null ? IniFile.read(operator)
+                        : new IniFile(Path.of("tryout.ini"), "[state]\nfolder = " + state.toAbsolutePath());
                 var config = TryOut.config(platform, listen);
                 gateways.serve(config, OperatorConfig.load(ini, config.settings(), Files::readString));
             }
--- /dev/null
+++ b/src/main/java/petrelstand/fleet/FleetMetrics.java
@@ -0,0 +1,55 @@
+package petrelstand.fleet;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot.GaugeDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.Labels;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import petrelstand.members.Standing;
+
+/** The fleet's figures in the Prometheus text form, by its Java client's model and writer; no member is a label. */
+public final class FleetMetrics {
+    private static final String COUNTED = "fleet.";
+
+    private FleetMetrics() {}
+
+    /** The page, made on the loop. */
+    public static String text(Fleet fleet) {
+        GaugeSnapshot.Builder members = GaugeSnapshot.builder().name("petrelstand_fleet_members")
+                .help("Members that this gateway knows, by state");
+        fleet.figures().forEach((state, count) -> members.dataPoint(GaugeDataPointSnapshot.builder()
+                .labels(Labels.of("state", state)).value(count).build()));
+        Standing standing = fleet.module().standing();
+        GaugeSnapshot.Builder reach = GaugeSnapshot.builder().name("petrelstand_fleet_reach")
+                .help("1 for the part of the agreed size that this gateway sees");
+        for (Standing.Reach one : Standing.Reach.values()) {
+            reach.dataPoint(GaugeDataPointSnapshot.builder().labels(Labels.of("reach",
+                    one.name().toLowerCase(Locale.ROOT))).value(one == standing.reach() ? 1 : 0).build());
+        }
+        CounterSnapshot.Builder events = CounterSnapshot.builder().name("petrelstand_fleet_events")
+                .help("Messages and events of membership, by kind");
+        fleet.counters().text().lines().filter(line -> line.startsWith(COUNTED)).forEach(line -> {
+            int space = line.indexOf(' ');
+            events.dataPoint(CounterDataPointSnapshot.builder().labels(Labels.of("kind",
+                    line.substring(COUNTED.length(), space))).value(Double.parseDouble(line.substring(space + 1))).build());
+        });
+        CounterSnapshot bytes = CounterSnapshot.builder().name("petrelstand_fleet_sent_bytes")
+                .help("Bytes of datagrams sent to other members").dataPoint(CounterDataPointSnapshot.builder()
+                        .value(fleet.bytesOut()).build()).build();
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(text, new MetricSnapshots(members.build(), reach.build(),
+                    events.build(), bytes));
+        } catch (IOException e) {
+            throw new UncheckedIOException("an array in memory takes all that is written to it", e);
+        }
+        return text.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -59,10 +59,13 @@
     private boolean draining;
     private boolean closing;
 
-    /** Answers a path with a text made when it is asked for; for pages that an operator switched on. */
+    /**
+     * Answers a path with a text made when it is asked for; for pages that an operator switched on. Where a part has
+     * offered one there already, the texts follow each other.
+     */
     public void offer(String path, Supplier<String> page) {
         Map<String, Supplier<String>> more = new HashMap<>(pages);
-        more.put(path, page);
+        more.merge(path, page, (one, other) -> () -> one.get() + other.get());
         pages = Map.copyOf(more);
     }
 
--- /dev/null
+++ b/src/main/java/petrelstand/lab/faults/FleetSim.java
@@ -0,0 +1,399 @@
+package petrelstand.lab.faults;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import petrelstand.members.Change;
+import petrelstand.members.Member;
+import petrelstand.members.MemberState;
+import petrelstand.members.Membership;
+import petrelstand.members.Message.Envelope;
+import petrelstand.members.Standing;
+import petrelstand.members.Timing;
+
+/**
+ * A fleet in virtual time: the same {@link Membership} as in the gateway, with links that lose, delay, repeat and
+ * reorder, and processes that stop, die and start again. One seed gives one course.
+ */
+public final class FleetSim {
+    /** Makes the module of a process; tests plant defects here. */
+    public interface Maker {
+        Membership make(long nowUs, Member self, List<String> seeds, long seed, Membership.Actions actions);
+    }
+
+    /** What a process saw change, for the checks and measurements. */
+    public record Seen(int process, long boot, Change change) {}
+
+    private record Event(long atUs, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
+        }
+    }
+
+    private static final String FLEET = "lab";
+    private static final long LEAST_DELAY_US = 150;
+
+    private final class Process implements Membership.Actions {
+        final int number;
+        Membership module;
+        long life;
+        boolean up;
+        boolean stopped;
+        final ArrayDeque<Envelope> waiting = new ArrayDeque<>();
+
+        Process(int number) {
+            this.number = number;
+        }
+
+        void start() {
+            up = true;
+            stopped = false;
+            long of = ++life;
+            waiting.clear();
+            long boot = random.nextLong();
+            lives.put(boot, number);
+            Member self = new Member(name(number), boot, 1_000_000 + nowUs, address(number), MemberState.JOINING, "",
+                    nowUs / 1000, "lab", List.of());
+            module = maker.make(nowUs, self, seeds, random.nextLong(), this);
+            at(nowUs + random.nextLong(Timing.TICK_US), () -> tick(of));
+        }
+
+        private void tick(long of) {
+            if (of != life || !up) {
+                return;
+            }
+            if (!stopped) {
+                drain();
+                module.tick(nowUs);
+                if (module.ended()) {
+                    up = false;
+                    return;
+                }
+            }
+            at(nowUs + Timing.TICK_US, () -> tick(of));
+        }
+
+        private void drain() {
+            while (!waiting.isEmpty()) {
+                module.receive(nowUs, waiting.poll());
+            }
+        }
+
+        @Override
+        public void send(String address, Envelope message) {
+            sent++;
+            carry(number, addresses.getOrDefault(address, -1), message);
+        }
+
+        @Override
+        public void changed(Change change) {
+            seen.add(new Seen(number, module == null ? 0 : module.self().boot(), change));
+        }
+
+        @Override
+        public void standing(Standing standing) {}
+
+        @Override
+        public void stalled(long us) {}
+
+        @Override
+        public void count(String what) {
+            counts.merge(what, 1L, Long::sum);
+        }
+
+        @Override
+        public void say(String line) {}
+    }
+
+    private final Maker maker;
+    private final SplittableRandom random;
+    private final List<String> seeds = new ArrayList<>();
+    private final Map<String, Integer> addresses = new HashMap<>();
+    private final Map<Long, Integer> lives = new HashMap<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<FleetPlan.Fault> active = new ArrayList<>();
+    private final List<Seen> seen = new ArrayList<>();
+    private final Map<String, Long> counts = new TreeMap<>();
+    private long nowUs = 1;
+    private long order;
+    private long sent;
+    private double loss;
+
+    /** A fleet whose processes all start within the first half second. */
+    public FleetSim(int size, long seed, Maker maker) {
+        this.maker = maker;
+        this.random = new SplittableRandom(seed);
+        for (int i = 0; i < size; i++) {
+            addresses.put(address(i), i);
+            if (i < 3) {
+                seeds.add(address(i));
+            }
+            processes.add(new Process(i));
+        }
+        for (Process process : processes) {
+            at(random.nextLong(500_000), process::start);
+        }
+    }
+
+    /** The module as the gateway has it. */
+    public static Maker usual(Timing timing) {
+        return (now, self, seeds, seed, actions) -> new Membership(now, FLEET, self, seeds, 0, timing, seed, actions);
+    }
+
+    static String name(int number) {
+        return String.format("g%03d", number);
+    }
+
+    private static String address(int number) {
+        return "10.0." + number / 200 + "." + number % 200 + ":7946";
+    }
+
+    private void at(long us, Runnable action) {
+        events.add(new Event(us, order++, action));
+    }
+
+    /** Plays on to a time. */
+    public void run(long untilUs) {
+        while (!events.isEmpty() && events.peek().atUs() <= untilUs) {
+            Event event = events.poll();
+            nowUs = Math.max(nowUs, event.atUs());
+            event.action().run();
+        }
+        nowUs = Math.max(nowUs, untilUs);
+    }
+
+    public long nowUs() {
+        return nowUs;
+    }
+
+    /** Messages sent by all so far. */
+    public long sent() {
+        return sent;
+    }
+
+    public Map<String, Long> counts() {
+        return counts;
+    }
+
+    public List<Seen> seen() {
+        return Collections.unmodifiableList(seen);
+    }
+
+    /** The module of a process that runs, else null. */
+    public Membership module(int number) {
+        Process process = processes.get(number);
+        return process.up && !process.stopped ? process.module : null;
+    }
+
+    /** A part of all messages is lost from now on. */
+    public void loss(double part) {
+        loss = part;
+    }
+
+    private void carry(int from, int to, Envelope message) {
+        if (to < 0 || lost(from, to)) {
+            return;
+        }
+        double queued = -Math.log(1 - random.nextDouble()) * 200;
+        long delay = LEAST_DELAY_US + (long) queued;
+        for (FleetPlan.Fault fault : active) {
+            if (fault.kind() == FleetPlan.Kind.SLOW && (fault.who() == from || fault.who() == to)) {
+                delay += (long) (fault.amount() * 1000L * (0.5 + random.nextDouble()));
+            } else if (fault.kind() == FleetPlan.Kind.REPEAT && random.nextInt(100) < fault.amount()) {
+                long late = nowUs + delay + random.nextLong(1_000_000);
+                at(late, () -> deliver(from, to, message));
+            }
+        }
+        at(nowUs + delay, () -> deliver(from, to, message));
+    }
+
+    private boolean lost(int from, int to) {
+        if (loss > 0 && random.nextDouble() < loss) {
+            return true;
+        }
+        for (FleetPlan.Fault fault : active) {
+            boolean cut = switch (fault.kind()) {
+                case CUT -> (from < fault.who()) != (to < fault.who());
+                case MUTE -> from == fault.who();
+                case DEAF -> to == fault.who();
+                case PAIR -> Math.min(from, to) == Math.min(fault.who(), next(fault.who()))
+                        && Math.max(from, to) == Math.max(fault.who(), next(fault.who()));
+                case LOSS -> random.nextInt(100) < fault.amount();
+                default -> false;
+            };
+            if (cut) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private int next(int who) {
+        return (who + 1) % processes.size();
+    }
+
+    private void deliver(int from, int to, Envelope message) {
+        Process process = processes.get(to);
+        if (!process.up) {
+            return;
+        }
+        if (process.stopped) {
+            if (process.waiting.size() < 200) {
+                process.waiting.add(message);
+            }
+        } else {
+            process.module.receive(nowUs, message);
+        }
+    }
+
+    /** Sets a plan's faults up, each at its time. */
+    public void arm(FleetPlan plan) {
+        for (FleetPlan.Fault fault : plan.faults()) {
+            at(fault.atUs(), () -> strike(fault));
+        }
+    }
+
+    /** Starts a fault now. */
+    public void strike(FleetPlan.Fault fault) {
+        Process process = processes.get(Math.min(fault.who(), processes.size() - 1));
+        switch (fault.kind()) {
+            case KILL -> {
+                process.up = false;
+                again(process, fault);
+            }
+            case TERM -> {
+                if (process.up && !process.stopped) {
+                    process.module.leave(nowUs);
+                    again(process, fault);
+                }
+            }
+            case STOP -> {
+                long life = process.life;
+                process.stopped = true;
+                at(nowUs + fault.lengthUs(), () -> process.stopped &= process.life != life);
+            }
+            default -> {
+                active.add(fault);
+                at(nowUs + fault.lengthUs(), () -> active.remove(fault));
+            }
+        }
+    }
+
+    private void again(Process process, FleetPlan.Fault fault) {
+        if (fault.lengthUs() > 0) {
+            long life = process.life;
+            at(nowUs + Math.max(fault.lengthUs(), 300_000), () -> {
+                if (process.life == life) {
+                    process.start();
+                }
+            });
+        }
+    }
+
+    /** The processes that run. */
+    public List<Integer> running() {
+        return java.util.stream.IntStream.range(0, processes.size()).filter(i -> module(i) != null).boxed().toList();
+    }
+
+    /** Whether a process is one that was started by this and still runs. */
+    boolean lives(long boot) {
+        Integer number = lives.get(boot);
+        return number != null && processes.get(number).up && processes.get(number).module.self().boot() == boot;
+    }
+
+    /** Whether all that run hold the same members to be there, and just those that run. */
+    public boolean agreed() {
+        List<Integer> running = running();
+        long digest = 0;
+        for (int i = 0; i < running.size(); i++) {
+            Membership module = module(running.get(i));
+            if (module.self().state() != MemberState.ALIVE || module.reached().size() != running.size() - 1
+                    || i > 0 && module.digest() != digest) {
+                return false;
+            }
+            digest = module.digest();
+        }
+        return true;
+    }
+
+    /** Plays on until a condition holds, looked at every 10 ms; the time it took, or -1 where it did not by then. */
+    public long until(Predicate<FleetSim> condition, long mostUs) {
+        long from = nowUs;
+        while (nowUs - from <= mostUs) {
+            if (condition.test(this)) {
+                return nowUs - from;
+            }
+            run(nowUs + 10_000);
+        }
+        return -1;
+    }
+
+    /** How long after the last fault all must hold one view. */
+    public static final long ONE_VIEW_US = 5_000_000;
+
+    /** Plays a plan whole; says what did not hold, or nothing. */
+    public static String play(FleetPlan plan, Maker maker) {
+        FleetSim fleet = new FleetSim(plan.size(), plan.seed(), maker);
+        fleet.arm(plan);
+        fleet.run(Math.max(plan.calmUs(), 2_000_000));
+        if (fleet.until(FleetSim::agreed, ONE_VIEW_US) < 0) {
+            return "no one view " + ONE_VIEW_US / 1_000_000 + " s after the last fault: " + fleet.differences();
+        }
+        fleet.run(plan.lengthUs());
+        if (!fleet.agreed()) {
+            return "one view was reached and lost again: " + fleet.differences();
+        }
+        return fleet.returned();
+    }
+
+    /** Takes out one fault after another as long as the plan still fails. */
+    public static FleetPlan shrink(FleetPlan plan, Maker maker) {
+        for (int i = 0; i < plan.faults().size(); i++) {
+            FleetPlan fewer = plan.without(i);
+            if (!play(fewer, maker).isEmpty()) {
+                return shrink(fewer, maker);
+            }
+        }
+        return plan;
+    }
+
+    private String differences() {
+        StringBuilder text = new StringBuilder();
+        for (int i : running()) {
+            Membership module = module(i);
+            text.append(text.isEmpty() ? "" : "; ").append(name(i)).append(' ').append(module.self().state())
+                    .append(" sees ").append(module.reached().keySet());
+        }
+        return text.toString();
+    }
+
+    /** A life that somebody held to be gone for good, and later to be there again without a later incarnation. */
+    private String returned() {
+        Map<String, Long> gone = new HashMap<>();
+        for (Seen one : seen) {
+            Member member = one.change().member();
+            String key = one.process() + " " + one.boot() + " " + member.name() + " " + member.boot();
+            boolean quiet = one.change().cause().equals("nobody is heard here")
+                    || one.change().cause().equals("heard again") || one.change().cause().startsWith("stood still");
+            if (one.change().member().boot() == one.boot() || quiet) {
+                continue;
+            }
+            if (!member.state().present()) {
+                gone.put(key, member.incarnation());
+            } else if (gone.containsKey(key) && member.incarnation() <= gone.get(key)) {
+                return FleetSim.name(one.process()) + " took " + member.name() + " back on an old claim: "
+                        + one.change().cause();
+            }
+        }
+        return "";
+    }
+}
--- a/src/main/java/petrelstand/logging/JsonLog.java
+++ b/src/main/java/petrelstand/logging/JsonLog.java
@@ -6,8 +6,10 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * Log lines as JSON on standard output, one object a line, by Logback. The text of a line is the same as in the text
@@ -17,6 +19,7 @@
 public final class JsonLog implements Consumer<String> {
     private static final String PROVIDER = "slf4j.provider";
     private final Logger logger;
+    private LongSupplier view;
 
     /** Must be made before anything has asked SLF4J for a logger: the provider is chosen once. */
     public JsonLog() {
@@ -40,11 +43,16 @@
         logger = LoggerFactory.getLogger("petrelstand");
     }
 
+    /** Every line from now on carries the version of a view, read on whatever thread the line comes from. */
+    public void view(LongSupplier version) {
+        view = version;
+    }
 
     @Override
     public void accept(String line) {
         int colon = line.indexOf(':');
         String component = colon > 0 ? line.substring(0, colon) : "gateway";
-        logger.atInfo().addKeyValue("component", component.split(" ")[0]).log(line);
+        LoggingEventBuilder event = logger.atInfo().addKeyValue("component", component.split(" ")[0]);
+        (view == null ? event : event.addKeyValue("view", view.getAsLong())).log(line);
     }
 }
--- a/src/test/java/petrelstand/LayersTest.java
+++ b/src/test/java/petrelstand/LayersTest.java
@@ -17,7 +17,7 @@
     private static final Path ROOT = Path.of("src/main/java/petrelstand");
     private static final Pattern FORBIDDEN = Pattern.compile("java\\.net|java\\.nio|java\\.io\\.|java\\.time|"
             + "org\\.eclipse|com\\.google|nanoTime|currentTimeMillis|System\\.(in|out|err)|new Thread|"
-            + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab)\\b");
+            + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab|fleet)\\b");
 
     private static List<String> found(String layer, Pattern forbidden) throws IOException {
         List<String> found = new ArrayList<>();
@@ -53,11 +53,18 @@
         assertEquals(List.of(), found("accounts", FORBIDDEN));
     }
 
+    /** Who is there is decided without a socket, a clock or a thread, and without anything else of the gateway. */
+    @Test
+    void membersAreFreeOfTheWorld() throws IOException {
+        assertEquals(List.of(), found("members", FORBIDDEN));
+        assertEquals(List.of(), found("members", Pattern.compile("import petrelstand\\.(?!members)")));
+    }
+
     /** Only the command line and the gateway's own wiring know the store, and nothing that serves knows the lab. */
     @Test
     void theLaboratoryAndTheCommandLineAreKnownToNobodyThatServes() throws IOException {
         for (String layer : List.of("decision", "core", "accounts", "state", "store", "net", "http", "rsync", "discovery",
-                "config", "logging", "sim")) {
+                "config", "logging", "sim", "members", "fleet")) {
             assertEquals(List.of(), found(layer, Pattern.compile("petrelstand\\.(lab|cli)\\b|picocli")), layer);
         }
     }
--- a/src/test/java/petrelstand/ServeProcessTest.java
+++ b/src/test/java/petrelstand/ServeProcessTest.java
@@ -26,9 +26,9 @@
 
 /** The program as it is started: what it loads, and what it remembers after SIGTERM and after SIGKILL. */
 class ServeProcessTest {
-    private static final Pattern OFF = Pattern.compile("petrelstand\\.(state|store|cli|lab|logging|accounts|report)\\.|picocli|"
+    private static final Pattern OFF = Pattern.compile("petrelstand\\.(state|store|cli|lab|logging|accounts|report|members|fleet)\\.|petrelstand\\.FleetPart|picocli|"
             + "org\\.apache\\.commons|com\\.fasterxml|ch\\.qos\\.logback|org\\.HdrHistogram|io\\.prometheus|"
-            + "petrelstand\\.config\\.(IniFile|RsyncConfig)");
+            + "petrelstand\\.config\\.(IniFile|RsyncConfig|FleetConfig)");
     @TempDir
     Path folder;
     private StandInPlatform platform;
