--- a/src/test/java/petrelstand/lab/FaultTrialTest.java
+++ b/src/test/java/petrelstand/lab/FaultTrialTest.java
@@ -99,6 +99,18 @@
         }
     }
 
+    @Test
+    void theScenariosInTheRepositoryAreRead() throws Exception {
+        int read = 0;
+        try (java.nio.file.DirectoryStream<Path> files = Files.newDirectoryStream(Path.of("lab/faults"), "*.ini")) {
+            for (Path file : files) {
+                assertTrue(FaultScenario.read(file).processes() >= 2, file.toString());
+                read++;
+            }
+        }
+        assertTrue(read >= 1);
+    }
+
     // ---- The checker alone, on histories written here ----
 
     private Verdict check(String trial, String... histories) throws Exception {
