The end after SIGTERM waits from the last answer on: late answers were cut by the process's end

Gateway.awaitEnd let connections linger for 0.6 s from the end of listening, so that an answer later than 1.15 s after SIGTERM was followed by the end at once, which resets the connection with the answer under way.

Change: the 0.6 s count from the moment that all is answered.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -36,7 +36,10 @@
     /** After SIGTERM connections still come for up to 0.4 s; the rest is margin. */
     private static final long LAST_CONNECTIONS_US = 550_000;
     private static final long END_CHECK_US = 10_000;
-    /** Lingering connections are not waited for longer than this once all is answered. */
+    /**
+     * Lingering connections are not waited for longer than this once all is answered. Counted from the last answer, not
+     * from the end of listening: the end of the process resets its connections, and an answer under way is lost with it.
+     */
     private static final long LAST_LINGER_US = 600_000;
     /** For each transfer a client's and a node's, and a client's that is refused. */
     private static final int RSYNC_DESCRIPTORS = 3;
@@ -64,6 +67,8 @@
     private final List<ServerSocketChannel> listeners = new ArrayList<>();
     private final CompletableFuture<List<Integer>> ports = new CompletableFuture<>();
     private boolean draining;
+    /** When all that was taken was answered, as of now; 0 while something is not. */
+    private long answeredUs;
 
     /**
      * A gateway as its file and, where there is one (else null), the operator's file say. Lines to be logged go to
@@ -251,16 +256,19 @@
         if (rsyncFront != null) {
             rsyncFront.closeIdle();
         }
-        awaitEnd(clock.nowUs() + LAST_LINGER_US);
+        answeredUs = 0;
+        awaitEnd();
     }
 
-    private void awaitEnd(long lingerUntilUs) {
+    private void awaitEnd() {
+        long now = clock.nowUs();
         boolean answered = broker.open() == 0 && front.answering() == 0;
+        answeredUs = !answered ? 0 : answeredUs == 0 ? now : answeredUs;
         if (answered && (front.connections() + (rsync == null ? 0 : rsyncFront.sessions()) == 0
-                || clock.nowUs() >= lingerUntilUs)) {
+                || now >= answeredUs + LAST_LINGER_US)) {
             end();
         } else {
-            timers.at(clock.nowUs() + END_CHECK_US, () -> awaitEnd(lingerUntilUs));
+            timers.at(now + END_CHECK_US, this::awaitEnd);
         }
     }
 
--- a/src/test/java/petrelstand/LoopbackTest.java
+++ b/src/test/java/petrelstand/LoopbackTest.java
@@ -246,6 +246,40 @@
         assertArrayEquals(Golden.pullDown(), Golden.join(first, rest));
     }
 
+    /**
+     * Found on a fleet's day of restarts: a write that ended long after the listener closed was answered, and the process
+     * ended with the answer under way. The end waits for a client that has not yet closed, from the last answer on.
+     */
+    @Test
+    void aLateAnswerIsNotCutByTheEndOfTheProcess() throws Exception {
+        AtomicLong answeredNs = new AtomicLong();
+        AtomicLong endedNs = new AtomicLong();
+        CountDownLatch ended = new CountDownLatch(1);
+        Server node = opened(new Server((socket, in, out) -> {
+            byte[] buffer = new byte[4096];
+            in.read(buffer);
+            Thread.sleep(1_600);
+            answeredNs.set(System.nanoTime());
+            out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII));
+            in.readAllBytes();
+        }));
+        GatewayConfig config = config(node);
+        gateway = new Gateway(config, null, line -> {}, () -> {
+            endedNs.set(System.nanoTime());
+            ended.countDown();
+        });
+        httpPort = gateway.start().get(20, TimeUnit.SECONDS).get(0);
+        Client client = opened(new Client(httpPort));
+        client.send("GET /bulk-export/00000000000000a1/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: late\r\n"
+                + "X-Qos-Policy: basic\r\nX-Remaining-Ms: 30000\r\nX-Placement: units=1,shard=3,hosts=1\r\n\r\n");
+        awaitCount("sent", 1);
+        gateway.execute(gateway::drain);
+        assertTrue(client.answer().startsWith("200 ok"));
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+        // Stalls of the machine only add to this.
+        assertTrue(endedNs.get() - answeredNs.get() >= 400_000_000L, (endedNs.get() - answeredNs.get()) / 1000 + " us");
+    }
+
     @Test
     void aClientThatStallsIsCutAndTheGatewayKeepsLittleOfWhatItDidNotTake() throws Exception {
         AtomicLong sent = new AtomicLong();
