A suspect that answered and then ended is found; a table of membership's times in virtual time

Membership.decide failed a suspect only where it had heard nothing since the suspicion, and "reached again" counted as heard; the same held for one answer after the suspicion and before the end. Change: the time begins anew with what was heard. The course is a test, which fails without the change.

--- a/src/main/java/petrelstand/cli/LabFaults.java
+++ b/src/main/java/petrelstand/cli/LabFaults.java
@@ -12,6 +12,7 @@
 import petrelstand.lab.check.Verdict;
 import petrelstand.lab.faults.FaultScenario;
 import petrelstand.lab.faults.FaultTrial;
+import petrelstand.lab.faults.FleetMeasure;
 import petrelstand.lab.faults.FleetPlan;
 import petrelstand.lab.faults.FleetSearch;
 import petrelstand.lab.faults.FleetSim;
@@ -38,6 +39,9 @@
     private Path folder;
     @Option(names = "--virtual", paramLabel = "N", description = "drawn faults among so many gateways in virtual time")
     private Integer virtual;
+    @Option(names = "--measure", paramLabel = "N", description = "a table of times, alarms and messages among so many"
+            + " gateways in virtual time; --seeds 1-B says how many seeds")
+    private Integer measure;
     @Option(names = "--search", paramLabel = "FAULTS", description = "all orders and faults, up to so many, among 3 in"
             + " virtual time")
     private Integer search;
@@ -54,6 +58,11 @@
         if (search != null) {
             return search();
         }
+        if (measure != null) {
+            spec.commandLine().getOut().print(FleetMeasure.table(measure, (int) until, 30));
+            spec.commandLine().getOut().flush();
+            return 0;
+        }
         if (virtual != null) {
             return virtual(from, until);
         }
--- a/src/main/java/petrelstand/lab/faults/FleetSim.java
+++ b/src/main/java/petrelstand/lab/faults/FleetSim.java
@@ -286,7 +286,7 @@
         long digest = 0;
         for (int i = 0; i < running.size(); i++) {
             Membership module = module(running.get(i));
-            if (module.self().state() != MemberState.ALIVE || module.reached().size() != running.size() - 1
+            if (module.self().state() != MemberState.ALIVE || module.standing().seen() != running.size()
                     || i > 0 && module.digest() != digest) {
                 return false;
             }
@@ -307,6 +307,8 @@
         return -1;
     }
 
+    private static final int MOST_SHOWN = 5;
+
     /** How long after the last fault all must hold one view. */
     public static final long ONE_VIEW_US = 5_000_000;
 
@@ -338,12 +340,16 @@
 
     private String differences() {
         StringBuilder text = new StringBuilder();
-        for (int i : running()) {
+        List<Integer> running = running();
+        int shown = 0;
+        for (int i : running) {
             Membership module = module(i);
-            text.append(text.isEmpty() ? "" : "; ").append(name(i)).append(' ').append(module.self().state())
-                    .append(" sees ").append(module.reached().keySet());
+            if (module.standing().seen() != running.size() && shown++ < MOST_SHOWN) {
+                text.append(text.isEmpty() ? "" : ", ").append(name(i)).append(' ').append(module.self().state())
+                        .append(" sees ").append(module.standing().seen());
+            }
         }
-        return text.toString();
+        return shown + " of " + running.size() + " do not see all: " + text;
     }
 
     /** A life that somebody held to be gone for good, and later to be there again without a later incarnation. */
--- a/src/main/java/petrelstand/members/Hash.java
+++ b/src/main/java/petrelstand/members/Hash.java
@@ -1,7 +1,5 @@
 package petrelstand.members;
 
-import java.util.Objects;
-
 /** Well-mixed numbers of names, the same in every process. */
 final class Hash {
     private Hash() {}
@@ -24,7 +22,7 @@
 
     /** What a claim adds to the digest of a view: life, incarnation and state, not who said so. */
     static long of(Member member) {
-        return mix(of(member.name()) ^ mix(Objects.hash(member.state().ordinal()) ^ mix(member.boot()))
+        return mix(of(member.name()) ^ mix(member.state().ordinal() ^ mix(member.boot()))
                 ^ mix(member.incarnation() + 1));
     }
 }
--- a/src/main/java/petrelstand/members/Membership.java
+++ b/src/main/java/petrelstand/members/Membership.java
@@ -528,7 +528,8 @@
 
     /**
      * A suspect fails when its time is over: where two accuse it, or as many as there are to do so; else it has twice
-     * the time. Never while this process hears nobody, nor where it has heard the suspect since.
+     * the time. Never while this process hears nobody; and where it has heard the suspect since, the time begins anew:
+     * one that answered, and ended before it could say that it lives, would else be a suspect for ever.
      */
     private void decide(long nowUs, boolean isolated) {
         if (isolated) {
@@ -536,8 +537,8 @@
         }
         for (Peer peer : List.copyOf(suspects)) {
             boolean enough = peer.accusers.size() >= Math.min(ACCUSERS, others);
-            long dueUs = peer.sinceUs + (enough ? 1 : 2) * timing.failAfterUs();
-            if (nowUs >= dueUs && peer.heardUs <= peer.sinceUs && !peer.unreached) {
+            long dueUs = Math.max(peer.sinceUs, peer.heardUs) + (enough ? 1 : 2) * timing.failAfterUs();
+            if (nowUs >= dueUs && !peer.unreached) {
                 act.count("fleet.failed");
                 apply(nowUs, peer, peer.member.as(MemberState.FAILED, ""), "no answer to the suspicion of "
                         + String.join(", ", new java.util.TreeSet<>(peer.accusers)));
--- a/src/test/java/petrelstand/members/MembershipTest.java
+++ b/src/test/java/petrelstand/members/MembershipTest.java
@@ -151,6 +151,14 @@
         assertFalse(FleetSearch.run(1, with("never-fails")).fault().isEmpty());
     }
 
+    /** Found by the search of two faults: the suspect was heard of as "reached again", and stayed a suspect for ever. */
+    @Test
+    void whoEndsWhileTheOtherTwoHearNobodyIsFoundOnceTheyDo() {
+        FleetPlan plan = new FleetPlan(3, 1, 13_825_000, List.of(new Fault(Kind.KILL, 0, 4_000_000, 0, 0),
+                new Fault(Kind.PAIR, 1, 4_825_000, 3_000_000, 0)));
+        assertEquals("", FleetSim.play(plan, FleetSim.usual(Timing.USUAL)));
+    }
+
     @Test
     void drawnFaultsEndInOneViewWithinFiveSeconds() {
         for (int seed = 1; seed <= 60; seed++) {
