The checker excuses a guest's slow start as it does a member's

Seen: on a machine with a load of 19 a trial was inconclusive for a guest that stood still for 812 ms while it started. The checker looked its start up under the name of the history's file, which for guests is another. It now goes by the line's process.

--- a/src/main/java/petrelstand/lab/check/HistoryCheck.java
+++ b/src/main/java/petrelstand/lab/check/HistoryCheck.java
@@ -244,7 +244,7 @@
         }
         for (Map.Entry<String, List<Line>> history : histories.entrySet()) {
             for (Line line : history.getValue()) {
-                boolean asked = troubles.stream().anyMatch(t -> t.process.equals(history.getKey())
+                boolean asked = troubles.stream().anyMatch(t -> t.process.equals(line.get("process"))
                         && (t.kind.equals("STOP") || t.kind.equals("START"))
                         && t.within(line.us - line.number("us") - SLACK_US, line.us));
                 if (line.get("event").equals("stalled") && line.number("us") > SLOW_US && !asked) {
