Dead state out of membership, the checker and the virtual fleet; no behaviour changes

Seen on reading the whole change: Peer.askedUs was written and never read, HistoryCheck passed a map that nobody used, FleetSim kept lives that nobody asked for, a leaving member's silence was checked twice, stepping back noted the standing twice, and the end's first time was set to what it was. Checked: membership, layers, loopback, wire and checker tests pass; not the whole suite.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -256,7 +256,6 @@
         if (rsyncFront != null) {
             rsyncFront.closeIdle();
         }
-        answeredUs = 0;
         awaitEnd();
     }
 
--- a/src/main/java/petrelstand/lab/check/HistoryCheck.java
+++ b/src/main/java/petrelstand/lab/check/HistoryCheck.java
@@ -145,25 +145,23 @@
 
     private void findLives() {
         Map<Integer, Line> open = new HashMap<>();
-        Map<String, Integer> used = new HashMap<>();
-        List<Line> all = new ArrayList<>(trial);
-        for (Line line : all) {
+        for (Line line : trial) {
             int number = (int) line.number("number");
             switch (line.get("event")) {
                 case "start" -> open.put(number, line);
-                case "kill", "term" -> close(open.remove(number), line.us, line.get("event"), used);
+                case "kill", "term" -> close(open.remove(number), line.us, line.get("event"));
                 default -> { }
             }
         }
         open.values().stream().sorted(java.util.Comparator.comparingLong(Line::us))
-                .forEach(start -> close(start, NEVER_US, "", used));
+                .forEach(start -> close(start, NEVER_US, ""));
     }
 
     private boolean guest(int number) throws IllegalStateException {
         return number >= trial.get(0).number("processes");
     }
 
-    private void close(Line start, long untilUs, String end, Map<String, Integer> used) {
+    private void close(Line start, long untilUs, String end) {
         if (start == null) {
             return;
         }
--- a/src/main/java/petrelstand/lab/faults/FleetSim.java
+++ b/src/main/java/petrelstand/lab/faults/FleetSim.java
@@ -59,7 +59,6 @@
             long of = ++life;
             waiting.clear();
             long boot = random.nextLong();
-            lives.put(boot, number);
             Member self = new Member(name(number), boot, 1_000_000 + nowUs, address(number), MemberState.JOINING, "",
                     nowUs / 1000, "lab", List.of());
             module = maker.make(nowUs, self, seeds, random.nextLong(), this);
@@ -117,7 +116,6 @@
     private final SplittableRandom random;
     private final List<String> seeds = new ArrayList<>();
     private final Map<String, Integer> addresses = new HashMap<>();
-    private final Map<Long, Integer> lives = new HashMap<>();
     private final List<Process> processes = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Links links;
@@ -274,12 +272,6 @@
         return java.util.stream.IntStream.range(0, processes.size()).filter(i -> module(i) != null).boxed().toList();
     }
 
-    /** Whether a process is one that was started by this and still runs. */
-    boolean lives(long boot) {
-        Integer number = lives.get(boot);
-        return number != null && processes.get(number).up && processes.get(number).module.self().boot() == boot;
-    }
-
     /** Whether all that run hold the same members to be there, and just those that run. */
     public boolean agreed() {
         List<Integer> running = running();
--- a/src/main/java/petrelstand/members/Membership.java
+++ b/src/main/java/petrelstand/members/Membership.java
@@ -92,7 +92,6 @@
         long checkUntilUs;
         long nextPingUs;
         long pingNonce;
-        long askedUs;
         final Set<String> accusers = new HashSet<>();
         /** Silent while this process heard nobody: not told to others, and taken back once it hears anybody. */
         boolean unreached;
@@ -508,7 +507,6 @@
             asked.put(nonce, new Asked(Purpose.RELAYED, peer.member.name(), peer.member.address(), 0));
             send(relay.member.address(), new Ask(nonce, peer.member.name(), peer.member.address()));
         }
-        peer.askedUs = nowUs;
     }
 
     private void accuse(long nowUs, Peer peer) {
@@ -520,7 +518,7 @@
             spread(peer.member);
         } else if (state == MemberState.SUSPECT && peer.accusers.add(self.name())) {
             spread(peer.member.as(MemberState.SUSPECT, self.name()));
-        } else if (state == MemberState.LEAVING && nowUs - peer.heardUs >= timing.suspectAfterUs()) {
+        } else if (state == MemberState.LEAVING) {
             apply(nowUs, peer, peer.member.as(MemberState.LEFT, ""), "silent after it told that it ends");
             spread(peer.member);
         }
@@ -762,7 +760,6 @@
         if (self.state() != MemberState.JOINING) {
             rumours.remove(self.name());
             becomes(nowUs, MemberState.JOINING, "the name is held at " + holder.address());
-            notePresent(nowUs);
         }
     }
 
@@ -791,8 +788,7 @@
             stepBack(nowUs, claim);
             return;
         }
-        boolean falseClaim = own ? claim.state().compareTo(self.state()) > 0 : true;
-        if (falseClaim) {
+        if (!own || claim.state().compareTo(self.state()) > 0) {
             raise(claim.incarnation());
             version++;
             act.count("fleet.refuted");
