--- a/src/main/java/petrelstand/fleet/Codec.java
+++ b/src/main/java/petrelstand/fleet/Codec.java
@@ -28,7 +28,7 @@
  */
 final class Codec {
     /** A change of the layout gets another number, and members of both refuse each other in one line. */
-    static final int VERSION = 1;
+    static final int VERSION = 2;
     private static final CBORFactory CBOR = new CBORFactory();
     private static final int PING = 1, ACK = 2, ASK = 3, JOIN = 4, ANSWER = 5, DIGESTS = 6, NEWS = 7;
     private static final MemberState[] STATES = MemberState.values();
@@ -81,6 +81,7 @@
             to.writeNumber(answer.nonce());
             to.writeBoolean(answer.welcome());
             write(to, answer.holder() == null ? List.of() : List.of(answer.holder()));
+            write(to, answer.some());
         } else if (message instanceof Digests digests) {
             to.writeNumber(DIGESTS);
             to.writeBoolean(digests.answer());
@@ -191,7 +192,8 @@
                     long nonce = whole();
                     boolean welcome = flag();
                     List<Member> holder = members(1);
-                    yield new Answer(nonce, welcome, holder.isEmpty() ? null : holder.get(0));
+                    yield new Answer(nonce, welcome, holder.isEmpty() ? null : holder.get(0),
+                            members(Message.MOST_NEWS));
                 }
                 case DIGESTS -> {
                     boolean answer = flag();
--- a/src/main/java/petrelstand/members/Membership.java
+++ b/src/main/java/petrelstand/members/Membership.java
@@ -50,12 +50,20 @@
     static final int RELAYS = 2;
     /** Messages a second that this process sends at most, over a second and in the long run. */
     static final double MOST_SENT = 150;
+    /** With more rumours than that those told least go first. */
+    private static final int MOST_IN_TURN = 6;
+    /** Members named to a newcomer. */
+    static final int NAMED = 6;
+    /** Of that, what comparisons leave for joins, pings and their answers. */
+    static final double KEPT_FOR_ANSWERS = MOST_SENT / 2;
     /** How long a difference of digests may last before the parts are compared: news under way ends it before. */
     static final long DIFFER_US = 700_000;
+    /** A process begins comparisons no more often than that: each may be answered by the whole view. */
+    static final long LEAST_COMPARE_US = 350_000;
     /** Time that a leaving member goes on answering. */
     static final long LEAVE_US = 200_000;
     /** A first start that nobody answers goes on alone after so many retries. */
-    static final int ALONE_RETRIES = 3;
+    static final int ALONE_RETRIES = 5;
     /** A failed member is tried again for so long, and known for so long. */
     static final long FORGET_US = 24L * 3600 * 1_000_000;
 
@@ -150,6 +158,7 @@
     private long nextRetryUs;
     private long nextNewsUs;
     private long differsSinceUs = Long.MAX_VALUE;
+    private long comparedUs;
     private int retries;
     private int turn;
     private long leftAtUs = Long.MAX_VALUE;
@@ -177,6 +186,7 @@
         this.ringSeed = Hash.of(fleet);
         this.act = act;
         this.selfSinceUs = tickedUs = heardAnyUs = nowUs;
+        this.comparedUs = nowUs - LEAST_COMPARE_US;
         this.standing = new Standing(Standing.Reach.NOBODY, 0, agreedSize(), nowUs);
         for (int i = 0; i < RINGS; i++) {
             rings.add(new TreeMap<>());
@@ -661,7 +671,9 @@
         }
         take(nowUs, from, proven.get(from.boot()), ack.news(), ack.digest());
         boolean tried = first || what.purpose() == Purpose.CHALLENGE;
-        if (tried && self.state() != MemberState.JOINING && ack.digest() != digest()) {
+        if (tried && self.state() != MemberState.JOINING && ack.digest() != digest()
+                && nowUs - comparedUs >= LEAST_COMPARE_US) {
+            comparedUs = nowUs;
             send(from.address(), new Digests(parts(), true));
         }
     }
@@ -682,8 +694,11 @@
         }
         // Those that are there first: what is gone only ends a difference where the other still holds it to be there.
         differ.sort((a, b) -> a.state() != b.state() ? a.state().compareTo(b.state()) : a.name().compareTo(b.name()));
-        for (int i = 0; i < differ.size(); i += Message.MOST_NEWS) {
-            send(address, new News(differ.subList(i, Math.min(differ.size(), i + Message.MOST_NEWS))));
+        // What is left out here is found by the next comparison; answers to joiners and pings go before it.
+        for (int i = 0; i < differ.size() && budget >= KEPT_FOR_ANSWERS;) {
+            int many = Message.fits(differ, i);
+            send(address, new News(differ.subList(i, i + many)));
+            i += many;
         }
         if (digests.answer()) {
             send(address, new Digests(own, false));
@@ -702,12 +717,25 @@
         Member holder = peer == null ? null : peer.member;
         boolean taken = holder != null && holder.state().present() && !peer.unreached && holder.boot() != other.boot()
                 && !holder.address().equals(other.address());
-        send(from.address(), new Answer(join.nonce(), !taken, holder));
+        send(from.address(), new Answer(join.nonce(), !taken, holder, some()));
         if (taken) {
             act.count("fleet.refused.name");
         }
     }
 
+    /** Some members that are there, drawn. */
+    private List<Member> some() {
+        List<Peer> there = new ArrayList<>(rings.get(0).values());
+        List<Member> drawn = new ArrayList<>();
+        while (drawn.size() < NAMED && !there.isEmpty()) {
+            Peer peer = there.remove(random.nextInt(there.size()));
+            if (!peer.unreached) {
+                drawn.add(peer.member);
+            }
+        }
+        return drawn.subList(0, Message.fits(drawn, 0));
+    }
+
     private void joined(long nowUs, Envelope from, Answer answer) {
         Asked what = asked.remove(answer.nonce());
         if (what == null || what.purpose() != Purpose.JOIN) {
@@ -729,7 +757,16 @@
             raise(holder.incarnation());
         }
         enter(nowUs, "welcomed by " + from.name());
-        send(from.address(), new Digests(parts(), true));
+        answer.some().forEach(member -> learn(nowUs, member, from.name()));
+        if (answer.some().isEmpty()) {
+            send(from.address(), new Digests(parts(), true));
+        } else {
+            // What is known is asked of any member: a fleet that starts at once would ask it all of its seeds.
+            Member one = answer.some().get(random.nextInt(answer.some().size()));
+            long nonce = nonce();
+            asked.put(nonce, new Asked(Purpose.CHALLENGE, one.name(), one.address(), 0));
+            send(one.address(), new Ping(nonce, digest(), newsFor(peers.get(one.name()))));
+        }
     }
 
     private void enter(long nowUs, String cause) {
@@ -770,7 +807,7 @@
         }
         if (from.message() instanceof Join join) {
             boolean moved = from.address().equals(self.address());
-            send(from.address(), new Answer(join.nonce(), moved, self));
+            send(from.address(), new Answer(join.nonce(), moved, self, List.of()));
         } else {
             send(from.address(), new News(List.of(self)));
         }
@@ -1001,14 +1038,17 @@
 
     private void take(List<Member> news) {
         List<Map.Entry<String, Rumour>> queue = new ArrayList<>(rumours.entrySet());
-        if (queue.size() > Message.MOST_NEWS) {
+        if (queue.size() > MOST_IN_TURN) {
             queue.sort((a, b) -> Integer.compare(b.getValue().left, a.getValue().left));
         }
+        int bytes = news.stream().mapToInt(Message::size).sum();
         for (Map.Entry<String, Rumour> entry : queue) {
-            if (news.size() >= Message.MOST_NEWS) {
+            Member member = entry.getValue().member;
+            bytes += Message.size(member);
+            if (news.size() >= Message.MOST_NEWS || bytes > Message.MOST_NEWS_BYTES) {
                 break;
             }
-            news.add(entry.getValue().member);
+            news.add(member);
             if (--entry.getValue().left <= 0) {
                 rumours.remove(entry.getKey());
             }
@@ -1016,14 +1056,17 @@
     }
 
     private void tellNews(long nowUs) {
+        // Who has not proven this process takes no news from it, and proofs are mutual: the rest is lost on it.
         List<Peer> there = new ArrayList<>();
+        List<Peer> strangers = new ArrayList<>();
         for (Peer peer : rings.get(0).values()) {
             if (!peer.unreached) {
-                there.add(peer);
+                (proven.containsKey(peer.member.boot()) ? there : strangers).add(peer);
             }
         }
-        for (int i = 0; i < FAN_OUT && !there.isEmpty() && !rumours.isEmpty(); i++) {
-            Peer to = there.remove(random.nextInt(there.size()));
+        for (int i = 0; i < FAN_OUT && there.size() + strangers.size() > 0 && !rumours.isEmpty(); i++) {
+            List<Peer> among = there.isEmpty() ? strangers : there;
+            Peer to = among.remove(random.nextInt(among.size()));
             List<Member> news = new ArrayList<>();
             take(news);
             send(to.member.address(), new News(news));
--- a/src/test/java/petrelstand/fleet/FleetWireTest.java
+++ b/src/test/java/petrelstand/fleet/FleetWireTest.java
@@ -46,10 +46,12 @@
         for (int i = 0; i < Message.MOST_NEWS; i++) {
             news.add(member(i));
         }
+        news = news.subList(0, Message.fits(news, 0));
         List<Long> buckets = Collections.nCopies(Message.BUCKETS, Long.MIN_VALUE);
         return java.util.stream.Stream.of(new Message.Ping(1, 2, news), new Message.Ack(1, -2, "x", 9, news),
                 new Message.Ask(5, "x", "127.0.0.1:1"), new Message.Join(6, member(1)),
-                new Message.Answer(7, false, member(2)), new Message.Answer(8, true, null),
+                new Message.Answer(7, false, member(2), news),
+                new Message.Answer(8, true, null, List.of()),
                 new Message.Digests(buckets, true), new Message.News(news))
                 .map(m -> new Envelope("fleet", "a", 3, 4, "127.0.0.1:9", 5, m)).toList();
     }
--- a/src/test/java/petrelstand/lab/FaultTrialTest.java
+++ b/src/test/java/petrelstand/lab/FaultTrialTest.java
@@ -85,6 +85,13 @@
         holds("names", all.toString());
     }
 
+    @Test
+    void anEmptyFolderOneThatFailsOneThatHangsAndLinksThatTrickleHoldAndReorder() throws Exception {
+        holds("wire", FIVE + fault("empty", 3, 1, 0.5, 0) + fault("folder", 1, 2, 0.5, 0) + fault("folder", 2, 3, 0.5, 1)
+                + fault("trickle", 4, 10, 3, 8) + fault("hold", 0, 15, 2.5, 0) + fault("reorder", 0, 19, 3, 200)
+                + fault("repeat", 0, 19, 3, 40) + fault("loss", 0, 23, 3, 10));
+    }
+
     @Test
     void plantedDefectsInRealProcessesAreFound() throws Exception {
         String three = "[trial]\nprocesses = 3\nload = 0\n";
--- a/src/test/java/petrelstand/members/MembershipTest.java
+++ b/src/test/java/petrelstand/members/MembershipTest.java
@@ -143,6 +143,15 @@
         assertTrue(fleet.until(f -> f.running().size() == 6 && f.agreed(), 8 * S) >= 0);
     }
 
+    @Test
+    void twoHundredThatStartAtOnceHoldOneViewWithinFiveSecondsAndFailNobody() {
+        FleetSim fleet = new FleetSim(200, 1, FleetSim.usual(Timing.USUAL));
+        fleet.run(500_000);
+        long took = fleet.until(FleetSim::agreed, 5_000_000);
+        assertTrue(took >= 0, "no one view");
+        assertTrue(fleet.counts().getOrDefault("fleet.failed", 0L) == 0, fleet.counts().toString());
+    }
+
     @Test
     void everyPlaceOfOneFaultAmongThreeEndsInOneView() {
         FleetSearch.Result result = FleetSearch.run(1, FleetSim.usual(Timing.USUAL));
