--- /dev/null
+++ b/src/main/java/petrelstand/agreement/Holder.java
@@ -0,0 +1,374 @@
+package petrelstand.agreement;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Function;
+import petrelstand.agreement.Talk.Elsewhere;
+import petrelstand.agreement.Talk.Fetch;
+import petrelstand.agreement.Talk.Grant;
+import petrelstand.agreement.Talk.Hint;
+import petrelstand.agreement.Talk.Piece;
+import petrelstand.agreement.Talk.Renew;
+
+/**
+ * A gateway's half of the leases: on which version it may act at a moment. A lease counts from when it was asked for, by
+ * this process's own clock; {@link #acting} is asked with the turn's one time wherever a rule decides, so that a process
+ * which stood still for a minute acts on nothing stale when it goes on. Without a lease it acts on the floors of what it
+ * last knew, or the stricter of that and what it has heard of since. Deterministic: one thread at a time.
+ */
+public class Holder {
+    /** Questions out, and texts kept. */
+    static final int MOST_ASKED = 16;
+    static final int MOST_TEXTS = 4;
+    /** A question that is not answered by then goes to another voter. */
+    static final long PATIENCE_US = 200_000;
+    /** Renewals in a lease, so that three lost ones are no fault. */
+    private static final int RENEWALS = 4;
+    /** Pieces asked for at once. */
+    private static final int AHEAD = 4;
+
+    /** How a gateway acts: under a lease, on floors, or on nothing that is agreed. */
+    public enum Mode { LEASED, FALLBACK, NONE }
+
+    /** What it acts on at a moment. */
+    public record Acting(long version, Mode mode, Rules rules) {}
+
+    /** What the process does for this module. */
+    public interface Actions {
+        /** Sends to a voter; it may get lost. */
+        void send(String voter, Talk talk);
+
+        /** What it acts on is another from now on; {@code why} in words. */
+        void acts(long nowUs, Acting acting, String why);
+
+        /** A version that came whole: to be kept for the next start. */
+        void keep(long version, String text);
+
+        void count(String what);
+
+        /** Something that an operator should read. */
+        void say(String line);
+    }
+
+    /** A text as it comes, and the rules that it loads to. */
+    private static final class Text {
+        String[] pieces = new String[0];
+        Rules rules;
+        String fault = "";
+        long askedUs = Long.MIN_VALUE / 2;
+
+        boolean whole() {
+            return rules != null || !fault.isEmpty();
+        }
+    }
+
+    private static final Acting NOTHING = new Acting(0, Mode.NONE, Rules.NONE);
+
+    private final long life;
+    private final Promise promise;
+    private final List<String> voters;
+    private final Function<String, Rules> loader;
+    private final SplittableRandom random;
+    private final Actions act;
+    private final Map<Long, Long> asked = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+            return size() > MOST_ASKED;
+        }
+    };
+    private final TreeMap<Long, Text> texts = new TreeMap<>();
+    private String leader = "";
+    private int turn;
+    private long active;
+    private long waiting;
+    private long leasedVersion;
+    private long leasedUntilUs = Long.MIN_VALUE / 2;
+    /** A lease on a version whose text has not come: it begins to count for something when it has. */
+    private long comingVersion;
+    private long comingUntilUs;
+    private Acting told = NOTHING;
+    private long toldSinceUs;
+    private long nextAskUs;
+    private long answeredUs;
+    private long lastAskUs = Long.MIN_VALUE / 2;
+
+    /**
+     * A gateway that asks the voters.
+     *
+     * @param life a random number, another at each start
+     * @param loader what a text rules; throws an IllegalArgumentException of one line
+     */
+    public Holder(long nowUs, long life, List<String> voters, Promise promise, long seed, Function<String, Rules> loader,
+            Actions act) {
+        this.life = life;
+        this.voters = List.copyOf(voters);
+        this.promise = promise;
+        this.loader = loader;
+        this.random = new SplittableRandom(seed);
+        this.act = act;
+        this.nextAskUs = nowUs;
+        this.answeredUs = nowUs;
+        this.toldSinceUs = nowUs;
+    }
+
+    /** What an earlier life kept: its floors are acted on until a lease comes. */
+    public void recall(long nowUs, long version, String text) {
+        Text kept = text(version);
+        load(version, kept, text);
+        if (kept.rules != null) {
+            leasedVersion = version;
+            tell(nowUs, "kept by an earlier life");
+        }
+    }
+
+    // ---- What a decision asks ----
+
+    /** What may be acted on at a time, the turn's; costs a comparison. */
+    public Acting acting(long nowUs) {
+        if (leaseRuns(nowUs)) {
+            if (told.mode() != Mode.LEASED || told.version() != leasedVersion) {
+                tell(nowUs, "a lease");
+            }
+        } else if (told.mode() == Mode.LEASED) {
+            tell(nowUs, "the lease ran out");
+        }
+        return told;
+    }
+
+    protected boolean leaseRuns(long nowUs) {
+        return nowUs < leasedUntilUs;
+    }
+
+    /** Since when it acts on what it acts on. */
+    public long sinceUs() {
+        return toldSinceUs;
+    }
+
+    /** The version that the leader last said is acted on, and the one that waits. */
+    public long[] heard() {
+        return new long[] {active, waiting};
+    }
+
+    public String leader() {
+        return leader;
+    }
+
+    /** When the last answer of a leader came. */
+    public long answeredUs() {
+        return answeredUs;
+    }
+
+    private void tell(long nowUs, String why) {
+        Text text = texts.get(leasedVersion);
+        Acting now = NOTHING;
+        if (text != null && text.rules != null) {
+            if (leaseRuns(nowUs)) {
+                now = new Acting(leasedVersion, Mode.LEASED, text.rules);
+            } else {
+                Rules rules = text.rules;
+                for (Text later : texts.tailMap(leasedVersion, false).values()) {
+                    rules = later.rules == null ? rules : rules.stricter(later.rules);
+                }
+                now = new Acting(leasedVersion, Mode.FALLBACK, rules.fallback());
+            }
+        }
+        if (!now.equals(told)) {
+            told = now;
+            toldSinceUs = nowUs;
+            act.acts(nowUs, now, why);
+        }
+    }
+
+    // ---- Time ----
+
+    /** What is due by now; to be called some ten times a lease's quarter, and as often as it likes. */
+    public void tick(long nowUs) {
+        acting(nowUs);
+        boolean unanswered = lastAskUs > answeredUs && nowUs - lastAskUs >= PATIENCE_US;
+        if (unanswered) {
+            leader = "";
+        }
+        if (nowUs >= nextAskUs || unanswered) {
+            ask(nowUs);
+        }
+        for (long version : new long[] {active, waiting}) {
+            if (version > 0 && !text(version).whole() && nowUs - text(version).askedUs >= PATIENCE_US) {
+                fetch(nowUs, version, "");
+            }
+        }
+    }
+
+    private void ask(long nowUs) {
+        long nonce = random.nextLong();
+        asked.put(nonce, nowUs);
+        lastAskUs = nowUs;
+        nextAskUs = nowUs + (long) (promise.leaseUs() / RENEWALS * (0.8 + 0.2 * random.nextDouble()));
+        Text next = texts.get(waiting);
+        act.send(someVoter(), new Renew(nonce, life, told.mode() == Mode.LEASED ? told.version() : 0, prepared(),
+                waiting == 0 || next == null ? "" : next.fault));
+    }
+
+    private String someVoter() {
+        return !leader.isEmpty() ? leader : voters.get(Math.floorMod(turn++, voters.size()));
+    }
+
+    /** The newest version that it has whole and could load. */
+    public long prepared() {
+        for (Map.Entry<Long, Text> entry : texts.descendingMap().entrySet()) {
+            if (entry.getValue().rules != null) {
+                return entry.getKey();
+            }
+        }
+        return 0;
+    }
+
+    // ---- Messages ----
+
+    public void receive(long nowUs, String from, Talk talk) {
+        if (talk instanceof Grant grant) {
+            granted(nowUs, from, grant);
+        } else if (talk instanceof Elsewhere elsewhere) {
+            if (asked.remove(elsewhere.nonce()) != null) {
+                answeredUs = nowUs;
+                boolean known = voters.contains(elsewhere.leader()) && !elsewhere.leader().equals(from);
+                leader = known ? elsewhere.leader() : "";
+                nextAskUs = Math.min(nextAskUs, nowUs + (known ? 0 : PATIENCE_US / 2));
+            }
+        } else if (talk instanceof Hint hint) {
+            if (hint.active() > active || hint.waiting() > waiting || hint.active() == active && hint.waiting() == 0) {
+                leader = from;
+                heardOf(nowUs, hint.active(), hint.waiting());
+                if (!text(Math.max(active, waiting)).whole()) {
+                    fetch(nowUs, Math.max(active, waiting), from);
+                }
+                nextAskUs = Math.min(nextAskUs, nowUs);
+                tick(nowUs);
+            }
+        } else if (talk instanceof Piece piece) {
+            pieceCame(nowUs, from, piece);
+        }
+    }
+
+    private void heardOf(long nowUs, long nowActive, long nowWaiting) {
+        active = Math.max(active, nowActive);
+        waiting = Math.max(nowWaiting, nowWaiting == 0 ? 0 : waiting);
+        if (waiting <= active) {
+            waiting = 0;
+        }
+    }
+
+    private void granted(long nowUs, String from, Grant grant) {
+        Long askedUs = asked.remove(grant.nonce());
+        if (askedUs == null) {
+            act.count("rules.refused.late");
+            return;
+        }
+        answeredUs = nowUs;
+        leader = from;
+        heardOf(nowUs, grant.active(), grant.waiting());
+        if (grant.lease() && grant.active() >= leasedVersion && grant.active() >= active) {
+            long untilUs = leaseEnd(nowUs, askedUs);
+            if (texts.containsKey(grant.active()) && texts.get(grant.active()).rules != null) {
+                lease(nowUs, grant.active(), untilUs);
+            } else {
+                comingVersion = grant.active();
+                comingUntilUs = untilUs;
+            }
+        }
+        for (long version : new long[] {active, waiting}) {
+            if (version > 0 && !text(version).whole()) {
+                fetch(nowUs, version, from);
+            }
+        }
+    }
+
+    /** Until when a lease runs: counted from the asking, since the answer may have been under way for any time. */
+    protected long leaseEnd(long nowUs, long askedUs) {
+        return askedUs + promise.leaseUs();
+    }
+
+    private void lease(long nowUs, long version, long untilUs) {
+        leasedUntilUs = version == leasedVersion ? Math.max(leasedUntilUs, untilUs) : untilUs;
+        boolean other = version != leasedVersion;
+        leasedVersion = version;
+        texts.headMap(version, false).clear();
+        if (leaseRuns(nowUs) && (other || told.mode() != Mode.LEASED)) {
+            tell(nowUs, "a lease");
+            // Said at once: the next version waits until all act on this one.
+            nextAskUs = nowUs;
+        }
+    }
+
+    // ---- Texts ----
+
+    private Text text(long version) {
+        Text text = texts.computeIfAbsent(version, v -> new Text());
+        while (texts.size() > MOST_TEXTS) {
+            Long eldest = texts.firstKey() == leasedVersion ? texts.higherKey(leasedVersion) : texts.firstKey();
+            texts.remove(eldest);
+        }
+        return text;
+    }
+
+    private void fetch(long nowUs, long version, String from) {
+        Text text = text(version);
+        text.askedUs = nowUs;
+        int missing = 0;
+        for (int i = 0; i < Math.max(1, text.pieces.length) && missing < AHEAD; i++) {
+            if (text.pieces.length == 0 || text.pieces[i] == null) {
+                missing++;
+                act.send(from.isEmpty() ? someVoter() : from, new Fetch(random.nextLong(), version, i));
+            }
+        }
+    }
+
+    private void pieceCame(long nowUs, String from, Piece piece) {
+        Text text = texts.get(piece.version());
+        if (text == null || text.whole() || piece.of() < 1 || piece.of() > Command.MOST_PIECES || piece.piece() < 0
+                || piece.piece() >= piece.of()) {
+            return;
+        }
+        if (text.pieces.length != piece.of()) {
+            text.pieces = new String[piece.of()];
+        }
+        text.pieces[piece.piece()] = piece.text();
+        for (String part : text.pieces) {
+            if (part == null) {
+                fetch(nowUs, piece.version(), from);
+                return;
+            }
+        }
+        load(piece.version(), text, String.join("", text.pieces));
+        if (!text.fault.isEmpty()) {
+            act.say("version " + piece.version() + " can't be loaded: " + text.fault);
+        } else {
+            act.keep(piece.version(), String.join("", text.pieces));
+        }
+        if (comingVersion == piece.version() && text.rules != null && comingVersion >= active) {
+            lease(nowUs, comingVersion, comingUntilUs);
+        }
+        // Said at once: the version waits for it.
+        nextAskUs = nowUs;
+        tick(nowUs);
+    }
+
+    private void load(long version, Text text, String whole) {
+        try {
+            text.rules = loader.apply(whole);
+        } catch (IllegalArgumentException e) {
+            String line = String.valueOf(e.getMessage());
+            text.fault = line.substring(0, Math.min(line.length(), Talk.MOST_LINE));
+        }
+    }
+
+    /** Questions and texts kept, for the test that each is bounded. */
+    List<Integer> kept() {
+        return new ArrayList<>(List.of(asked.size(), texts.size()));
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/config/RulesText.java
@@ -0,0 +1,85 @@
+package petrelstand.config;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import petrelstand.agreement.Command;
+import petrelstand.agreement.Rules;
+
+/**
+ * The text of a set of rules, in INI: what is wrong with it is one line that names file, line and key. Kinds that this
+ * program does not know are refused, so that no version with one is acted on while a gateway does not know it.
+ */
+public final class RulesText {
+    private static final long MOST_UNITS = 1_000_000_000L;
+    private static final int MOST_GATEWAYS = 1000;
+
+    private RulesText() {}
+
+    /** Reads a text that was agreed on; a limit of a plan that is none of {@code plans} is refused where those are given. */
+    public static Rules load(String name, String text, Collection<String> plans) {
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c < ' ' && c != '\n' && c != '\r' && c != '\t') {
+                throw new IllegalArgumentException(name + ": character " + i + " is no text");
+            }
+        }
+        if (text.length() > Command.MOST_TEXT) {
+            throw new IllegalArgumentException(name + " is longer than " + Command.MOST_TEXT + " characters");
+        }
+        IniFile ini = new IniFile(Path.of(name), text);
+        IniFile.Section fleet = ini.section("fleet");
+        int gateways = fleet == null ? 1 : fleet.whole("gateways", 1, 1, MOST_GATEWAYS);
+        Map<String, Rules.Limit> limits = new TreeMap<>();
+        for (IniFile.Section section : ini.sections("limit")) {
+            String plan = rest(section, "limit");
+            if (plans != null && !plans.contains(plan)) {
+                throw section.wrong(null, "is a limit of no plan: there are " + List.copyOf(plans));
+            }
+            long units = (long) section.number("units", -1, 0, MOST_UNITS);
+            if (units < 0) {
+                throw section.wrong("units", "is missing");
+            }
+            long floor = (long) section.number("floor", 0, 0, MOST_UNITS);
+            if (floor > units) {
+                throw section.wrong("floor", "is above units: " + floor + " over " + units);
+            }
+            limits.put(plan, new Rules.Limit(units, floor));
+        }
+        if (limits.size() > Command.MOST_FIGURES) {
+            throw new IllegalArgumentException(name + " has more than " + Command.MOST_FIGURES + " limits");
+        }
+        Map<String, Rules.Module> modules = new TreeMap<>();
+        for (IniFile.Section section : ini.sections("module")) {
+            modules.put(rest(section, "module"), new Rules.Module(
+                    section.place("open", List.of("no", "yes")) == 1, words(section, "credentials")));
+        }
+        Map<String, Rules.Node> nodes = new TreeMap<>();
+        for (IniFile.Section section : ini.sections("node")) {
+            nodes.put(rest(section, "node"), new Rules.Node(section.address("address"),
+                    section.has("state") && section.place("state", List.of("up", "removed")) == 1));
+        }
+        Map<String, Boolean> switches = new TreeMap<>();
+        for (IniFile.Section section : ini.sections("switch")) {
+            switches.put(rest(section, "switch"), section.place("set", List.of("off", "on")) == 1);
+        }
+        ini.refuseUnread();
+        return new Rules(gateways, limits, modules, nodes, switches);
+    }
+
+    private static String rest(IniFile.Section section, String word) {
+        String name = section.name().substring(word.length() + 1).strip();
+        if (name.isEmpty() || name.length() > Command.MOST_NAME) {
+            throw section.wrong(null, "has no name, or one longer than " + Command.MOST_NAME);
+        }
+        return name;
+    }
+
+    private static List<String> words(IniFile.Section section, String key) {
+        String text = section.textOr(key, "");
+        return text.isBlank() ? List.of() : new ArrayList<>(List.of(text.strip().split("[\\s,]+")));
+    }
+}
--- /dev/null
+++ b/src/main/java/petrelstand/consensus/Parcel.java
@@ -0,0 +1,12 @@
+package petrelstand.consensus;
+
+import io.microraft.model.message.RaftMessage;
+import petrelstand.agreement.Talk;
+
+/**
+ * What goes from one gateway to another about rules: a voters' message or a talk, one of them null.
+ *
+ * @param generation of the sender's store: how often it has written, so that an old copy of a folder is told; 0 where it
+ *         is no voter
+ */
+public record Parcel(String fleet, String from, String address, long generation, RaftMessage raft, Talk talk) {}
--- a/src/main/java/petrelstand/fleet/Codec.java
+++ b/src/main/java/petrelstand/fleet/Codec.java
@@ -1,15 +1,14 @@
 package petrelstand.fleet;
 
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
-import com.fasterxml.jackson.dataformat.cbor.CBORParser;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import petrelstand.cbor.CborReader;
 import petrelstand.members.Member;
 import petrelstand.members.MemberState;
 import petrelstand.members.Message;
@@ -120,8 +119,7 @@
 
     /** Reads a content whole; an IOException says that it is malformed, and where. */
     static Envelope decode(byte[] content) throws IOException {
-        try (CBORParser parser = CBOR.createParser(content)) {
-            Reader from = new Reader(parser);
+        try (CborReader from = new CborReader(content)) {
             from.expect(JsonToken.START_ARRAY);
             long version = from.whole();
             if (version != VERSION) {
@@ -133,123 +131,64 @@
             long incarnation = from.whole();
             String address = from.text(Member.MOST_ADDRESS);
             long sequence = from.whole();
-            Message message = from.message((int) from.whole());
+            Message message = message(from, (int) from.whole());
             from.expect(JsonToken.END_ARRAY);
-            if (parser.nextToken() != null || name.isEmpty() || incarnation < 0) {
-                throw new IOException("more than a message, or no sender");
+            from.end();
+            if (name.isEmpty() || incarnation < 0) {
+                throw new IOException("a message of no sender");
             }
             return new Envelope(fleet, name, boot, incarnation, address, sequence, message);
         }
     }
 
-    private record Reader(CBORParser from) {
-        void expect(JsonToken wanted) throws IOException {
-            JsonToken token = from.nextToken();
-            if (token != wanted) {
-                throw new IOException(token + " where " + wanted + " is wanted, byte "
-                        + from.currentTokenLocation().getByteOffset());
-            }
-        }
-
-        long whole() throws IOException {
-            expect(JsonToken.VALUE_NUMBER_INT);
-            if (from.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
-                throw new IOException("a number of more than 64 bits");
-            }
-            return from.getLongValue();
-        }
-
-        String text(int most) throws IOException {
-            expect(JsonToken.VALUE_STRING);
-            if (from.getTextLength() > most) {
-                throw new IOException("a text of more than " + most + " characters");
+    private static Message message(CborReader from, int kind) throws IOException {
+        return switch (kind) {
+            case PING -> new Ping(from.whole(), from.whole(), members(from, Message.MOST_NEWS));
+            case ACK -> new Ack(from.whole(), from.whole(), from.text(Member.MOST_NAME), from.whole(),
+                    members(from, Message.MOST_NEWS));
+            case ASK -> new Ask(from.whole(), from.text(Member.MOST_NAME), from.text(Member.MOST_ADDRESS));
+            case JOIN -> {
+                long nonce = from.whole();
+                List<Member> self = members(from, 1);
+                if (self.isEmpty()) {
+                    throw new IOException("a joiner that does not say who it is");
+                }
+                yield new Join(nonce, self.get(0));
             }
-            return from.getText();
-        }
-
-        boolean flag() throws IOException {
-            JsonToken token = from.nextToken();
-            if (token != JsonToken.VALUE_TRUE && token != JsonToken.VALUE_FALSE) {
-                throw new IOException(token + " where true or false is wanted");
+            case ANSWER -> {
+                long nonce = from.whole();
+                boolean welcome = from.flag();
+                List<Member> holder = members(from, 1);
+                yield new Answer(nonce, welcome, holder.isEmpty() ? null : holder.get(0),
+                        members(from, Message.MOST_NEWS));
             }
-            return token == JsonToken.VALUE_TRUE;
-        }
-
-        Message message(int kind) throws IOException {
-            return switch (kind) {
-                case PING -> new Ping(whole(), whole(), members(Message.MOST_NEWS));
-                case ACK -> new Ack(whole(), whole(), text(Member.MOST_NAME), whole(), members(Message.MOST_NEWS));
-                case ASK -> new Ask(whole(), text(Member.MOST_NAME), text(Member.MOST_ADDRESS));
-                case JOIN -> {
-                    long nonce = whole();
-                    List<Member> self = members(1);
-                    if (self.isEmpty()) {
-                        throw new IOException("a joiner that does not say who it is");
-                    }
-                    yield new Join(nonce, self.get(0));
+            case DIGESTS -> {
+                boolean answer = from.flag();
+                List<Long> buckets = new ArrayList<>();
+                from.expect(JsonToken.START_ARRAY);
+                for (int i = 0; i < Message.BUCKETS; i++) {
+                    buckets.add(from.whole());
                 }
-                case ANSWER -> {
-                    long nonce = whole();
-                    boolean welcome = flag();
-                    List<Member> holder = members(1);
-                    yield new Answer(nonce, welcome, holder.isEmpty() ? null : holder.get(0),
-                            members(Message.MOST_NEWS));
-                }
-                case DIGESTS -> {
-                    boolean answer = flag();
-                    List<Long> buckets = new ArrayList<>();
-                    expect(JsonToken.START_ARRAY);
-                    for (int i = 0; i < Message.BUCKETS; i++) {
-                        buckets.add(whole());
-                    }
-                    expect(JsonToken.END_ARRAY);
-                    yield new Digests(buckets, answer);
-                }
-                case NEWS -> new News(members(Message.MOST_NEWS));
-                default -> throw new IOException("no message has the kind " + kind);
-            };
-        }
-
-        List<Member> members(int most) throws IOException {
-            List<Member> members = new ArrayList<>();
-            expect(JsonToken.START_ARRAY);
-            while (from.nextToken() == JsonToken.START_ARRAY) {
-                if (members.size() == most) {
-                    throw new IOException("more than " + most + " claims");
-                }
-                members.add(member());
+                from.expect(JsonToken.END_ARRAY);
+                yield new Digests(buckets, answer);
             }
-            if (from.currentToken() != JsonToken.END_ARRAY) {
-                throw new IOException("a claim is a list");
-            }
-            return members;
-        }
+            case NEWS -> new News(members(from, Message.MOST_NEWS));
+            default -> throw new IOException("no message has the kind " + kind);
+        };
+    }
 
-        private Member member() throws IOException {
-            String name = text(Member.MOST_NAME);
-            long boot = whole();
-            long incarnation = whole();
-            String address = text(Member.MOST_ADDRESS);
-            long state = whole();
+    private static List<Member> members(CborReader from, int most) throws IOException {
+        return from.list(most, () -> {
+            String name = from.text(Member.MOST_NAME);
+            long boot = from.whole();
+            long incarnation = from.whole();
+            String address = from.text(Member.MOST_ADDRESS);
+            long state = from.whole();
             if (name.isEmpty() || incarnation < 0 || state < 0 || state >= STATES.length) {
                 throw new IOException("a claim without a name, or in no state");
             }
-            String by = text(Member.MOST_NAME);
-            long startMs = whole();
-            String version = text(Member.MOST_VERSION);
-            List<String> abilities = new ArrayList<>();
-            expect(JsonToken.START_ARRAY);
-            while (from.nextToken() == JsonToken.VALUE_STRING) {
-                if (abilities.size() == Member.MOST_ABILITIES || from.getTextLength() > Member.MOST_NAME) {
-                    throw new IOException("more abilities than " + Member.MOST_ABILITIES);
-                }
-                abilities.add(from.getText());
-            }
-            if (from.currentToken() != JsonToken.END_ARRAY) {
-                throw new IOException("an ability is a text");
-            }
-            expect(JsonToken.END_ARRAY);
-            return new Member(name, boot, incarnation, address, STATES[(int) state], by, startMs, version, abilities);
-        }
+            return new Member(name, boot, incarnation, address, STATES[(int) state], from.text(Member.MOST_NAME),
+                    from.whole(), from.text(Member.MOST_VERSION), from.texts(Member.MOST_ABILITIES, Member.MOST_NAME));
+        });
     }
 }
--- a/src/main/java/petrelstand/lab/faults/Links.java
+++ b/src/main/java/petrelstand/lab/faults/Links.java
@@ -10,7 +10,7 @@
  * What the faults that are on do to each message between two processes: the same in virtual time and at the fault point
  * between real ones. Not for several threads at a time.
  */
-final class Links {
+public final class Links {
     /** Messages that wait on a link that is slow to a trickle; more are lost. */
     private static final int MOST_TRICKLING = 64;
     private static final long HELD_SPREAD_US = 50_000;
@@ -22,13 +22,13 @@
     private final List<On> on = new ArrayList<>();
     private final Map<Integer, Long> freeUs = new HashMap<>();
 
-    Links(int size, long seed) {
+    public Links(int size, long seed) {
         this.size = size;
         this.random = new SplittableRandom(seed);
     }
 
     /** A fault is on from now until a time. */
-    void begin(FleetPlan.Fault fault, long untilUs) {
+    public void begin(FleetPlan.Fault fault, long untilUs) {
         on.add(new On(fault, untilUs));
     }
 
@@ -37,7 +37,7 @@
     }
 
     /** How much later than usual each copy of a message arrives, µs; none where it is lost. */
-    List<Long> delays(int from, int to, long nowUs) {
+    public List<Long> delays(int from, int to, long nowUs) {
         on.removeIf(one -> nowUs >= one.untilUs);
         long delay = 0;
         long copy = -1;
--- /dev/null
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -0,0 +1,593 @@
+package petrelstand.lab.rules;
+
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.RaftMessage;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import petrelstand.agreement.Grantor;
+import petrelstand.agreement.Holder;
+import petrelstand.agreement.Promise;
+import petrelstand.agreement.RuleBook;
+import petrelstand.agreement.Rules;
+import petrelstand.agreement.Talk;
+import petrelstand.config.RulesText;
+import petrelstand.consensus.Parcel;
+import petrelstand.consensus.RaftFiles;
+import petrelstand.consensus.Voter;
+import petrelstand.consensus.Wire;
+import petrelstand.lab.faults.FleetPlan;
+import petrelstand.lab.faults.Links;
+import petrelstand.store.StateFault;
+
+/**
+ * Gateways with agreed rules in virtual time: the same holders, grantors and voters as in the program, MicroRaft among
+ * them, every message through its wire form. Clocks drift, links lose, delay, repeat and reorder, processes stop, die
+ * and start again with the folder as it was. One seed gives one course. Checked as it goes: see {@link #fault}.
+ */
+public final class RulesSim {
+    /** Makes the modules of a process; tests plant defects here. */
+    public interface Maker {
+        Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed, Holder.Actions actions);
+
+        Grantor grantor(Promise promise, RuleBook book, Grantor.Actions actions);
+    }
+
+    /** The modules as the gateway has them. */
+    public static final Maker USUAL = new Maker() {
+        @Override
+        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
+                Holder.Actions actions) {
+            return new Holder(nowUs, life, voters, promise, seed, RulesSim::load, actions);
+        }
+
+        @Override
+        public Grantor grantor(Promise promise, RuleBook book, Grantor.Actions actions) {
+            return new Grantor(promise, book, actions);
+        }
+    };
+
+    private record Event(long atUs, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
+        }
+    }
+
+    private static final long TICK_US = 50_000;
+    private static final long LEAST_DELAY_US = 150;
+    private static final int MOST_WAITING = 200;
+
+    /** What a text of these days rules: they hold one limit, its units the version's own number. */
+    public static Rules load(String text) {
+        return RulesText.load("rules", text, null);
+    }
+
+    private final class Process implements RaftNodeExecutor, Holder.Actions, Voter.Carrier {
+        final int number;
+        final String name;
+        final double rate;
+        final MemoryFolder folder = new MemoryFolder();
+        Holder holder;
+        Voter voter;
+        RaftFiles files;
+        long life;
+        boolean up;
+        boolean stopped;
+        long offsetUs;
+        String kept;
+        long keptVersion;
+        final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+
+        Process(int number, double rate) {
+            this.number = number;
+            this.name = name(number);
+            this.rate = rate;
+        }
+
+        /** This process's own clock: another start, and a rate that drifts. */
+        long clock() {
+            return offsetUs + (long) (nowUs * rate);
+        }
+
+        void start() {
+            up = true;
+            stopped = false;
+            long of = ++life;
+            waiting.clear();
+            offsetUs = random.nextLong(1_000_000_000_000L);
+            holder = maker.holder(clock(), random.nextLong(), voters, promise, random.nextLong(), this);
+            if (kept != null) {
+                holder.recall(clock(), keptVersion, kept);
+            }
+            voter = null;
+            if (voters.contains(name)) {
+                try {
+                    files = new RaftFiles(folder.opened(), line -> { });
+                    voter = new Voter(name, voters, promise, files, maker::grantor, this, this::clock,
+                            random.nextLong(), RulesSim::load, this);
+                    voter.start();
+                } catch (IOException | StateFault e) {
+                    broken = broken.isEmpty() ? name + " could not read its own folder: " + e.getMessage() : broken;
+                }
+            }
+            at(nowUs + random.nextLong(TICK_US), () -> tick(of));
+        }
+
+        void end() {
+            up = false;
+            acting[number] = null;
+            compare(number);
+            life++;
+        }
+
+        private void tick(long of) {
+            if (of != life || !up) {
+                return;
+            }
+            if (!stopped) {
+                holder.tick(clock());
+                if (voter != null) {
+                    voter.tick();
+                }
+                look(this);
+            }
+            at(nowUs + TICK_US, () -> tick(of));
+        }
+
+        /** Runs something of this life now, or once it goes on. */
+        private void run(long of, Runnable task) {
+            if (of != life || !up) {
+                return;
+            }
+            if (stopped) {
+                if (waiting.size() < MOST_WAITING) {
+                    waiting.add(task);
+                }
+            } else {
+                task.run();
+                look(this);
+            }
+        }
+
+        void goOn() {
+            stopped = false;
+            // Who goes on has its clock before it has anything else: first it decides something.
+            look(this);
+            while (!waiting.isEmpty() && !stopped) {
+                waiting.poll().run();
+            }
+            look(this);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            long of = life;
+            at(nowUs, () -> run(of, task));
+        }
+
+        @Override
+        public void submit(Runnable task) {
+            execute(task);
+        }
+
+        @Override
+        public void schedule(Runnable task, long delay, TimeUnit unit) {
+            long of = life;
+            at(nowUs + (long) (unit.toMicros(delay) / rate), () -> run(of, task));
+        }
+
+        @Override
+        public void send(String to, RaftMessage message) {
+            carry(this, to, new Parcel("lab", name, name, files.generation(), message, null));
+        }
+
+        @Override
+        public void talk(String to, Talk talk) {
+            carry(this, to, new Parcel("lab", name, name, files.generation(), null, talk));
+        }
+
+        @Override
+        public void send(String to, Talk talk) {
+            carry(this, to, new Parcel("lab", name, name, 0, null, talk));
+        }
+
+        @Override
+        public void changed() {}
+
+        @Override
+        public void acts(long at, Holder.Acting acting, String why) {}
+
+        @Override
+        public void keep(long version, String text) {
+            kept = text;
+            keptVersion = version;
+        }
+
+        @Override
+        public void count(String what) {
+            counts.merge(what, 1L, Long::sum);
+        }
+
+        @Override
+        public void say(String line) {}
+
+        void receive(String from, Parcel parcel) {
+            if (parcel.raft() != null) {
+                if (voter != null) {
+                    voter.receive(parcel.raft());
+                }
+            } else if (parcel.talk() instanceof Talk.Renew || parcel.talk() instanceof Talk.Fetch
+                    || parcel.talk() instanceof Talk.Offer || parcel.talk() instanceof Talk.Order) {
+                if (voter != null) {
+                    voter.hear(from, parcel.talk());
+                }
+            } else {
+                holder.receive(clock(), from, parcel.talk());
+            }
+        }
+    }
+
+    private final Maker maker;
+    private final Promise promise;
+    private final SplittableRandom random;
+    private final List<String> voters = new ArrayList<>();
+    private final Map<String, Process> processes = new TreeMap<>();
+    private final List<Process> byNumber = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Links links;
+    private final Map<String, Long> counts = new TreeMap<>();
+    private final Holder.Acting[] acting;
+    private long nowUs = 1;
+    private long order;
+    private String broken = "";
+    // Proposals of the day's own operator.
+    private long proposal;
+    private long base;
+    private long proposedUs;
+    private final TreeMap<Long, Long> proposedAtUs = new TreeMap<>();
+    private final TreeMap<Long, Long> acknowledged = new TreeMap<>();
+    private final Map<Long, Long> actedByAllUs = new TreeMap<>();
+    // Contradictions: by pair of processes, since when; and the longest.
+    private final Map<Integer, Long> contradictsSinceUs = new HashMap<>();
+    private long longestUs;
+    private final List<Long> contradictions = new ArrayList<>();
+    private long firstActedVersion;
+
+    /** Gateways of which the first {@code voting} vote; clocks drift by up to the promise's rate, either way. */
+    public RulesSim(int size, int voting, Promise promise, long seed, Maker maker) {
+        this.maker = maker;
+        this.promise = promise;
+        this.random = new SplittableRandom(seed);
+        this.links = new Links(size, seed + 1);
+        this.acting = new Holder.Acting[size];
+        for (int i = 0; i < voting; i++) {
+            voters.add(name(i));
+        }
+        for (int i = 0; i < size; i++) {
+            // Two clocks, one slow and one fast, may differ by the whole of the drift.
+            double rate = 1 + (random.nextDouble() * 2 - 1) * promise.drift() * 0.999;
+            Process process = new Process(i, i < 2 ? 1 + (i * 2 - 1) * promise.drift() * 0.999 : rate);
+            processes.put(process.name, process);
+            byNumber.add(process);
+            at(random.nextLong(300_000), process::start);
+        }
+    }
+
+    static String name(int number) {
+        return String.format("g%03d", number);
+    }
+
+    private void at(long us, Runnable action) {
+        events.add(new Event(us, order++, action));
+    }
+
+    /** Plays on to a time, or until a promise is broken. */
+    public void run(long untilUs) {
+        while (!events.isEmpty() && events.peek().atUs() <= untilUs && broken.isEmpty()) {
+            Event event = events.poll();
+            nowUs = Math.max(nowUs, event.atUs());
+            event.action().run();
+        }
+        nowUs = Math.max(nowUs, untilUs);
+    }
+
+    public long nowUs() {
+        return nowUs;
+    }
+
+    private void carry(Process from, String to, Parcel parcel) {
+        Process there = processes.get(to);
+        if (to.equals("operator")) {
+            at(nowUs + LEAST_DELAY_US, () -> answered(parcel.talk()));
+        }
+        if (there == null) {
+            return;
+        }
+        byte[] bytes = Wire.encode(parcel);
+        counts.merge("messages", 1L, Long::sum);
+        counts.merge("bytes", (long) bytes.length, Long::sum);
+        counts.merge("longest", (long) bytes.length, Math::max);
+        if (from == there) {
+            long of = there.life;
+            at(nowUs + 1, () -> there.run(of, () -> there.receive(from.name, parcel)));
+            return;
+        }
+        for (long later : links.delays(from.number, there.number, nowUs)) {
+            long queued = (long) (-Math.log(1 - random.nextDouble()) * 200);
+            at(nowUs + later + LEAST_DELAY_US + queued, () -> {
+                try {
+                    Parcel come = Wire.decode(bytes);
+                    there.run(there.life, () -> there.receive(from.name, come));
+                } catch (IOException e) {
+                    broken = "a parcel could not be read back: " + e.getMessage();
+                }
+            });
+        }
+    }
+
+    // ---- Faults ----
+
+    /** Sets a plan's faults up, each at its time. */
+    public void arm(FleetPlan plan) {
+        for (FleetPlan.Fault fault : plan.faults()) {
+            at(fault.atUs(), () -> strike(fault));
+        }
+    }
+
+    private void strike(FleetPlan.Fault fault) {
+        Process process = byNumber.get(Math.min(fault.who(), byNumber.size() - 1));
+        switch (fault.kind()) {
+            case KILL, TERM -> {
+                process.end();
+                if (fault.lengthUs() > 0) {
+                    long life = process.life;
+                    at(nowUs + fault.lengthUs(), () -> {
+                        if (process.life == life) {
+                            process.start();
+                        }
+                    });
+                }
+            }
+            case STOP -> {
+                long life = process.life;
+                if (process.up && !process.stopped) {
+                    process.stopped = true;
+                    acting[process.number] = null;
+                    compare(process.number);
+                    at(nowUs + fault.lengthUs(), () -> {
+                        if (process.life == life && process.stopped) {
+                            process.goOn();
+                        }
+                    });
+                }
+            }
+            default -> {
+                if (fault.kind().ofLinks()) {
+                    links.begin(fault, nowUs + fault.lengthUs());
+                }
+            }
+        }
+    }
+
+    // ---- The operator ----
+
+    /** Proposes a new version whenever the one before is settled, from now on, a pause after it. */
+    public void proposeEvery(long pauseUs) {
+        at(nowUs, () -> propose(pauseUs));
+    }
+
+    /** Proposes a new version at each of some moments, and again until it is taken. */
+    public void proposeAt(long... moments) {
+        for (long moment : moments) {
+            at(moment, () -> {
+                proposal = 0;
+                propose(0);
+            });
+        }
+    }
+
+    private void propose(long pauseUs) {
+        boolean settled = proposal == 0;
+        if (settled || nowUs - proposedUs > 2_000_000) {
+            if (settled) {
+                proposal = random.nextLong() | 1;
+                proposedUs = nowUs;
+            }
+            // Asked of every voter: whoever leads takes it.
+            String text = "[fleet]\ngateways = 2\n[limit basic]\nunits = " + (base + 1) + "\nfloor = 0\n";
+            Talk.Offer offer = new Talk.Offer(proposal, base, "operator", "day", proposedUs / 1000, 0, 1, text);
+            for (String voter : voters) {
+                Process there = processes.get(voter);
+                at(nowUs + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator",
+                        new Parcel("lab", "operator", "operator", 0, null, offer))));
+            }
+        }
+        if (pauseUs > 0) {
+            at(nowUs + pauseUs, () -> propose(pauseUs));
+        } else if (proposal != 0) {
+            at(nowUs + 700_000, () -> {
+                if (proposal != 0) {
+                    propose(0);
+                }
+            });
+        }
+    }
+
+    private void answered(Talk talk) {
+        if (!(talk instanceof Talk.Taken taken) || taken.id() != proposal || taken.next() >= 0) {
+            return;
+        }
+        if (taken.fault().isEmpty()) {
+            acknowledged.put(taken.version(), nowUs);
+            proposedAtUs.put(taken.version(), proposedUs);
+            base = taken.version();
+        } else if (taken.fault().startsWith("it is based on")) {
+            base = taken.version();
+        }
+        proposal = 0;
+    }
+
+    // ---- What is checked ----
+
+    /** What a process acts on now, as a decision at this moment would find it. */
+    private void look(Process process) {
+        if (!process.up || process.stopped) {
+            return;
+        }
+        Holder.Acting now = process.holder.acting(process.clock());
+        Holder.Acting before = acting[process.number];
+        if (now.equals(before)) {
+            return;
+        }
+        acting[process.number] = now;
+        if (now.mode() == Holder.Mode.LEASED) {
+            if (now.version() > firstActedVersion) {
+                firstActedVersion = now.version();
+                unconfirmed(process, now.version());
+            } else if (!acknowledged.isEmpty() && !process.holder.acting(process.clock()).equals(now)) {
+                broken = "two answers at one moment";
+            }
+        }
+        compare(process.number);
+        everyone(now.version());
+    }
+
+    /** At the first act on a version nobody that has not confirmed it may still act on the one before. */
+    private void unconfirmed(Process first, long version) {
+        for (Process other : byNumber) {
+            if (other == first || !other.up) {
+                continue;
+            }
+            Holder.Acting there = other.holder.acting(other.clock());
+            boolean old = there.mode() == Holder.Mode.LEASED && there.version() < version;
+            if (old && other.holder.prepared() < version && broken.isEmpty()) {
+                broken = first.name + " acted on version " + version + " while " + other.name
+                        + " acted on version " + there.version() + " and had not confirmed it";
+            }
+        }
+    }
+
+    private void compare(int number) {
+        for (Process other : byNumber) {
+            int pair = Math.min(number, other.number) * byNumber.size() + Math.max(number, other.number);
+            Holder.Acting a = acting[number];
+            Holder.Acting b = acting[other.number];
+            boolean contradicts = other.number != number && a != null && b != null
+                    && a.mode() == Holder.Mode.LEASED && b.mode() == Holder.Mode.LEASED
+                    && a.version() != b.version() && !a.rules().contradictions(b.rules()).isEmpty();
+            Long since = contradictsSinceUs.get(pair);
+            if (contradicts && since == null) {
+                contradictsSinceUs.put(pair, nowUs);
+                at(nowUs + promise.withinUs(), () -> still(pair, nowUs));
+            } else if (!contradicts && since != null) {
+                contradictsSinceUs.remove(pair);
+                contradictions.add(nowUs - since);
+                longestUs = Math.max(longestUs, nowUs - since);
+            }
+        }
+    }
+
+    /** A contradiction that began a promise's time ago: a stopped process does not act, so it is looked at anew. */
+    private void still(int pair, long at) {
+        Long since = contradictsSinceUs.get(pair);
+        if (since != null && at - since >= promise.withinUs() && broken.isEmpty()) {
+            broken = name(pair / byNumber.size()) + " and " + name(pair % byNumber.size()) + " contradict each other for "
+                    + (at - since) / 1000 + " ms: versions " + acting[pair / byNumber.size()].version() + " and "
+                    + acting[pair % byNumber.size()].version();
+        }
+    }
+
+    private void everyone(long version) {
+        if (actedByAllUs.containsKey(version)) {
+            return;
+        }
+        for (Process process : byNumber) {
+            Holder.Acting there = acting[process.number];
+            if (process.up && !process.stopped && (there == null || there.mode() != Holder.Mode.LEASED
+                    || there.version() != version)) {
+                return;
+            }
+        }
+        actedByAllUs.put(version, nowUs);
+    }
+
+    /** The promise that was broken, in one line, or nothing. */
+    public String fault() {
+        if (!broken.isEmpty()) {
+            return broken;
+        }
+        // One line of history: what any two voters hold of a version is the same, and what was acknowledged is there.
+        Map<Long, String> agreed = new HashMap<>();
+        for (Process process : byNumber) {
+            if (process.voter == null || !process.up) {
+                continue;
+            }
+            for (RuleBook.Version version : process.voter.book().versions().values()) {
+                String told = version.base() + " " + version.wallMs() + " " + version.text();
+                String other = agreed.putIfAbsent(version.number(), told);
+                if (other != null && !other.equals(told)) {
+                    return "two voters hold another version " + version.number();
+                }
+            }
+        }
+        long newest = byNumber.stream().filter(p -> p.up && p.voter != null).mapToLong(p -> p.voter.book().newest()).max()
+                .orElse(Long.MAX_VALUE);
+        if (!acknowledged.isEmpty() && newest < acknowledged.lastKey()) {
+            return "version " + acknowledged.lastKey() + " was acknowledged and is lost";
+        }
+        return "";
+    }
+
+    /** How long each acknowledged version took from the proposal until all that run act on it, µs. */
+    public List<Long> tookUs() {
+        List<Long> took = new ArrayList<>();
+        proposedAtUs.forEach((version, at) -> {
+            if (actedByAllUs.containsKey(version)) {
+                took.add(actedByAllUs.get(version) - at);
+            }
+        });
+        return took;
+    }
+
+    /** Contradictions that ended, µs, and the longest. */
+    public List<Long> contradictionsUs() {
+        return contradictions;
+    }
+
+    public long longestUs() {
+        return longestUs;
+    }
+
+    /** Versions that were acknowledged. */
+    public int acknowledged() {
+        return acknowledged.size();
+    }
+
+    /** Versions that all who run act on at one moment. */
+    public int actedByAll() {
+        return actedByAllUs.size();
+    }
+
+    public Map<String, Long> counts() {
+        return counts;
+    }
+
+    /** Whether all that run act under a lease on the newest version. */
+    public boolean settled() {
+        for (Process process : byNumber) {
+            Holder.Acting there = process.up && !process.stopped ? process.holder.acting(process.clock()) : null;
+            if (process.up && (there == null || there.mode() != Holder.Mode.LEASED || there.version() < base)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/src/main/java/petrelstand/store/SnapshotFormat.java
+++ b/src/main/java/petrelstand/store/SnapshotFormat.java
@@ -57,7 +57,7 @@
     }
 
     /** The CRC-32C of a stretch of bytes, for every file of this package. */
-    static int checksum(byte[] bytes, int from, int length) {
+    public static int checksum(byte[] bytes, int from, int length) {
         CRC32C crc = new CRC32C();
         crc.update(bytes, from, length);
         return (int) crc.getValue();
--- a/src/main/java/petrelstand/store/StateFault.java
+++ b/src/main/java/petrelstand/store/StateFault.java
@@ -6,7 +6,7 @@
 
     private final long offset;
 
-    StateFault(long offset, String what) {
+    public StateFault(long offset, String what) {
         super(what);
         this.offset = offset;
     }
--- a/src/test/java/petrelstand/LayersTest.java
+++ b/src/test/java/petrelstand/LayersTest.java
@@ -17,7 +17,7 @@
     private static final Path ROOT = Path.of("src/main/java/petrelstand");
     private static final Pattern FORBIDDEN = Pattern.compile("java\\.net|java\\.nio|java\\.io\\.|java\\.time|"
             + "org\\.eclipse|com\\.google|nanoTime|currentTimeMillis|System\\.(in|out|err)|new Thread|"
-            + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab|fleet)\\b");
+            + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab|fleet|consensus|cbor)\\b");
 
     private static List<String> found(String layer, Pattern forbidden) throws IOException {
         List<String> found = new ArrayList<>();
@@ -60,11 +60,18 @@
         assertEquals(List.of(), found("members", Pattern.compile("import petrelstand\\.(?!members)")));
     }
 
+    /** When gateways may act on which rules is decided without a socket, a clock, a thread or the consensus library. */
+    @Test
+    void agreementIsFreeOfTheWorld() throws IOException {
+        assertEquals(List.of(), found("agreement", FORBIDDEN));
+        assertEquals(List.of(), found("agreement", Pattern.compile("import petrelstand\\.(?!agreement)|microraft")));
+    }
+
     /** Only the command line and the gateway's own wiring know the store, and nothing that serves knows the lab. */
     @Test
     void theLaboratoryAndTheCommandLineAreKnownToNobodyThatServes() throws IOException {
         for (String layer : List.of("decision", "core", "accounts", "state", "store", "net", "http", "rsync", "discovery",
-                "config", "logging", "sim", "members", "fleet")) {
+                "config", "logging", "sim", "members", "fleet", "agreement", "consensus", "cbor")) {
             assertEquals(List.of(), found(layer, Pattern.compile("petrelstand\\.(lab|cli)\\b|picocli")), layer);
         }
     }
--- /dev/null
+++ b/src/test/java/petrelstand/agreement/AgreementTest.java
@@ -0,0 +1,222 @@
+package petrelstand.agreement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import petrelstand.lab.faults.FleetPlan;
+import petrelstand.lab.rules.RulesSearch;
+import petrelstand.lab.rules.RulesSim;
+
+/** When gateways may act on which version: in virtual time, over faults, with mistakes planted that must be found. */
+class AgreementTest {
+    static RulesSim play(int size, int voting, Promise promise, long seed, RulesSim.Maker maker) {
+        RulesSim sim = new RulesSim(size, voting, promise, seed, maker);
+        FleetPlan plan = FleetPlan.draw(size, seed);
+        sim.arm(plan);
+        sim.run(5_000_000);
+        sim.proposeEvery(500_000);
+        sim.run(plan.lengthUs() + 5_000_000);
+        return sim;
+    }
+
+    @Test
+    void drawnFaultsBreakNoPromise() {
+        int changes = 0;
+        for (int seed = 1; seed <= 60; seed++) {
+            RulesSim sim = play(3 + seed % 6, seed % 2 == 0 ? 3 : 3 + 2 * (seed % 3 / 2), Promise.USUAL, seed, RulesSim.USUAL);
+            assertEquals("", sim.fault(), "seed " + seed);
+            assertTrue(sim.longestUs() < Promise.USUAL.withinUs(), "seed " + seed);
+            changes += sim.acknowledged();
+        }
+        assertTrue(changes > 1_000, changes + " changes");
+    }
+
+    @Test
+    void withAllThereAChangeIsActedOnByAllWithin300MsAndNothingWaitsForOneThatIsSilentLongerThanThePromise() {
+        RulesSim calm = new RulesSim(5, 3, Promise.USUAL, 1, RulesSim.USUAL);
+        calm.run(6_000_000);
+        calm.proposeEvery(500_000);
+        calm.run(20_000_000);
+        assertTrue(calm.tookUs().size() > 20 && calm.tookUs().stream().allMatch(us -> us < 300_000), "" + calm.tookUs());
+        assertTrue(calm.counts().get("longest") <= 1376, "" + calm.counts());
+        RulesSim silent = new RulesSim(5, 3, Promise.USUAL, 2, RulesSim.USUAL);
+        silent.arm(new FleetPlan(5, 2, 0, List.of(new FleetPlan.Fault(FleetPlan.Kind.KILL, 4, 10_100_000, 0, 0))));
+        silent.run(6_000_000);
+        silent.proposeEvery(500_000);
+        silent.run(30_000_000);
+        assertTrue(silent.tookUs().stream().allMatch(us -> us < 5_500_000), "" + silent.tookUs());
+        assertTrue(silent.tookUs().stream().anyMatch(us -> us > 3_000_000), "it waited for nobody");
+    }
+
+    @Test
+    void everyFaultRoundAChangeAmongThreeBreaksNoPromise() {
+        RulesSearch.Result result = RulesSearch.run(1, 1, RulesSim.USUAL);
+        assertEquals("", result.fault(), result.toString());
+        assertTrue(result.played() > 200 && result.longestUs() > 0, result.toString());
+    }
+
+    // ---- Planted mistakes ----
+
+    /** The lease is counted from the answer, which may have been under way for any time. */
+    private static final RulesSim.Maker FROM_ANSWER = new Planted() {
+        @Override
+        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
+                Holder.Actions actions) {
+            return new Holder(nowUs, life, voters, promise, seed, RulesSim::load, actions) {
+                @Override
+                protected long leaseEnd(long now, long askedUs) {
+                    return now + promise.leaseUs();
+                }
+            };
+        }
+    };
+
+    /** The leader takes a lease to be over as soon as its own clock says so. */
+    private static final RulesSim.Maker NO_DRIFT = new Planted() {
+        @Override
+        public Grantor grantor(Promise promise, RuleBook book, Grantor.Actions actions) {
+            return new Grantor(promise, book, actions) {
+                @Override
+                protected long leaseEnd(long nowUs, long receivedUs) {
+                    return receivedUs + promise.leaseUs();
+                }
+            };
+        }
+    };
+
+    /** A majority's confirmation is enough. */
+    private static final RulesSim.Maker MAJORITY = new Planted() {
+        @Override
+        public Grantor grantor(Promise promise, RuleBook book, Grantor.Actions actions) {
+            return new Grantor(promise, book, actions) {
+                @Override
+                protected boolean mayActivate(long nowUs) {
+                    long confirmed = holders().stream().filter(h -> h.prepared() >= book.waiting()).count();
+                    return 2 * confirmed > holders().size();
+                }
+            };
+        }
+    };
+
+    /** The lease is not looked at when something is decided, only at each renewal. */
+    private static final RulesSim.Maker NOT_LOOKED_AT = new Planted() {
+        @Override
+        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
+                Holder.Actions actions) {
+            return new Holder(nowUs, life, voters, promise, seed, RulesSim::load, actions) {
+                @Override
+                protected boolean leaseRuns(long now) {
+                    return super.leaseRuns(Long.MIN_VALUE / 4) || answeredUs() > 0 && heard()[0] > 0;
+                }
+            };
+        }
+    };
+
+    private static class Planted implements RulesSim.Maker {
+        @Override
+        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
+                Holder.Actions actions) {
+            return RulesSim.USUAL.holder(nowUs, life, voters, promise, seed, actions);
+        }
+
+        @Override
+        public Grantor grantor(Promise promise, RuleBook book, Grantor.Actions actions) {
+            return RulesSim.USUAL.grantor(promise, book, actions);
+        }
+    }
+
+    @Test
+    void plantedMistakesAreFound() {
+        List<RulesSim.Maker> planted = List.of(FROM_ANSWER, NO_DRIFT, MAJORITY, NOT_LOOKED_AT);
+        List<Integer> found = new ArrayList<>();
+        for (int i = 0; i < planted.size(); i++) {
+            // Clocks that differ more make the forgotten drift show sooner.
+            Promise promise = i == 1 ? new Promise(3_000_000, 0.1) : Promise.USUAL;
+            for (int seed = 1; seed <= 400 && found.size() == i; seed++) {
+                if (!play(5, 3, promise, seed, planted.get(i)).fault().isEmpty()) {
+                    found.add(seed);
+                }
+            }
+        }
+        System.out.println("planted mistakes found at seeds " + found);
+        assertEquals(planted.size(), found.size(), "found at seeds " + found);
+    }
+
+    // ---- The book and the rules ----
+
+    private static RuleBook.Result propose(RuleBook book, long id, long base, long units, long floor) {
+        book.apply(new Command.Part(id, 0, 1, "text " + id));
+        return book.apply(new Command.Propose(id, base, "who", "why", id, 1,
+                List.of(new Command.Figure("basic", units, floor))));
+    }
+
+    @Test
+    void anOldBaseAWaitingVersionAHalfTextAndALimitBelowTheFloorsAreRefused() {
+        RuleBook book = new RuleBook();
+        assertEquals(1, propose(book, 1, 0, 100, 40).version());
+        assertEquals("version 1 is still on its way; wait, or withdraw it", propose(book, 2, 1, 90, 0).fault());
+        assertEquals(1, propose(book, 1, 0, 100, 40).version(), "asked again, answered alike");
+        book.apply(new Command.Register("a"));
+        book.apply(new Command.Register("b"));
+        assertEquals("", book.apply(new Command.Activate(1, 0)).fault());
+        assertEquals("it is based on version 0, and the newest is 1", propose(book, 3, 0, 90, 0).fault());
+        assertTrue(propose(book, 4, 1, 30, 0).fault().startsWith("limit basic: units 30 is below 40, the floor"));
+        assertEquals(2, propose(book, 5, 1, 60, 10).version());
+        book.apply(new Command.Activate(2, 0));
+        assertEquals(40, book.marks().get("basic"), "who is cut off may still act on the old floor");
+        assertEquals(3, propose(book, 6, 2, 60, 10).version());
+        book.apply(new Command.Activate(3, book.namesPrint()));
+        assertEquals(10, book.marks().get("basic"));
+        assertTrue(book.apply(new Command.Propose(9, 3, "w", "w", 1, 2, List.of())).fault().contains("did not come whole"));
+        assertEquals(4, propose(book, 10, 3, 60, 10).version());
+        assertEquals("", book.apply(new Command.Withdraw(4, "who", "a slip")).fault());
+        assertEquals(RuleBook.State.WITHDRAWN, book.versions().get(4L).state());
+        assertEquals(5, propose(book, 11, 4, 60, 10).version());
+    }
+
+    @Test
+    void theBookIsBoundedAndItsWholeIsItself() {
+        RuleBook book = new RuleBook();
+        for (int i = 1; i <= 100; i++) {
+            propose(book, i, i - 1, 10, 0);
+            book.apply(new Command.Activate(i, 0));
+            book.apply(new Command.Part(1000 + i, 0, 3, "left"));
+            book.apply(new Command.Register("n" + i));
+        }
+        assertEquals(RuleBook.KEPT, book.versions().size());
+        assertTrue(book.whole().proposals().size() <= RuleBook.MOST_PROPOSALS);
+        RuleBook other = new RuleBook();
+        other.become(book.whole());
+        assertEquals(book.whole(), other.whole());
+    }
+
+    @Test
+    void theFallbackIsTheStricterAndContradictsOnlyWhatItMay() {
+        Rules one = RulesSim.load("[fleet]\ngateways = 4\n[limit basic]\nunits = 100\nfloor = 20\n[module a]\nopen = yes\n"
+                + "[module b]\nopen = yes\n[node n]\naddress = 127.0.0.1:1\n[switch s]\nset = on\n");
+        Rules two = RulesSim.load("[fleet]\ngateways = 4\n[limit basic]\nunits = 50\nfloor = 30\n[module a]\nopen = no\n"
+                + "[module b]\nopen = yes\n[switch s]\nset = on\n");
+        assertEquals(List.of("limit basic", "module a", "node n"), one.contradictions(two));
+        Rules both = one.stricter(two).fallback();
+        assertEquals(new Rules.Limit(20, 20), both.limits().get("basic"));
+        assertFalse(both.modules().get("a").open());
+        assertTrue(both.modules().get("b").open() && both.nodes().get("n").removed() && both.switches().get("s"));
+    }
+
+    @Test
+    void aRuleTextIsRefusedWithItsLineAndKey() {
+        for (String[] wrong : new String[][] {{"[limit basic]\nunits = 5\nfloor = 9\n", "rules:3: [limit basic] floor is above"},
+            {"[limit basic]\nfloor = 9\n", "[limit basic] units is missing"},
+            {"[limit gold]\nunits = 1\n", "rules:1: [limit gold] is a limit of no plan"},
+            {"[quota a]\nx = 1\n", "rules:1: [quota a] is no section"}}) {
+            String told = assertThrows(IllegalArgumentException.class, () ->
+                    petrelstand.config.RulesText.load("rules", wrong[0], List.of("basic"))).getMessage();
+            assertTrue(told.contains(wrong[1]), told);
+        }
+    }
+}
