Gateways act on agreed rules: [rules], petrelstand rules, limits at the door, a trial of real processes

The holder runs on the loop and is asked with the turn's time; the voter on a thread of its own with its folder, both put together in RulesPart. The core has a gate before the module; agreed limits, rsync modules, nodes and the switch rsync act. Parcels go by the fleet's datagrams under another head. A voter with an old copy of its folder does not vote. lab faults plays changes of rules between real processes; RulesCheck shares no code with it. A lease that is never over is found in real processes. Off: no class of it is loaded.

--- a/src/main/java/petrelstand/FleetPart.java
+++ b/src/main/java/petrelstand/FleetPart.java
@@ -27,6 +27,10 @@
         }
     }
 
+    Fleet fleet() {
+        return fleet;
+    }
+
     void open() throws IOException {
         fleet.open();
     }
--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -63,6 +63,7 @@
     private final StateKeeper keeper;
     private AccountsPage accounts;
     private final FleetPart fleet;
+    private final RulesPart rules;
     private final Runnable atEnd;
     private final List<ServerSocketChannel> listeners = new ArrayList<>();
     private final CompletableFuture<List<Integer>> ports = new CompletableFuture<>();
@@ -100,6 +101,9 @@
         }
         this.fleet = operator == null || operator.fleet() == null ? null
                 : new FleetPart(operator.fleet(), config, timers, clock::nowUs, loop::execute, counters, log);
+        this.rules = operator == null || operator.rules() == null ? null
+                : new RulesPart(operator.rules(), config, fleet.fleet(), broker, timers, clock::nowUs, loop::execute,
+                        counters, this::ruled, log);
     }
 
     /** Switches the accounts on; where they are off nothing of them is loaded. */
@@ -125,6 +129,9 @@
         if (fleet != null) {
             fleet.open();
         }
+        if (rules != null) {
+            rules.open();
+        }
         loop.start();
         loop.execute(this::begin);
         return ports;
@@ -159,6 +166,9 @@
         if (fleet != null) {
             fleet.start(front);
         }
+        if (rules != null) {
+            rules.start(front);
+        }
         front.ready();
         ports.complete(listeners.stream().map(listener -> listener.socket().getLocalPort()).toList());
         log.accept("ready: " + config.name() + " on " + config.listen() + ", " + config.known().nodes().size()
@@ -213,16 +223,25 @@
         List<Long> kept = changed.nodes().stream().map(Node::number).toList();
         rsync.nodes().stream().filter(node -> !kept.contains(node.number())).forEach(node -> nodes.add(node.asGone()));
         rsync = changed;
-        rsyncFront.reload(changed);
+        rsyncFront.reload(rules == null ? changed : rules.allowed(changed));
         log.accept("rsync: the operator's file was read anew, " + changed.modules().size() + " modules");
         broker.nodes(ListKind.CHANGES, nodes);
     }
 
+    /** Other rules are acted on: modules that they close take no new transfer, nodes that they remove no new work. */
+    private void ruled() {
+        if (rsync != null) {
+            RsyncConfig allowed = rules.allowed(rsync);
+            rsyncFront.reload(allowed);
+            broker.nodes(ListKind.CHANGES, allowed.nodes());
+        }
+    }
+
     /** Discovery's list and the operator's nodes, which discovery does not know and must not end. */
     private List<Node> withOperators(List<Node> listed) {
         List<Node> all = new ArrayList<>(listed);
         if (rsync != null) {
-            all.addAll(rsync.nodes());
+            all.addAll(rules == null ? rsync.nodes() : rules.allowed(rsync).nodes());
         }
         return all;
     }
@@ -235,6 +254,9 @@
         draining = true;
         log.accept("draining: " + broker.open() + " requests open, " + front.connections() + " connections");
         front.drain();
+        if (rules != null) {
+            rules.leave();
+        }
         if (fleet != null) {
             fleet.leave();
         }
--- /dev/null
+++ b/src/main/java/petrelstand/RulesPart.java
@@ -0,0 +1,437 @@
+package petrelstand;
+
+import com.google.gson.JsonObject;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.RaftMessage;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import petrelstand.agreement.Grantor;
+import petrelstand.agreement.Holder;
+import petrelstand.agreement.LimitGate;
+import petrelstand.agreement.OldCopy;
+import petrelstand.agreement.Rules;
+import petrelstand.agreement.Talk;
+import petrelstand.config.GatewayConfig;
+import petrelstand.config.RsyncConfig;
+import petrelstand.config.RulesConfig;
+import petrelstand.config.RulesText;
+import petrelstand.consensus.Parcel;
+import petrelstand.consensus.RaftFiles;
+import petrelstand.consensus.RulesPage;
+import petrelstand.consensus.Voter;
+import petrelstand.consensus.Wire;
+import petrelstand.core.Broker;
+import petrelstand.core.Counters;
+import petrelstand.core.Node;
+import petrelstand.core.Timers;
+import petrelstand.fleet.Fleet;
+import petrelstand.http.Front;
+import petrelstand.store.DiskFolder;
+import petrelstand.store.KeptText;
+import petrelstand.store.StateFault;
+
+/**
+ * The agreed rules' part of a gateway, put together: the holder on the loop, where decisions are made, and a voter, where
+ * this gateway is one, on a thread of its own with its folder. Loaded only where the operator's file has {@code [rules]}.
+ */
+final class RulesPart implements Holder.Actions, Voter.Carrier, RaftNodeExecutor {
+    private static final long TICK_US = 50_000;
+    /** Parcels that wait for the loop or the voter; more are lost, as datagrams are. */
+    private static final int MOST_WAITING = 512;
+    private static final String ASKER = "asker";
+    private static final String PASSED_ON = "asker passed on";
+
+    /** A voter that starts waits so long for the others to say how far they have heard it. */
+    private static final long COPY_PATIENCE_US = 10_000_000;
+
+    /** Makes the holder; the usual one, but for tests that plant a defect. */
+    interface Maker {
+        Holder holder(long nowUs, long life, RulesConfig config, long seed, Function<String, Rules> loader,
+                Holder.Actions actions);
+    }
+
+    private final RulesConfig config;
+    private final Fleet fleet;
+    private final Broker broker;
+    private final Timers timers;
+    private final LongSupplier nowUs;
+    private final Executor loop;
+    private final Counters counters;
+    private final Runnable ruled;
+    private final Consumer<String> log;
+    private final long seed;
+    private final List<String> plans;
+    private final boolean votes;
+    private final AtomicInteger waiting = new AtomicInteger();
+    private ScheduledThreadPoolExecutor thread;
+    private RaftFiles files;
+    private KeptText kept;
+    private Holder holder;
+    private volatile Voter voter;
+    private volatile RulesPage.Votes shown;
+    private boolean left;
+    /** How far each other voter's store was heard to be. */
+    private final Map<String, Long> generations = new HashMap<>();
+    private OldCopy copy;
+    private long copyNonce;
+
+    private static Maker maker = (now, life, config, seed, loader, act) ->
+            new Holder(now, life, config.voters(), config.promise(), seed, loader, act);
+
+    /** For tests, before a start: a holder with a planted defect. */
+    static void in(Maker holders) {
+        maker = holders;
+    }
+
+    RulesPart(RulesConfig config, GatewayConfig gateway, Fleet fleet, Broker broker, Timers timers, LongSupplier nowUs,
+            Executor loop, Counters counters, Runnable ruled, Consumer<String> log) {
+        this.config = config;
+        this.fleet = fleet;
+        this.broker = broker;
+        this.timers = timers;
+        this.nowUs = nowUs;
+        this.loop = loop;
+        this.counters = counters;
+        this.ruled = ruled;
+        this.log = line -> log.accept("rules: " + line);
+        this.seed = gateway.seed();
+        this.plans = gateway.settings().plans().stream().map(plan -> plan.name()).toList();
+        this.votes = config.voters().contains(fleet.name());
+    }
+
+    private Rules load(String text) {
+        return RulesText.load("rules", text, plans);
+    }
+
+    /** Takes the folder; a voter without one, or with one that can't be trusted, does not vote, and says so. */
+    void open() throws IOException {
+        thread = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread made = new Thread(task, "rules");
+            made.setDaemon(true);
+            return made;
+        });
+        thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        if (config.folder() == null) {
+            if (votes) {
+                throw new IOException("[rules] folder is missing: a voter that forgets its votes may vote twice");
+            }
+            return;
+        }
+        try {
+            DiskFolder folder = new DiskFolder(config.folder());
+            files = new RaftFiles(folder, log);
+            kept = new KeptText(folder, log);
+        } catch (StateFault e) {
+            log.accept("this gateway does not vote: " + config.folder() + ": " + e.getMessage());
+            files = null;
+        } catch (IOException e) {
+            log.accept((votes ? "this gateway does not vote: " : "nothing is kept: ") + config.folder() + ": "
+                    + e.getMessage());
+            files = null;
+        }
+    }
+
+    /** Begins to ask for leases, on the loop; a voter begins to vote. */
+    void start(Front front) {
+        long now = nowUs.getAsLong();
+        long life = new java.security.SecureRandom().nextLong();
+        holder = maker.holder(now, life, config, seed, this::load, this);
+        if (kept != null && kept.text() != null) {
+            holder.recall(now, kept.version(), kept.text());
+        }
+        broker.gate(gate());
+        fleet.rules(this::arrived);
+        if (votes && files != null) {
+            copyNonce = life;
+            copy = new OldCopy(now, config.voters().size(), files.generation(), COPY_PATIENCE_US);
+            recall();
+        }
+        if (config.page()) {
+            front.offer("/rules", () -> RulesPage.text(fleet.name(), nowUs.getAsLong(), holder, shown));
+        }
+        tick();
+    }
+
+    /** Asks the other voters how far they have heard this one, until it may vote or must not. */
+    private void recall() {
+        switch (left ? OldCopy.Verdict.REFUSE : copy.verdict(nowUs.getAsLong())) {
+            case VOTE -> {
+                if (copy.answers() < copy.wanted()) {
+                    log.accept("votes though only " + copy.answers() + " other voters answered in "
+                            + COPY_PATIENCE_US / 1_000_000 + " s: where its folder is an old copy, that is not known");
+                }
+                thread.execute(this::vote);
+            }
+            case REFUSE -> {
+                if (!left) {
+                    log.accept("this gateway does not vote: its folder is an old copy, written " + files.generation()
+                            + " times where others have heard of " + copy.highest());
+                }
+            }
+            default -> {
+                for (String name : config.voters()) {
+                    if (!name.equals(fleet.name())) {
+                        post(name, null, new Talk.Recall(copyNonce));
+                    }
+                }
+                timers.at(nowUs.getAsLong() + 2 * TICK_US, this::recall);
+            }
+        }
+    }
+
+    private petrelstand.core.Gate gate() {
+        LimitGate limits = new LimitGate(holder, plans, broker.settings().mostUnits());
+        return (demand, now) -> limits.take(now, demand.plan(), demand.units());
+    }
+
+    private void vote() {
+        voter = new Voter(fleet.name(), config.voters(), config.promise(), files, Grantor::new, this, this::monotonicUs,
+                seed, this::load, this);
+        voter.start();
+        thread.scheduleWithFixedDelay(this::turn, TICK_US, TICK_US, TimeUnit.MICROSECONDS);
+    }
+
+    private void turn() {
+        try {
+            voter.tick();
+            changed();
+        } catch (RuntimeException e) {
+            log.accept("the voter's turn failed: " + e);
+        }
+    }
+
+    /** The voter's own clock: monotonic, and read by its own thread. */
+    private long monotonicUs() {
+        return System.nanoTime() / 1000;
+    }
+
+    private void tick() {
+        if (!left) {
+            holder.tick(nowUs.getAsLong());
+            timers.at(nowUs.getAsLong() + TICK_US, this::tick);
+        }
+    }
+
+    /** SIGTERM: asks for no lease any more; a leader's successor is found by the others. */
+    void leave() {
+        left = true;
+        thread.execute(() -> {
+            if (voter != null) {
+                voter.stop();
+            }
+            thread.shutdown();
+        });
+    }
+
+    // ---- What comes and goes ----
+
+    /** On the link's thread. */
+    private void arrived(byte[] content) {
+        if (waiting.incrementAndGet() > MOST_WAITING) {
+            waiting.decrementAndGet();
+            return;
+        }
+        loop.execute(() -> {
+            waiting.decrementAndGet();
+            try {
+                take(Wire.decode(content));
+            } catch (IOException | RuntimeException e) {
+                counters.add("rules.refused.malformed");
+            }
+        });
+    }
+
+    private void take(Parcel parcel) {
+        if (!parcel.fleet().equals(fleet.config().fleet())) {
+            counters.add("rules.refused.fleet");
+            return;
+        }
+        counters.add("rules.taken");
+        Talk talk = parcel.talk();
+        if (config.voters().contains(parcel.from()) && parcel.generation() > 0) {
+            generations.merge(parcel.from(), parcel.generation(), Math::max);
+        }
+        if (talk instanceof Talk.Recall asked) {
+            post(parcel.from(), null, new Talk.Recalled(asked.nonce(), generations.getOrDefault(parcel.from(), 0L)));
+        } else if (talk instanceof Talk.Recalled answer) {
+            if (copy != null && answer.nonce() == copyNonce) {
+                copy.heard(parcel.from(), answer.generation());
+            }
+        } else if (parcel.raft() != null) {
+            toVoter(() -> voter.receive(parcel.raft()));
+        } else if (talk instanceof Talk.Offer || talk instanceof Talk.Order) {
+            asked(parcel);
+        } else if (talk instanceof Talk.Renew || talk instanceof Talk.Fetch) {
+            toVoter(() -> voter.hear(parcel.from(), talk));
+        } else {
+            holder.receive(nowUs.getAsLong(), parcel.from(), talk);
+        }
+    }
+
+    /** The command line asks whom it knows; who does not lead passes it on to who does, once. */
+    private void asked(Parcel parcel) {
+        RulesPage.Votes now = shown;
+        boolean leads = now != null && now.leads();
+        String leader = now != null && !now.leader().isEmpty() ? now.leader() : holder.leader();
+        String address = leader.isEmpty() ? null : fleet.addressOf(leader);
+        if (leads) {
+            toVoter(() -> voter.hear("@" + parcel.address(), parcel.talk()));
+        } else if (parcel.from().equals(ASKER) && address != null && !leader.equals(fleet.name())) {
+            fleet.sendRules(address, Wire.encode(new Parcel(parcel.fleet(), PASSED_ON, parcel.address(), 0, null,
+                    parcel.talk())));
+        }
+    }
+
+    private void toVoter(Runnable task) {
+        if (voter == null) {
+            return;
+        }
+        if (thread.getQueue().size() > MOST_WAITING) {
+            counters.add("rules.refused.full");
+            return;
+        }
+        execute(task);
+    }
+
+    private void post(String to, RaftMessage raft, Talk talk) {
+        // What is asked before it votes tells nothing of a store that may be an old copy.
+        long generation = files == null || voter == null ? 0 : files.generation();
+        loop.execute(() -> {
+            String address = to.startsWith("@") ? to.substring(1) : fleet.addressOf(to);
+            Parcel parcel = new Parcel(fleet.config().fleet(), fleet.name(), fleet.config().advertise(), generation, raft,
+                    talk);
+            if (to.equals(fleet.name())) {
+                take(parcel);
+            } else if (address != null) {
+                fleet.sendRules(address, Wire.encode(parcel));
+            }
+        });
+    }
+
+    @Override
+    public void send(String to, RaftMessage message) {
+        post(to, message, null);
+    }
+
+    @Override
+    public void talk(String to, Talk talk) {
+        post(to, null, talk);
+    }
+
+    @Override
+    public void send(String voterName, Talk talk) {
+        post(voterName, null, talk);
+    }
+
+    // ---- The voter's executor ----
+
+    @Override
+    public void execute(Runnable task) {
+        if (!thread.isShutdown()) {
+            thread.execute(() -> guarded(task));
+        }
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            log.accept("the voter failed at something: " + e);
+        }
+    }
+
+    @Override
+    public void submit(Runnable task) {
+        execute(task);
+    }
+
+    @Override
+    public void schedule(Runnable task, long delay, TimeUnit unit) {
+        if (!thread.isShutdown()) {
+            thread.schedule(() -> guarded(task), delay, unit);
+        }
+    }
+
+    @Override
+    public void changed() {
+        if (voter != null) {
+            shown = RulesPage.Votes.of(voter, monotonicUs());
+        }
+    }
+
+    // ---- What the holder says, on the loop ----
+
+    @Override
+    public void acts(long at, Holder.Acting acting, String why) {
+        log.accept(switch (acting.mode()) {
+            case LEASED -> "acts on version " + acting.version() + ": " + why;
+            case FALLBACK -> "FALLBACK: acts on the floors of version " + acting.version() + ": " + why;
+            case NONE -> "acts on no version: " + why;
+        });
+        counters.add("rules.acts." + acting.mode().name().toLowerCase(java.util.Locale.ROOT));
+        JsonObject line = new JsonObject();
+        line.addProperty("version", acting.version());
+        line.addProperty("mode", acting.mode().name());
+        line.addProperty("why", why);
+        JsonObject limits = new JsonObject();
+        acting.rules().limits().forEach((plan, limit) -> limits.addProperty(plan, limit.units()));
+        line.add("limits", limits);
+        line.addProperty("gateways", acting.rules().gateways());
+        fleet.note("rules", line);
+        ruled.run();
+    }
+
+    @Override
+    public void keep(long version, String text) {
+        if (kept != null) {
+            thread.execute(() -> kept.keep(version, text));
+        }
+    }
+
+    @Override
+    public void count(String what) {
+        counters.add(what);
+    }
+
+    @Override
+    public void say(String line) {
+        log.accept(line);
+    }
+
+    // ---- What the rest of the gateway asks ----
+
+    /** The rsync front's settings as far as the rules allow them now. */
+    RsyncConfig allowed(RsyncConfig file) {
+        if (holder == null) {
+            return file;
+        }
+        Rules rules = holder.acting(nowUs.getAsLong()).rules();
+        boolean on = rules.switches().getOrDefault("rsync", true);
+        Set<String> closed = new HashSet<>();
+        rules.modules().forEach((name, module) -> {
+            if (!module.open()) {
+                closed.add(name);
+            }
+        });
+        List<Node> nodes = new ArrayList<>();
+        for (Node node : file.nodes()) {
+            Rules.Node ruledNode = rules.nodes().get(node.name());
+            nodes.add(ruledNode != null && ruledNode.removed() ? node.asGone() : node);
+        }
+        return new RsyncConfig(file.listen(), file.idleUs(), file.mostTransfers(), file.modules().stream()
+                .filter(module -> on && !closed.contains(module.name())).toList(), nodes);
+    }
+
+}
--- a/src/main/java/petrelstand/agreement/Talk.java
+++ b/src/main/java/petrelstand/agreement/Talk.java
@@ -37,6 +37,12 @@
     /** An order to the leader: {@code withdraw} a version, {@code forget} a gateway. */
     record Order(long id, String verb, long version, String name, String who, String why) implements Talk {}
 
-    /** The answer to both: the next piece that is wanted, or -1 at the end with the version or the fault. */
+    /** A voter that starts asks how far the others have heard it. */
+    record Recall(long nonce) implements Talk {}
+
+    /** The answer: the highest generation of the asker's store that was heard, 0 for none. */
+    record Recalled(long nonce, long generation) implements Talk {}
+
+    /** The answer to an offer or an order: the next piece that is wanted, or -1 at the end with version or fault. */
     record Taken(long id, int next, long version, String fault) implements Talk {}
 }
--- a/src/main/java/petrelstand/cli/Cli.java
+++ b/src/main/java/petrelstand/cli/Cli.java
@@ -15,7 +15,8 @@
  * has no time for it; here they are only listed, and started where they come with options.
  */
 @Command(name = "petrelstand", description = "The gateway before chart storage, and its tools.",
-        subcommands = {StateCommand.class, AccountsCommand.class, FleetCommand.class, LabCommand.class},
+        subcommands = {StateCommand.class, AccountsCommand.class, FleetCommand.class, RulesCommand.class,
+            LabCommand.class},
         mixinStandardHelpOptions = true, versionProvider = Cli.Version.class)
 public final class Cli implements Runnable {
     @Spec
--- a/src/main/java/petrelstand/cli/LabFaults.java
+++ b/src/main/java/petrelstand/cli/LabFaults.java
@@ -8,7 +8,9 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.Callable;
+import petrelstand.agreement.Promise;
 import petrelstand.lab.check.HistoryCheck;
+import petrelstand.lab.check.RulesCheck;
 import petrelstand.lab.check.Verdict;
 import petrelstand.lab.faults.FaultScenario;
 import petrelstand.lab.faults.FaultTrial;
@@ -16,6 +18,9 @@
 import petrelstand.lab.faults.FleetPlan;
 import petrelstand.lab.faults.FleetSearch;
 import petrelstand.lab.faults.FleetSim;
+import petrelstand.lab.faults.FleetCost;
+import petrelstand.lab.rules.RulesSearch;
+import petrelstand.lab.rules.RulesSim;
 import petrelstand.members.Timing;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -45,6 +50,17 @@
     @Option(names = "--search", paramLabel = "FAULTS", description = "all orders and faults, up to so many, among 3 in"
             + " virtual time")
     private Integer search;
+    @Option(names = "--cost", paramLabel = "PAIRS", description = "CPU of three gateways of 200 requests a second each, alone,"
+            + " as a fleet, and as a fleet with rules")
+    private Integer cost;
+    @Option(names = "--rules", paramLabel = "N", description = "drawn faults among so many gateways that agree on rules, in"
+            + " virtual time; with --voters")
+    private Integer rules;
+    @Option(names = "--voters", paramLabel = "V", defaultValue = "5", description = "of those, how many vote; 5")
+    private int voters;
+    @Option(names = "--search-rules", paramLabel = "FAULTS", description = "all faults round a change of rules, up to so many,"
+            + " among 3 in virtual time, over the seeds")
+    private Integer searchRules;
     @Spec
     private CommandSpec spec;
 
@@ -63,6 +79,21 @@
             spec.commandLine().getOut().flush();
             return 0;
         }
+        if (cost != null) {
+            spec.commandLine().getOut().print(FleetCost.table(cost, 200,
+                    folder == null ? Files.createTempDirectory("cost") : folder));
+            spec.commandLine().getOut().flush();
+            return 0;
+        }
+        if (rules != null) {
+            return rules(from, until);
+        }
+        if (searchRules != null) {
+            RulesSearch.Result result = RulesSearch.run(searchRules, (int) until, RulesSim.USUAL);
+            spec.commandLine().getOut().println(result);
+            spec.commandLine().getOut().flush();
+            return result.fault().isEmpty() ? 0 : 1;
+        }
         if (virtual != null) {
             return virtual(from, until);
         }
@@ -81,12 +112,22 @@
         int slow = 0;
         int failed = 0;
         List<Long> detected = new ArrayList<>();
+        int agreed = 0;
+        List<Long> took = new ArrayList<>();
+        List<Long> contradicted = new ArrayList<>();
         for (long seed = from; seed <= until; seed++) {
             Path trial = below.resolve(scenario.name() + "-" + seed);
             try (FaultTrial played = new FaultTrial(trial, scenario, seed, "petrelstand.Main", List.of("serve"))) {
                 played.play();
             }
             Verdict verdict = HistoryCheck.check(trial);
+            if (scenario.voters() > 0) {
+                RulesCheck.Found rules = RulesCheck.check(trial);
+                verdict = verdict.outcome() == Verdict.Outcome.PASSED ? rules.verdict() : verdict;
+                agreed += rules.agreed();
+                took.addAll(rules.tookUs());
+                contradicted.addAll(rules.contradictionsUs());
+            }
             out.println(scenario.name() + " seed " + seed + ": " + verdict);
             out.flush();
             slow += verdict.outcome() == Verdict.Outcome.INCONCLUSIVE ? 1 : 0;
@@ -97,17 +138,25 @@
             }
             detected.addAll(verdict.detectUs());
         }
-        Collections.sort(detected);
-        if (!detected.isEmpty()) {
-            out.printf("ends known by others after: p50 %d ms, p99 %d ms, worst %d ms (%d)%n",
-                    detected.get(detected.size() / 2) / 1000, detected.get((detected.size() - 1) * 99 / 100) / 1000,
-                    detected.get(detected.size() - 1) / 1000, detected.size());
+        spread(out, "ends known by others after", detected);
+        if (agreed > 0) {
+            out.println(agreed + " changes of rules agreed on");
         }
+        spread(out, "changes acted on by all after", took);
+        spread(out, "contradictions of two gateways lasted", contradicted);
         out.println(until - from + 1 + " played, " + failed + " failed, " + slow + " inconclusive");
         out.flush();
         return failed > 0 ? 1 : slow > 0 ? INCONCLUSIVE : 0;
     }
 
+    private static void spread(PrintWriter out, String what, List<Long> us) {
+        Collections.sort(us);
+        if (!us.isEmpty()) {
+            out.printf("%s: p50 %d ms, p99 %d ms, worst %d ms (%d)%n", what, us.get(us.size() / 2) / 1000,
+                    us.get((us.size() - 1) * 99 / 100) / 1000, us.get(us.size() - 1) / 1000, us.size());
+        }
+    }
+
     private int virtual(long from, long until) {
         PrintWriter out = spec.commandLine().getOut();
         int failed = 0;
@@ -130,6 +179,39 @@
         return failed > 0 ? 1 : 0;
     }
 
+    private int rules(long from, long until) {
+        PrintWriter out = spec.commandLine().getOut();
+        int failed = 0;
+        long agreed = 0;
+        List<Long> took = new ArrayList<>();
+        List<Long> contradicted = new ArrayList<>();
+        long began = System.nanoTime();
+        for (long seed = from; seed <= until; seed++) {
+            RulesSim sim = new RulesSim(rules, Math.min(voters, rules), Promise.USUAL, seed, RulesSim.USUAL);
+            FleetPlan plan = FleetPlan.draw(rules, seed);
+            sim.arm(plan);
+            sim.run(5_000_000);
+            sim.proposeEvery(500_000);
+            sim.run(plan.lengthUs() + 5_000_000);
+            if (!sim.fault().isEmpty()) {
+                failed++;
+                out.println("seed " + seed + ": " + sim.fault() + " in " + plan.faults());
+                out.println("  again: petrelstand lab faults --rules " + rules + " --voters " + voters + " --seeds " + seed
+                        + "-" + seed);
+                out.flush();
+            }
+            agreed += sim.acknowledged();
+            took.addAll(sim.tookUs());
+            contradicted.addAll(sim.contradictionsUs());
+        }
+        spread(out, "changes acted on by all after", took);
+        spread(out, "contradictions of two gateways lasted", contradicted);
+        out.printf("%d seeds of %d gateways, %d vote, %d changes, %d failed, %.1f s%n", until - from + 1, rules,
+                Math.min(voters, rules), agreed, failed, (System.nanoTime() - began) / 1e9);
+        out.flush();
+        return failed > 0 ? 1 : 0;
+    }
+
     private int search() {
         FleetSearch.Result result = FleetSearch.run(search, FleetSim.usual(Timing.USUAL));
         spec.commandLine().getOut().println(result);
--- a/src/main/java/petrelstand/config/FleetConfig.java
+++ b/src/main/java/petrelstand/config/FleetConfig.java
@@ -36,7 +36,7 @@
     private static final int MOST_KEYS = 2;
     private static final int MOST_SEEDS = 64;
 
-    static FleetConfig of(IniFile ini, List<Path> files, OperatorConfig.TextReader reader) {
+    public static FleetConfig of(IniFile ini, List<Path> files, OperatorConfig.TextReader reader) {
         IniFile.Section section = ini.section("fleet");
         if (section == null) {
             return null;
--- a/src/main/java/petrelstand/config/OperatorConfig.java
+++ b/src/main/java/petrelstand/config/OperatorConfig.java
@@ -18,11 +18,12 @@
  * @param rsync the rsync front
  * @param accounts latency accounts
  * @param fleet how this gateway and others know each other
+ * @param rules rules on which the fleet's gateways agree
  * @param jsonLog true where log lines are JSON
  * @param files this file and those it names: a change of any is a change of the whole
  */
 public record OperatorConfig(StateConfig state, RsyncConfig rsync, AccountsConfig accounts, FleetConfig fleet,
-        boolean jsonLog, List<Path> files) {
+        RulesConfig rules, boolean jsonLog, List<Path> files) {
     /** Where the file lies if PETRELSTAND_INI does not say; without it nothing is switched on. */
     public static final Path USUAL = Path.of("deploy/petrelstand.ini");
     private static final long FOLLOW_MS = 1000;
@@ -78,7 +79,7 @@
         boolean json = log != null && log.place("form", List.of("text", "json")) == 1;
         FleetConfig fleet = FleetConfig.of(ini, files, reader);
         OperatorConfig config = new OperatorConfig(StateConfig.of(ini.section("state"), ini), rsync,
-                AccountsConfig.of(ini.section("accounts"), ini), fleet, json, List.copyOf(files));
+                AccountsConfig.of(ini.section("accounts"), ini), fleet, RulesConfig.of(ini, fleet), json, List.copyOf(files));
         ini.refuseUnread();
         return config;
     }
--- a/src/main/java/petrelstand/consensus/Wire.java
+++ b/src/main/java/petrelstand/consensus/Wire.java
@@ -424,6 +424,13 @@
             to.writeNumber(one.next());
             to.writeNumber(one.version());
             to.writeString(one.fault());
+        } else if (talk instanceof Talk.Recall one) {
+            to.writeNumber(30);
+            to.writeNumber(one.nonce());
+        } else if (talk instanceof Talk.Recalled one) {
+            to.writeNumber(31);
+            to.writeNumber(one.nonce());
+            to.writeNumber(one.generation());
         }
     }
 
@@ -440,6 +447,8 @@
             case 28 -> new Talk.Order(from.whole(), from.text(16), from.whole(), from.text(MOST_NAME),
                     from.text(Command.MOST_WHO), from.text(Command.MOST_WHY));
             case 29 -> new Talk.Taken(from.whole(), (int) from.whole(), from.whole(), from.text(Talk.MOST_LINE));
+            case 30 -> new Talk.Recall(from.whole());
+            case 31 -> new Talk.Recalled(from.whole(), from.whole());
             default -> throw new IOException("no talk has the kind " + kind);
         };
     }
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -43,6 +43,7 @@
     /** Events that came while the module was at work: it is never entered twice. */
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private Watcher watcher = Watcher.NOBODY;
+    private Gate gate = Gate.OPEN;
     private boolean busy;
     private long nextId = 1;
 
@@ -96,6 +97,11 @@
         watcher = by;
     }
 
+    /** Asks a gate about each request from now on, before the module; there is one at most. */
+    public void gate(Gate by) {
+        gate = by;
+    }
+
     /** Takes the right to give the final answer, and tells the watcher. */
     private boolean finish(Exchange exchange, boolean served) {
         boolean first = exchange.finish();
@@ -134,6 +140,13 @@
         watcher.taken(exchange.id(), demand, now);
         taken.accept(exchange);
         exchange.guard(timers.at(exchange.deadlineUs() + GUARD_US, () -> overdue(exchange)));
+        long waitUs = gate.refuses(demand, now);
+        if (waitUs > 0) {
+            counters.add("refused.rules");
+            refuse(exchange, waitUs);
+            forgetIfDone(exchange);
+            return exchange;
+        }
         Request request = new Request(exchange.id(), demand.requestClass(), demand.plan(), demand.key(),
                 ms(demand.leftUs()), demand.volume(), demand.units(), demand.shard(), demand.setSize(),
                 demand.repeat(), demand.write());
@@ -141,6 +154,13 @@
         return exchange;
     }
 
+    private void refuse(Exchange exchange, long retryAfterUs) {
+        if (exchange != null && finish(exchange, false)) {
+            counters.add("answered.refused");
+            exchange.client().refused(retryAfterUs);
+        }
+    }
+
     /** Guards against a request that the module forgot: its client must hear of the end at its deadline. */
     private void overdue(Exchange exchange) {
         if (finish(exchange, false)) {
@@ -335,11 +355,7 @@
 
         @Override
         public void refuse(long request, double retryAfterMs) {
-            Exchange exchange = exchanges.get(request);
-            if (exchange != null && finish(exchange, false)) {
-                counters.add("answered.refused");
-                exchange.client().refused(us(Math.max(0, retryAfterMs)));
-            }
+            Broker.this.refuse(exchanges.get(request), us(Math.max(0, retryAfterMs)));
         }
 
         @Override
--- a/src/main/java/petrelstand/fleet/Fleet.java
+++ b/src/main/java/petrelstand/fleet/Fleet.java
@@ -181,6 +181,41 @@
                 + (other ? "; only a restart takes the rest of [fleet]" : ""));
     }
 
+    /** Takes what comes about rules from now on, on the link's thread; after {@link #open}. */
+    public void rules(Consumer<byte[]> to) {
+        link.rules(to);
+    }
+
+    /** Sends a content about rules, on the loop; it may get lost. */
+    public void sendRules(String address, byte[] content) {
+        counters.add("rules.sent");
+        bytesOut += link.send(address, Seal.RULES, content);
+    }
+
+    /** Where a member is reached, also one that is held to be gone: it may be there all the same; null if unknown. */
+    public String addressOf(String member) {
+        return module == null ? null : module.addressOf(member);
+    }
+
+    /** This gateway's name in the fleet. */
+    public String name() {
+        return name;
+    }
+
+    public FleetConfig config() {
+        return config;
+    }
+
+    /** Adds a line to the history, where one is kept. */
+    public void note(String event, JsonObject line) {
+        if (history != null) {
+            if (!line.has("process")) {
+                line.addProperty("process", name);
+            }
+            history.add(event, line);
+        }
+    }
+
     /** The view's version, from any thread. */
     public long version() {
         return version;
@@ -223,15 +258,6 @@
         return line;
     }
 
-    private void note(String event, JsonObject line) {
-        if (history != null) {
-            if (!line.has("process")) {
-                line.addProperty("process", name);
-            }
-            history.add(event, line);
-        }
-    }
-
     @Override
     public void standing(Standing standing) {
         counters.add("fleet.standing");
--- a/src/main/java/petrelstand/fleet/Link.java
+++ b/src/main/java/petrelstand/fleet/Link.java
@@ -41,6 +41,8 @@
             return size() > MOST_ADDRESSES;
         }
     };
+    /** Takes contents about rules, on this link's thread, or null: then they are no fleet's. */
+    private volatile Consumer<byte[]> rules;
     private volatile Seal incoming;
     private Seal outgoing;
 
@@ -78,8 +80,18 @@
 
     /** Sends, on the loop; returns the datagram's bytes, or 0 where it was lost here. */
     int send(String address, Envelope envelope) {
+        return send(address, Seal.MEMBERS, Codec.encode(envelope));
+    }
+
+    /** Takes contents about rules from now on, on a thread of its own: to be handed on at once. */
+    void rules(Consumer<byte[]> to) {
+        rules = to;
+    }
+
+    /** Sends a content, on the loop; returns the datagram's bytes, or 0 where it was lost here. */
+    int send(String address, int form, byte[] content) {
         try {
-            byte[] datagram = outgoing.close(Codec.encode(envelope));
+            byte[] datagram = outgoing.close(form, content);
             if (datagram.length > Seal.MOST) {
                 count.accept("fleet.too_long");
                 return 0;
@@ -119,7 +131,17 @@
     private void taken(ByteBuffer datagram) {
         String refused;
         try {
-            Envelope envelope = Codec.decode(incoming.open(datagram));
+            int form = datagram.remaining() < Integer.BYTES ? 0 : Seal.form(datagram);
+            byte[] content = incoming.open(datagram);
+            Consumer<byte[]> ruled = rules;
+            if (form == Seal.RULES) {
+                if (ruled == null) {
+                    throw new Seal.Refused("rules");
+                }
+                ruled.accept(content);
+                return;
+            }
+            Envelope envelope = Codec.decode(content);
             if (waiting.offer(envelope)) {
                 if (told.compareAndSet(false, true)) {
                     loop.execute(this::hand);
--- a/src/main/java/petrelstand/fleet/Seal.java
+++ b/src/main/java/petrelstand/fleet/Seal.java
@@ -19,7 +19,9 @@
     static final int MOST = 1400;
     static final int HEAD = 8;
     static final int MARK = 16;
-    private static final int FORM = 0x50534631; // "PSF1"
+    /** What a datagram holds, as its first four bytes say: a member's message, or a parcel about rules. */
+    static final int MEMBERS = 0x50534631; // "PSF1"
+    static final int RULES = 0x50535231; // "PSR1"
     private static final String MAC = "HmacSHA256";
 
     private record Key(int id, Mac mac) {}
@@ -40,16 +42,26 @@
         }
     }
 
-    /** The datagram of a content. */
+    /** The datagram of a member's message. */
     byte[] close(byte[] content) {
+        return close(MEMBERS, content);
+    }
+
+    /** The datagram of a content. */
+    byte[] close(int form, byte[] content) {
         ByteBuffer all = ByteBuffer.allocate(HEAD + MARK + content.length);
         Key key = keys.get(0);
-        all.putInt(FORM).putInt(key.id());
+        all.putInt(form).putInt(key.id());
         key.mac().update(all.array(), 0, HEAD);
         all.put(key.mac().doFinal(content), 0, MARK).put(content);
         return all.array();
     }
 
+    /** What a datagram says that it holds; it must have a whole head. */
+    static int form(ByteBuffer datagram) {
+        return datagram.getInt(datagram.position());
+    }
+
     /** Why a datagram is not taken: the name of its counter. */
     static final class Refused extends Exception {
         private static final long serialVersionUID = 1;
@@ -64,7 +76,7 @@
         if (datagram.remaining() > MOST) {
             throw new Refused("long");
         }
-        if (datagram.remaining() < HEAD + MARK || datagram.getInt(datagram.position()) != FORM) {
+        if (datagram.remaining() < HEAD + MARK || form(datagram) != MEMBERS && form(datagram) != RULES) {
             throw new Refused("form");
         }
         int id = datagram.getInt(datagram.position() + Integer.BYTES);
--- a/src/main/java/petrelstand/members/Membership.java
+++ b/src/main/java/petrelstand/members/Membership.java
@@ -251,6 +251,12 @@
         return found;
     }
 
+    /** Where a member is or was reached; null where it is not known. This process's own is its own. */
+    public String addressOf(String name) {
+        Peer peer = peers.get(name);
+        return name.equals(self.name()) ? self.address() : peer == null ? null : peer.member.address();
+    }
+
     private int agreedSize() {
         return fixedSize > 0 ? fixedSize : grown;
     }
--- /dev/null
+++ b/src/test/java/petrelstand/DefectiveRules.java
@@ -0,0 +1,23 @@
+package petrelstand;
+
+import petrelstand.agreement.Holder;
+
+/** The program with a planted defect in its leases, by the name in the argument; the checks must find each. */
+public final class DefectiveRules {
+    private DefectiveRules() {}
+
+    public static void main(String[] args) {
+        if (!args[0].equals("never-over")) {
+            throw new IllegalArgumentException("no defect " + args[0]);
+        }
+        // A lease once given is acted on until another comes.
+        RulesPart.in((now, life, config, seed, loader, act) -> new Holder(now, life, config.voters(), config.promise(), seed,
+                loader, act) {
+            @Override
+            protected boolean leaseRuns(long at) {
+                return super.leaseRuns(Long.MIN_VALUE / 4) || heard()[0] > 0;
+            }
+        });
+        Main.main(new String[] {"serve"});
+    }
+}
