Voters are added and removed while rules change; a changed file of rules becomes a proposal

Proposer (agreement, no I/O) offers a changed file on the version that it was last in step with; many gateways with the same file make one version, another's text is not overwritten. Seen by hand with four processes: a gateway that is ready to vote but not yet added called elections that it could not win, term 9 after ten seconds; it now begins with the first message of a leader that was ordered to add it.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -214,6 +214,9 @@
         if (fleet != null && file.fleet() != null) {
             fleet.reload(file.fleet());
         }
+        if (rules != null) {
+            rules.reload(file.rules());
+        }
         RsyncConfig changed = file.rsync();
         if (rsync == null || changed == null) {
             log.accept("the operator's file was read anew; only a restart switches a part on or off");
--- a/src/main/java/petrelstand/RulesPart.java
+++ b/src/main/java/petrelstand/RulesPart.java
@@ -21,6 +21,7 @@
 import petrelstand.agreement.Holder;
 import petrelstand.agreement.LimitGate;
 import petrelstand.agreement.OldCopy;
+import petrelstand.agreement.Proposer;
 import petrelstand.agreement.Rules;
 import petrelstand.agreement.Talk;
 import petrelstand.config.GatewayConfig;
@@ -50,6 +51,7 @@
     private static final long TICK_US = 50_000;
     /** Parcels that wait for the loop or the voter; more are lost, as datagrams are. */
     private static final int MOST_WAITING = 512;
+    private static final int MOST_VOTERS = 64;
     private static final String ASKER = "asker";
     private static final String PASSED_ON = "asker passed on";
 
@@ -77,6 +79,8 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private ScheduledThreadPoolExecutor thread;
     private RaftFiles files;
+    private Proposer proposer;
+    private String proposed;
     private KeptText kept;
     private Holder holder;
     private volatile Voter voter;
@@ -85,6 +89,8 @@
     /** How far each other voter's store was heard to be. */
     private final Map<String, Long> generations = new HashMap<>();
     private OldCopy copy;
+    /** Ready to vote, and begins when a leader that was ordered to add it sends it something. */
+    private boolean awaitsLeader;
     private long copyNonce;
 
     private static Maker maker = (now, life, config, seed, loader, act) ->
@@ -108,7 +114,7 @@
         this.log = line -> log.accept("rules: " + line);
         this.seed = gateway.seed();
         this.plans = gateway.settings().plans().stream().map(plan -> plan.name()).toList();
-        this.votes = config.voters().contains(fleet.name());
+        this.votes = config.voters().contains(fleet.name()) || config.mayVote();
     }
 
     private Rules load(String text) {
@@ -148,6 +154,10 @@
         long now = nowUs.getAsLong();
         long life = new java.security.SecureRandom().nextLong();
         holder = maker.holder(now, life, config, seed, this::load, this);
+        if (config.file() != null) {
+            proposer = new Proposer(fleet.name(), "the file " + config.file(), holder, seed, new FromFile());
+            proposed = config.text();
+        }
         if (kept != null && kept.text() != null) {
             holder.recall(now, kept.version(), kept.text());
         }
@@ -172,7 +182,11 @@
                     log.accept("votes though only " + copy.answers() + " other voters answered in "
                             + COPY_PATIENCE_US / 1_000_000 + " s: where its folder is an old copy, that is not known");
                 }
-                thread.execute(this::vote);
+                // One that is none of the first voters and was not added yet would only call elections that it can't win.
+                awaitsLeader = !config.voters().contains(fleet.name()) && files.restored() == null;
+                if (!awaitsLeader) {
+                    thread.execute(this::vote);
+                }
             }
             case REFUSE -> {
                 if (!left) {
@@ -220,10 +234,36 @@
     private void tick() {
         if (!left) {
             holder.tick(nowUs.getAsLong());
+            if (proposer != null) {
+                proposer.tick(nowUs.getAsLong());
+            }
             timers.at(nowUs.getAsLong() + TICK_US, this::tick);
         }
     }
 
+    /** What an operator wrote into the file goes to whoever leads, as what comes from outside does. */
+    private final class FromFile implements Proposer.Actions {
+        @Override
+        public void send(String leader, Talk talk) {
+            asked(new Parcel(fleet.config().fleet(), ASKER, fleet.config().advertise(), 0, null, talk));
+        }
+
+        @Override
+        public void say(String line) {
+            log.accept(line);
+        }
+    }
+
+    /** The operator's file, or one that it names, has changed: other rules in it are proposed, not acted on. */
+    void reload(RulesConfig changed) {
+        if (changed == null || changed.text() == null || proposer == null) {
+            log.accept("only a restart switches a part on or off");
+        } else if (!changed.text().equals(proposed)) {
+            proposed = changed.text();
+            proposer.changed(nowUs.getAsLong(), proposed, System.currentTimeMillis());
+        }
+    }
+
     /** SIGTERM: asks for no lease any more; a leader's successor is found by the others. */
     void leave() {
         left = true;
@@ -260,7 +300,7 @@
         }
         counters.add("rules.taken");
         Talk talk = parcel.talk();
-        if (config.voters().contains(parcel.from()) && parcel.generation() > 0) {
+        if (parcel.generation() > 0 && (generations.size() < MOST_VOTERS || generations.containsKey(parcel.from()))) {
             generations.merge(parcel.from(), parcel.generation(), Math::max);
         }
         if (talk instanceof Talk.Recall asked) {
@@ -270,7 +310,15 @@
                 copy.heard(parcel.from(), answer.generation());
             }
         } else if (parcel.raft() != null) {
+            if (awaitsLeader) {
+                awaitsLeader = false;
+                thread.execute(this::vote);
+            }
             toVoter(() -> voter.receive(parcel.raft()));
+        } else if (talk instanceof Talk.Taken taken) {
+            if (proposer != null) {
+                proposer.receive(nowUs.getAsLong(), taken);
+            }
         } else if (talk instanceof Talk.Offer || talk instanceof Talk.Order) {
             asked(parcel);
         } else if (talk instanceof Talk.Renew || talk instanceof Talk.Fetch) {
--- a/src/main/java/petrelstand/agreement/Holder.java
+++ b/src/main/java/petrelstand/agreement/Holder.java
@@ -58,6 +58,7 @@
     private static final class Text {
         String[] pieces = new String[0];
         Rules rules;
+        String whole;
         String fault = "";
         long askedUs = Long.MIN_VALUE / 2;
 
@@ -119,7 +120,7 @@
 
     /** What an earlier life kept: its floors are acted on until a lease comes. */
     public void recall(long nowUs, long version, String text) {
-        Text kept = text(version);
+        Text kept = kept(version);
         load(version, kept, text);
         if (kept.rules != null) {
             leasedVersion = version;
@@ -145,6 +146,12 @@
         return nowUs < leasedUntilUs;
     }
 
+    /** A version's text, where it has come whole; else null. */
+    public String text(long version) {
+        Text text = texts.get(version);
+        return text == null ? null : text.whole;
+    }
+
     /** Since when it acts on what it acts on. */
     public long sinceUs() {
         return toldSinceUs;
@@ -198,7 +205,7 @@
             ask(nowUs);
         }
         for (long version : new long[] {active, waiting}) {
-            if (version > 0 && !text(version).whole() && nowUs - text(version).askedUs >= PATIENCE_US) {
+            if (version > 0 && !kept(version).whole() && nowUs - kept(version).askedUs >= PATIENCE_US) {
                 fetch(nowUs, version, "");
             }
         }
@@ -236,7 +243,8 @@
         } else if (talk instanceof Elsewhere elsewhere) {
             if (asked.remove(elsewhere.nonce()) != null) {
                 answeredUs = nowUs;
-                boolean known = voters.contains(elsewhere.leader()) && !elsewhere.leader().equals(from);
+                // It may be a voter that was added since this process read its file.
+                boolean known = !elsewhere.leader().isEmpty() && !elsewhere.leader().equals(from);
                 leader = known ? elsewhere.leader() : "";
                 nextAskUs = Math.min(nextAskUs, nowUs + (known ? 0 : PATIENCE_US / 2));
             }
@@ -244,7 +252,7 @@
             if (hint.active() > active || hint.waiting() > waiting || hint.active() == active && hint.waiting() == 0) {
                 leader = from;
                 heardOf(nowUs, hint.active(), hint.waiting());
-                if (!text(Math.max(active, waiting)).whole()) {
+                if (!kept(Math.max(active, waiting)).whole()) {
                     fetch(nowUs, Math.max(active, waiting), from);
                 }
                 nextAskUs = Math.min(nextAskUs, nowUs);
@@ -282,7 +290,7 @@
             }
         }
         for (long version : new long[] {active, waiting}) {
-            if (version > 0 && !text(version).whole()) {
+            if (version > 0 && !kept(version).whole()) {
                 fetch(nowUs, version, from);
             }
         }
@@ -307,7 +315,7 @@
 
     // ---- Texts ----
 
-    private Text text(long version) {
+    private Text kept(long version) {
         Text text = texts.computeIfAbsent(version, v -> new Text());
         while (texts.size() > MOST_TEXTS) {
             Long eldest = texts.firstKey() == leasedVersion ? texts.higherKey(leasedVersion) : texts.firstKey();
@@ -317,7 +325,7 @@
     }
 
     private void fetch(long nowUs, long version, String from) {
-        Text text = text(version);
+        Text text = kept(version);
         text.askedUs = nowUs;
         int missing = 0;
         for (int i = 0; i < Math.max(1, text.pieces.length) && missing < AHEAD; i++) {
@@ -359,6 +367,7 @@
     }
 
     private void load(long version, Text text, String whole) {
+        text.whole = whole;
         try {
             text.rules = loader.apply(whole);
         } catch (IllegalArgumentException e) {
--- a/src/main/java/petrelstand/cli/RulesCommand.java
+++ b/src/main/java/petrelstand/cli/RulesCommand.java
@@ -35,7 +35,8 @@
 @CommandLine.Command(name = "rules", description = "Rules on which a fleet's gateways agree (docs/RULES.md).",
         subcommands = {RulesCommand.Check.class, RulesCommand.Show.class, RulesCommand.Diff.class,
             RulesCommand.History.class, RulesCommand.Who.class, RulesCommand.Propose.class, RulesCommand.Rollback.class,
-            RulesCommand.Withdraw.class, RulesCommand.Forget.class}, mixinStandardHelpOptions = true)
+            RulesCommand.Withdraw.class, RulesCommand.Forget.class, RulesCommand.AddVoter.class,
+            RulesCommand.RemoveVoter.class}, mixinStandardHelpOptions = true)
 final class RulesCommand implements Runnable {
     private static final Duration PATIENCE = Duration.ofSeconds(3);
     private static final int REFUSED = 1;
@@ -461,6 +462,36 @@
         }
     }
 
+    /** Makes a gateway a voter. */
+    @CommandLine.Command(name = "add-voter", description = "Makes a gateway a voter, whose file has may_vote = yes; it listens"
+            + " for 2 s first.", mixinStandardHelpOptions = true)
+    static final class AddVoter extends Changing {
+        @Parameters(paramLabel = "NAME")
+        private String name;
+
+        @Override
+        int act() throws Fault, IOException {
+            try (RulesClient client = client()) {
+                return told(client.order("add-voter", 0, name, who(), why(), patienceS * 1000), name + " votes");
+            }
+        }
+    }
+
+    /** Takes a voter's vote away. */
+    @CommandLine.Command(name = "remove-voter", description = "Takes a voter's vote away, also of one that is gone; it goes on"
+            + " to act on what is agreed.", mixinStandardHelpOptions = true)
+    static final class RemoveVoter extends Changing {
+        @Parameters(paramLabel = "NAME")
+        private String name;
+
+        @Override
+        int act() throws Fault, IOException {
+            try (RulesClient client = client()) {
+                return told(client.order("remove-voter", 0, name, who(), why(), patienceS * 1000), name + " does not vote");
+            }
+        }
+    }
+
     /** Drops a gateway that is gone for good. */
     @CommandLine.Command(name = "forget", description = "Drops a gateway that is gone for good: its floors are no longer"
             + " kept free.", mixinStandardHelpOptions = true)
--- a/src/main/java/petrelstand/config/OperatorConfig.java
+++ b/src/main/java/petrelstand/config/OperatorConfig.java
@@ -79,7 +79,7 @@
         boolean json = log != null && log.place("form", List.of("text", "json")) == 1;
         FleetConfig fleet = FleetConfig.of(ini, files, reader);
         OperatorConfig config = new OperatorConfig(StateConfig.of(ini.section("state"), ini), rsync,
-                AccountsConfig.of(ini.section("accounts"), ini), fleet, RulesConfig.of(ini, fleet), json, List.copyOf(files));
+                AccountsConfig.of(ini.section("accounts"), ini), fleet, RulesConfig.of(ini, fleet, settings, files, reader), json, List.copyOf(files));
         ini.refuseUnread();
         return config;
     }
--- a/src/main/java/petrelstand/config/RulesConfig.java
+++ b/src/main/java/petrelstand/config/RulesConfig.java
@@ -1,22 +1,29 @@
 package petrelstand.config;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import petrelstand.agreement.Promise;
+import petrelstand.decision.Scheduling.Settings;
 import petrelstand.members.Member;
 
 /**
  * Section {@code [rules]} of the operator's file: rules on which the fleet's gateways agree.
  *
  * @param voters names of the gateways that vote, the same in every file; the others only act on what is agreed
+ * @param mayVote whether this gateway is ready to vote though it is none of them: it is added by an order
  * @param promise for how long two gateways may contradict each other
  * @param folder where a voter keeps its votes and any gateway the last version that it had; null for one that is no voter
+ * @param file that an operator writes rules into, to be proposed when it changes, or null
+ * @param text of that file
  * @param page whether {@code GET /rules} is answered
  */
-public record RulesConfig(List<String> voters, Promise promise, Path folder, boolean page) {
+public record RulesConfig(List<String> voters, boolean mayVote, Promise promise, Path folder, boolean page, String file,
+        String text) {
     private static final int MOST_VOTERS = 9;
 
-    static RulesConfig of(IniFile ini, FleetConfig fleet) {
+    static RulesConfig of(IniFile ini, FleetConfig fleet, Settings settings, List<Path> files,
+            OperatorConfig.TextReader reader) {
         IniFile.Section section = ini.section("rules");
         if (section == null) {
             return null;
@@ -31,8 +38,22 @@
         }
         long within = section.durationUs("promise", Promise.USUAL.withinUs(), 500_000, 600_000_000);
         double drift = section.number("drift", Promise.USUAL.drift() * 100, 0, 10) / 100;
-        return new RulesConfig(voters, new Promise(within, drift),
+        String file = null;
+        String text = null;
+        if (section.has("file")) {
+            Path rules = ini.beside(section.text("file"));
+            files.add(rules);
+            file = rules.getFileName().toString();
+            try {
+                text = reader.read(rules);
+            } catch (IOException e) {
+                throw section.wrong("file", "names " + rules + ", which cannot be read: " + e.getClass().getSimpleName());
+            }
+            RulesText.load(rules.toString(), text, settings.plans().stream().map(plan -> plan.name()).toList());
+        }
+        return new RulesConfig(voters, section.has("may_vote") && section.place("may_vote", List.of("no", "yes")) == 1,
+                new Promise(within, drift),
                 section.has("folder") ? ini.beside(section.text("folder")) : null,
-                !section.has("page") || section.place("page", List.of("off", "on")) == 1);
+                !section.has("page") || section.place("page", List.of("off", "on")) == 1, file, text);
     }
 }
--- a/src/main/java/petrelstand/consensus/RulesPage.java
+++ b/src/main/java/petrelstand/consensus/RulesPage.java
@@ -18,13 +18,14 @@
     public record Asker(String name, long acting, long forMs, long prepared, String refuses, long leaseMs, long heardMs) {}
 
     /** What a voter shows, taken on its thread. */
-    public record Votes(String leader, long term, boolean leads, RuleBook.Whole book, List<Asker> askers) {
+    public record Votes(String leader, long term, boolean leads, List<String> voters, RuleBook.Whole book,
+            List<Asker> askers) {
         /** What it shows now. */
         public static Votes of(Voter voter, long nowUs) {
             List<Asker> askers = voter.grantor().holders().stream().map((Grantor.Holder h) -> new Asker(h.name(), h.acting(),
                     (nowUs - h.actingSinceUs()) / 1000, h.prepared(), h.refuses(),
                     Math.max(0, (h.untilUs() - nowUs) / 1000), (nowUs - h.heardUs()) / 1000)).toList();
-            return new Votes(voter.leader(), voter.term(), voter.grantor().leads(), voter.book().whole(), askers);
+            return new Votes(voter.leader(), voter.term(), voter.grantor().leads(), voter.voters(), voter.book().whole(), askers);
         }
     }
 
@@ -43,6 +44,9 @@
         page.add("rules", rules(acting.rules()));
         if (votes != null) {
             page.addProperty("term", votes.term());
+            JsonArray voters = new JsonArray();
+            votes.voters().forEach(voters::add);
+            page.add("voters", voters);
             page.addProperty("newest", votes.book().newest());
             JsonObject marks = new JsonObject();
             for (Map.Entry<String, Long> mark : votes.book().marks().entrySet()) {
--- a/src/main/java/petrelstand/consensus/Voter.java
+++ b/src/main/java/petrelstand/consensus/Voter.java
@@ -1,5 +1,6 @@
 package petrelstand.consensus;
 
+import io.microraft.MembershipChangeMode;
 import io.microraft.QueryPolicy;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
@@ -19,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -37,6 +39,8 @@
     private static final int SNAPSHOT_AFTER = 500;
     private static final int MOST_PENDING = 256;
     private static final int MOST_OFFERS = 8;
+    /** A new voter is sent the log or a snapshot for so long before it counts. */
+    private static final long LISTENS_MS = 2_000;
 
     /** What the process does for a voter. */
     public interface Carrier {
@@ -85,7 +89,7 @@
     /**
      * A voter.
      *
-     * @param voters those of the very first start, this one among them; an earlier life's files go before
+     * @param voters those of the very first start, the same at all; one that is none of them is added later by an order
      * @param files its store, or null for one that keeps nothing (tests)
      */
     public Voter(String name, List<String> voters, Promise promise, RaftFiles files, Maker maker,
@@ -251,6 +255,10 @@
             }
         } else if (talk instanceof Talk.Order order) {
             if (leads(from, order.id())) {
+                if (order.verb().endsWith("-voter")) {
+                    changeVoters(from, order);
+                    return;
+                }
                 Command command = switch (order.verb()) {
                     case "withdraw" -> new Command.Withdraw(order.version(), order.who(), order.why());
                     case "forget" -> new Command.Forget(order.name());
@@ -265,6 +273,53 @@
         }
     }
 
+    /**
+     * Adds or removes a voter, one at a time. One that is added first only listens, so that a majority never counts on
+     * an empty folder, and votes from {@link #LISTENS_MS} on; where the leader changes meanwhile it is to be added again.
+     */
+    private void changeVoters(String from, Talk.Order order) {
+        Name voter = new Name(order.name());
+        boolean there = node.getCommittedMembers().getVotingMembers().contains(voter);
+        if (order.verb().equals("add-voter") && !there) {
+            boolean listens = node.getCommittedMembers().getMembers().contains(voter);
+            change(from, order, voter, listens ? MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER
+                    : MembershipChangeMode.ADD_LEARNER);
+        } else if (order.verb().equals("remove-voter") && node.getCommittedMembers().getMembers().contains(voter)) {
+            if (node.getCommittedMembers().getVotingMembers().size() < 2 && there) {
+                carrier.talk(from, new Talk.Taken(order.id(), -1, 0, "it is the only voter"));
+                return;
+            }
+            change(from, order, voter, MembershipChangeMode.REMOVE_MEMBER);
+        } else {
+            carrier.talk(from, new Talk.Taken(order.id(), -1, book.newest(), ""));
+        }
+    }
+
+    private void change(String from, Talk.Order order, Name voter, MembershipChangeMode mode) {
+        node.changeMembership(voter, mode, node.getCommittedMembers().getLogIndex()).whenComplete((done, fault) ->
+                executor.execute(() -> {
+                    if (fault != null) {
+                        return;
+                    }
+                    carrier.say("voters are now " + voters() + (mode == MembershipChangeMode.ADD_LEARNER ? "; " + voter
+                            + " listens first" : ""));
+                    if (mode == MembershipChangeMode.ADD_LEARNER) {
+                        executor.schedule(() -> {
+                            if (grantor.leads()) {
+                                change(from, order, voter, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER);
+                            }
+                        }, LISTENS_MS, TimeUnit.MILLISECONDS);
+                    } else {
+                        carrier.talk(from, new Talk.Taken(order.id(), -1, book.newest(), ""));
+                    }
+                }));
+    }
+
+    /** The names that vote, as of the last change that a majority has. */
+    public List<String> voters() {
+        return node.getCommittedMembers().getVotingMembers().stream().map(e -> String.valueOf(e.getId())).sorted().toList();
+    }
+
     private boolean leads(String from, long id) {
         if (!grantor.leads()) {
             carrier.talk(from, new Talk.Elsewhere(id, leader));
--- a/src/main/java/petrelstand/lab/rules/RulesSim.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -108,12 +108,12 @@
                 holder.recall(clock(), keptVersion, kept);
             }
             voter = null;
-            if (voters.contains(name)) {
+            if (number < mayVote) {
                 try {
                     files = new RaftFiles(folder.opened(), line -> { });
-                    voter = new Voter(name, voters, promise, files, maker::grantor, this, this::clock,
-                            random.nextLong(), RulesSim::load, this);
-                    voter.start();
+                    if (voters.contains(name) || files.restored() != null) {
+                        vote();
+                    }
                 } catch (IOException | StateFault e) {
                     broken = broken.isEmpty() ? name + " could not read its own folder: " + e.getMessage() : broken;
                 }
@@ -121,6 +121,12 @@
             at(nowUs + random.nextLong(TICK_US), () -> tick(of));
         }
 
+        private void vote() {
+            voter = new Voter(name, voters, promise, files, maker::grantor, this, this::clock, random.nextLong(),
+                    RulesSim::load, this);
+            voter.start();
+        }
+
         void end() {
             up = false;
             acting[number] = null;
@@ -221,6 +227,9 @@
 
         void receive(String from, Parcel parcel) {
             if (parcel.raft() != null) {
+                if (voter == null && files != null) {
+                    vote();
+                }
                 if (voter != null) {
                     voter.receive(parcel.raft());
                 }
@@ -239,6 +248,7 @@
     private final Promise promise;
     private final SplittableRandom random;
     private final List<String> voters = new ArrayList<>();
+    private final int mayVote;
     private final Map<String, Process> processes = new TreeMap<>();
     private final List<Process> byNumber = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -252,6 +262,7 @@
     private long proposal;
     private long base;
     private long proposedUs;
+    private final java.util.Set<Long> ordersDone = new java.util.HashSet<>();
     private final TreeMap<Long, Long> proposedAtUs = new TreeMap<>();
     private final TreeMap<Long, Long> acknowledged = new TreeMap<>();
     private final Map<Long, Long> actedByAllUs = new TreeMap<>();
@@ -263,7 +274,13 @@
 
     /** Gateways of which the first {@code voting} vote; clocks drift by up to the promise's rate, either way. */
     public RulesSim(int size, int voting, Promise promise, long seed, Maker maker) {
+        this(size, voting, voting, promise, seed, maker);
+    }
+
+    /** The same, and some after the first may be made voters by an order. */
+    public RulesSim(int size, int voting, int mayVote, Promise promise, long seed, Maker maker) {
         this.maker = maker;
+        this.mayVote = mayVote;
         this.promise = promise;
         this.random = new SplittableRandom(seed);
         this.links = new Links(size, seed + 1);
@@ -394,6 +411,33 @@
         }
     }
 
+    /** Gives an order from a moment on, until it is answered. */
+    public void orderAt(long moment, String verb, String name) {
+        long id = random.nextLong() | 1;
+        at(moment, () -> order(id, verb, name));
+    }
+
+    private void order(long id, String verb, String name) {
+        if (!ordersDone.contains(id)) {
+            for (Process there : byNumber.subList(0, mayVote)) {
+                at(nowUs + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator", new Parcel("lab",
+                        "operator", "operator", 0, null, new Talk.Order(id, verb, 0, name, "operator", "day")))));
+            }
+            at(nowUs + 1_000_000, () -> order(id, verb, name));
+        }
+    }
+
+    /** Orders that were answered. */
+    public int ordersDone() {
+        return ordersDone.size();
+    }
+
+    /** Who votes, as the process that leads holds it; empty where none does. */
+    public List<String> votersNow() {
+        return byNumber.stream().filter(p -> p.up && p.voter != null && p.voter.grantor().leads()).findFirst()
+                .map(p -> p.voter.voters()).orElse(List.of());
+    }
+
     private void propose(long pauseUs) {
         boolean settled = proposal == 0;
         if (settled || nowUs - proposedUs > 2_000_000) {
@@ -404,8 +448,7 @@
             // Asked of every voter: whoever leads takes it.
             String text = "[fleet]\ngateways = 2\n[limit basic]\nunits = " + (base + 1) + "\nfloor = 0\n";
             Talk.Offer offer = new Talk.Offer(proposal, base, "operator", "day", proposedUs / 1000, 0, 1, text);
-            for (String voter : voters) {
-                Process there = processes.get(voter);
+            for (Process there : byNumber.subList(0, mayVote)) {
                 at(nowUs + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator",
                         new Parcel("lab", "operator", "operator", 0, null, offer))));
             }
@@ -422,6 +465,9 @@
     }
 
     private void answered(Talk talk) {
+        if (talk instanceof Talk.Taken taken && taken.id() != proposal && taken.next() < 0) {
+            ordersDone.add(taken.id());
+        }
         if (!(talk instanceof Talk.Taken taken) || taken.id() != proposal || taken.next() >= 0) {
             return;
         }
--- a/src/test/java/petrelstand/agreement/AgreementTest.java
+++ b/src/test/java/petrelstand/agreement/AgreementTest.java
@@ -60,6 +60,29 @@
         assertTrue(result.played() > 200 && result.longestUs() > 0, result.toString());
     }
 
+    /** One voter after another is replaced, while faults go on, until none of the first ones votes. */
+    @Test
+    void votersAreAddedAndRemovedWhileFaultsGoOn() {
+        int whole = 0;
+        for (int seed = 1; seed <= 25; seed++) {
+            RulesSim sim = new RulesSim(8, 3, 6, Promise.USUAL, seed, RulesSim.USUAL);
+            sim.arm(FleetPlan.draw(8, seed));
+            sim.run(4_000_000);
+            sim.proposeEvery(500_000);
+            for (int i = 0; i < 3; i++) {
+                sim.orderAt(5_000_000 + 8_000_000 * i, "add-voter", "g00" + (3 + i));
+                sim.orderAt(9_000_000 + 8_000_000 * i, "remove-voter", "g00" + i);
+            }
+            sim.run(60_000_000);
+            assertEquals("", sim.fault(), "seed " + seed);
+            assertTrue(sim.longestUs() < Promise.USUAL.withinUs(), "seed " + seed);
+            whole += sim.ordersDone() == 6 && sim.votersNow().equals(List.of("g003", "g004", "g005")) ? 1 : 0;
+        }
+        // A plan that ends a majority for good leaves orders without an answer.
+        System.out.println("voters replaced whole in " + whole + " of 25 seeds");
+        assertTrue(whole >= 15, whole + " of 25");
+    }
+
     // ---- Planted mistakes ----
 
     /** The lease is counted from the answer, which may have been under way for any time. */
@@ -147,6 +170,88 @@
         assertEquals(planted.size(), found.size(), "found at seeds " + found);
     }
 
+    // ---- A file of rules ----
+
+    /** A holder that knows a version, what its proposer said and sent. */
+    private static final class FromFile implements Holder.Actions, Proposer.Actions {
+        final List<String> lines = new ArrayList<>();
+        final List<Talk.Offer> offers = new ArrayList<>();
+        final Holder holder = new Holder(0, 1, List.of("v"), Promise.USUAL, 1, RulesSim::load, this);
+        final Proposer proposer = new Proposer("g", "the file", holder, 1, this);
+        long nowUs;
+        private long nonce;
+
+        /** The leader says that a version is acted on, and gives its text. */
+        void agreed(long version, String text) {
+            holder.tick(nowUs += 2_000_000);
+            holder.receive(nowUs, "v", new Talk.Grant(nonce, 1, version, 0, true));
+            holder.receive(nowUs, "v", new Talk.Piece(1, version, 0, 1, text));
+        }
+
+        void run(int turns) {
+            for (int i = 0; i < turns; i++) {
+                proposer.tick(nowUs += 50_000);
+            }
+        }
+
+        @Override
+        public void send(String voter, Talk talk) {
+            if (talk instanceof Talk.Renew renew) {
+                nonce = renew.nonce();
+            } else if (talk instanceof Talk.Offer offer) {
+                offers.add(offer);
+            }
+        }
+
+        @Override
+        public void acts(long at, Holder.Acting acting, String why) {}
+
+        @Override
+        public void keep(long version, String text) {}
+
+        @Override
+        public void count(String what) {}
+
+        @Override
+        public void say(String line) {
+            lines.add(line);
+        }
+    }
+
+    private static final String NEW = "[limit basic]\nunits = 7\n";
+
+    @Test
+    void aChangedFileIsProposedAgainUntilAnswered() {
+        FromFile one = new FromFile();
+        one.agreed(3, "[limit basic]\nunits = 5\n");
+        one.proposer.changed(one.nowUs, NEW, 9);
+        one.run(60);
+        assertTrue(one.offers.size() > 3 && one.offers.stream().allMatch(o -> o.base() == 3 && o.text().equals(NEW)));
+        one.proposer.receive(one.nowUs, new Talk.Taken(one.offers.get(0).id(), -1, 4, ""));
+        assertEquals(List.of("the file's rules were proposed and are version 4"), one.lines);
+        assertFalse(one.proposer.busy());
+    }
+
+    @Test
+    void theSameFileOfAnotherGatewayIsOneVersionAndAnotherTextIsNotOverwritten() {
+        FromFile same = new FromFile();
+        same.agreed(3, "[limit basic]\nunits = 5\n");
+        same.proposer.changed(same.nowUs, NEW, 9);
+        same.agreed(4, NEW);
+        same.run(30);
+        assertEquals(List.of("the file's rules are version 4"), same.lines);
+        FromFile other = new FromFile();
+        other.agreed(3, "[limit basic]\nunits = 5\n");
+        other.proposer.changed(other.nowUs, NEW, 9);
+        other.agreed(4, "[limit basic]\nunits = 6\n");
+        other.run(30);
+        assertTrue(other.lines.get(0).startsWith("the file was changed on version 3, and the newest is 4"), "" + other.lines);
+        FromFile alone = new FromFile();
+        alone.proposer.changed(0, NEW, 9);
+        alone.run(700);
+        assertTrue(alone.lines.get(0).startsWith("nobody who leads took the file's rules in 30 s"), "" + alone.lines);
+    }
+
     // ---- The book and the rules ----
 
     private static RuleBook.Result propose(RuleBook book, long id, long base, long units, long floor) {
