One reader of trials for both checkers, one event queue for both fleets in virtual time

Need: RulesCheck and RulesSim repeated what HistoryCheck and FleetSim had; four orders of the command line repeated one frame. Lines, VirtualTime and Ordering serve both now. RulesSim lost a comparison that could never differ.

--- a/src/main/java/petrelstand/cli/RulesCommand.java
+++ b/src/main/java/petrelstand/cli/RulesCommand.java
@@ -447,63 +447,63 @@
         }
     }
 
+    /** What all orders share: one name or version, one answer. */
+    private abstract static class Ordering extends Changing {
+        int order(String verb, long version, String name, String done) throws Fault, IOException {
+            try (RulesClient client = client()) {
+                return told(client.order(verb, version, name, who(), why(), patienceS * 1000), done);
+            }
+        }
+    }
+
     /** Gives up a version that waits. */
     @CommandLine.Command(name = "withdraw", description = "Gives up the version that waits.", mixinStandardHelpOptions = true)
-    static final class Withdraw extends Changing {
+    static final class Withdraw extends Ordering {
         @Parameters(paramLabel = "VERSION")
         private long version;
 
         @Override
         int act() throws Fault, IOException {
-            try (RulesClient client = client()) {
-                return told(client.order("withdraw", version, "", who(), why(), patienceS * 1000),
-                        "version " + version + " is withdrawn");
-            }
+            return order("withdraw", version, "", "version " + version + " is withdrawn");
         }
     }
 
     /** Makes a gateway a voter. */
     @CommandLine.Command(name = "add-voter", description = "Makes a gateway a voter, whose file has may_vote = yes; it listens"
             + " for 2 s first.", mixinStandardHelpOptions = true)
-    static final class AddVoter extends Changing {
+    static final class AddVoter extends Ordering {
         @Parameters(paramLabel = "NAME")
         private String name;
 
         @Override
         int act() throws Fault, IOException {
-            try (RulesClient client = client()) {
-                return told(client.order("add-voter", 0, name, who(), why(), patienceS * 1000), name + " votes");
-            }
+            return order("add-voter", 0, name, name + " votes");
         }
     }
 
     /** Takes a voter's vote away. */
     @CommandLine.Command(name = "remove-voter", description = "Takes a voter's vote away, also of one that is gone; it goes on"
             + " to act on what is agreed.", mixinStandardHelpOptions = true)
-    static final class RemoveVoter extends Changing {
+    static final class RemoveVoter extends Ordering {
         @Parameters(paramLabel = "NAME")
         private String name;
 
         @Override
         int act() throws Fault, IOException {
-            try (RulesClient client = client()) {
-                return told(client.order("remove-voter", 0, name, who(), why(), patienceS * 1000), name + " does not vote");
-            }
+            return order("remove-voter", 0, name, name + " does not vote");
         }
     }
 
     /** Drops a gateway that is gone for good. */
     @CommandLine.Command(name = "forget", description = "Drops a gateway that is gone for good: its floors are no longer"
             + " kept free.", mixinStandardHelpOptions = true)
-    static final class Forget extends Changing {
+    static final class Forget extends Ordering {
         @Parameters(paramLabel = "NAME")
         private String name;
 
         @Override
         int act() throws Fault, IOException {
-            try (RulesClient client = client()) {
-                return told(client.order("forget", 0, name, who(), why(), patienceS * 1000), name + " is forgotten");
-            }
+            return order("forget", 0, name, name + " is forgotten");
         }
     }
 }
--- a/src/main/java/petrelstand/lab/check/HistoryCheck.java
+++ b/src/main/java/petrelstand/lab/check/HistoryCheck.java
@@ -1,10 +1,6 @@
 package petrelstand.lab.check;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
-import com.google.gson.JsonSyntaxException;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,7 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Stream;
+import petrelstand.lab.check.Lines.Line;
 import petrelstand.lab.check.Verdict.Outcome;
 
 /**
@@ -33,16 +29,6 @@
     private static final Set<String> GONE = Set.of("FAILED", "LEFT");
     private static final Set<String> THERE = Set.of("ALIVE", "SUSPECT", "LEAVING");
 
-    private record Line(String text, JsonObject json, long us) {
-        String get(String key) {
-            return json.has(key) ? json.get(key).getAsString() : "";
-        }
-
-        long number(String key) {
-            return json.has(key) ? json.get(key).getAsLong() : 0;
-        }
-    }
-
     /** A stretch of time in which a process, or all links, did not work as they should, and how badly. */
     private record Trouble(String kind, String process, long fromUs, long untilUs, long amount) {
         boolean within(long from, long until) {
@@ -58,7 +44,7 @@
     }
 
     private final List<Line> trial;
-    private final Map<String, List<Line>> histories = new TreeMap<>();
+    private final Map<String, List<Line>> histories;
     private final List<Trouble> troubles = new ArrayList<>();
     private final List<Life> lives = new ArrayList<>();
     private final List<Long> detected = new ArrayList<>();
@@ -70,22 +56,15 @@
     private Verdict broken;
 
     private HistoryCheck(Path folder) throws IOException {
-        trial = read(folder.resolve("trial.jsonl"));
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path file : files.sorted().toList()) {
-                String name = file.getFileName().toString();
-                if (name.startsWith("history-") && name.endsWith(".jsonl")) {
-                    histories.put(name.substring("history-".length(), name.length() - ".jsonl".length()), read(file));
-                }
-            }
-        }
-        Line head = one("trial");
-        Line end = one("end");
+        trial = Lines.read(folder.resolve("trial.jsonl"));
+        histories = Lines.histories(folder);
+        Line head = Lines.one(trial, "trial");
+        Line end = Lines.one(trial, "end");
         detectUs = head.number("detect_us");
         silenceUs = head.number("silence_us");
         oneViewUs = head.number("one_view_us");
-        endUs = end.us;
-        calmUs = Math.max(end.number("calm_us"), head.us);
+        endUs = end.us();
+        calmUs = Math.max(end.number("calm_us"), head.us());
         findLives();
         findTroubles();
     }
@@ -108,31 +87,11 @@
         return slow != null ? slow : new Verdict(Outcome.PASSED, "", List.of(), check.detected);
     }
 
-    private static List<Line> read(Path file) throws IOException {
-        List<Line> lines = new ArrayList<>();
-        List<String> texts = Files.readAllLines(file);
-        for (int i = 0; i < texts.size(); i++) {
-            try {
-                JsonObject json = JsonParser.parseString(texts.get(i)).getAsJsonObject();
-                lines.add(new Line(file.getFileName() + ":" + (i + 1) + " " + texts.get(i), json,
-                        json.has("mono_us") ? json.get("mono_us").getAsLong() : 0));
-            } catch (JsonSyntaxException | IllegalStateException e) {
-                // A process that was killed in the middle of a line; the next life begins a new file position.
-            }
-        }
-        return lines;
-    }
-
-    private Line one(String event) throws IOException {
-        return trial.stream().filter(l -> l.get("event").equals(event)).findFirst()
-                .orElseThrow(() -> new IOException("the trial has no line '" + event + "': it did not end"));
-    }
-
     private void breaks(String rule, Line... lines) {
         List<String> excerpt = new ArrayList<>();
         for (Line line : lines) {
             if (line != null) {
-                excerpt.add(line.text);
+                excerpt.add(line.text());
             }
         }
         Verdict found = new Verdict(Outcome.FAILED, rule, excerpt, List.of());
@@ -149,7 +108,7 @@
             int number = (int) line.number("number");
             switch (line.get("event")) {
                 case "start" -> open.put(number, line);
-                case "kill", "term" -> close(open.remove(number), line.us, line.get("event"));
+                case "kill", "term" -> close(open.remove(number), line.us(), line.get("event"));
                 default -> { }
             }
         }
@@ -169,9 +128,9 @@
         boolean guest = guest(number);
         String file = (guest ? "guest-" : "") + start.get("process");
         List<Line> begun = histories.getOrDefault(file, List.of()).stream()
-                .filter(l -> l.get("event").equals("started") && l.us >= start.us).toList();
+                .filter(l -> l.get("event").equals("started") && l.us() >= start.us()).toList();
         String boot = begun.isEmpty() ? "" : begun.get(0).get("boot");
-        lives.add(new Life(start.get("process"), number, boot, start.us, untilUs, end, guest));
+        lives.add(new Life(start.get("process"), number, boot, start.us(), untilUs, end, guest));
     }
 
     private void findTroubles() {
@@ -190,17 +149,17 @@
                 case "cont" -> {
                     Line from = stopped.remove(process);
                     if (from != null) {
-                        troubles.add(new Trouble("STOP", process, from.us, line.us, line.us - from.us));
+                        troubles.add(new Trouble("STOP", process, from.us(), line.us(), line.us() - from.us()));
                     }
                 }
                 case "link" -> {
                     String kind = line.get("kind");
                     boolean all = Set.of("CUT", "LOSS", "REPEAT", "REORDER").contains(kind);
-                    troubles.add(new Trouble(kind, all ? "" : "g" + line.number("who"), line.us, line.number("until_us"),
+                    troubles.add(new Trouble(kind, all ? "" : "g" + line.number("who"), line.us(), line.number("until_us"),
                             line.number("amount")));
                     if (kind.equals("PAIR")) {
                         troubles.add(new Trouble(kind, "g" + (line.number("who") + 1) % trial.get(0).number("processes"),
-                                line.us, line.number("until_us"), 0));
+                                line.us(), line.number("until_us"), 0));
                     }
                 }
                 default -> { }
@@ -235,7 +194,7 @@
     // ---- The machine ----
 
     private Verdict slow() throws IOException {
-        Line end = one("end");
+        Line end = Lines.one(trial, "end");
         if (end.number("late_us") > SLOW_US) {
             return new Verdict(Outcome.INCONCLUSIVE, "too slow: the harness was " + end.number("late_us") / 1000
                     + " ms late", List.of(), List.of());
@@ -244,14 +203,14 @@
             for (Line line : history.getValue()) {
                 boolean asked = troubles.stream().anyMatch(t -> t.process.equals(line.get("process"))
                         && (t.kind.equals("STOP") || t.kind.equals("START"))
-                        && t.within(line.us - line.number("us") - SLACK_US, line.us));
+                        && t.within(line.us() - line.number("us") - SLACK_US, line.us()));
                 if (line.get("event").equals("stalled") && line.number("us") > SLOW_US && !asked) {
                     return new Verdict(Outcome.INCONCLUSIVE, "too slow: " + history.getKey() + " was "
-                            + line.number("us") / 1000 + " ms late", List.of(line.text), List.of());
+                            + line.number("us") / 1000 + " ms late", List.of(line.text()), List.of());
                 }
                 if (line.number("dropped") > 0) {
                     return new Verdict(Outcome.INCONCLUSIVE, "too slow: " + history.getKey() + " dropped "
-                            + line.number("dropped") + " lines of its history", List.of(line.text), List.of());
+                            + line.number("dropped") + " lines of its history", List.of(line.text()), List.of());
                 }
             }
         }
@@ -275,20 +234,20 @@
                     continue;
                 }
                 Line first = views(other.process).stream().filter(l -> l.get("boot").equals(ended.boot)
-                        && GONE.contains(l.get("state")) && l.us >= ended.untilUs).findFirst().orElse(null);
-                if (first == null || first.us > bound) {
+                        && GONE.contains(l.get("state")) && l.us() >= ended.untilUs).findFirst().orElse(null);
+                if (first == null || first.us() > bound) {
                     breaks(other.process + " did not hold " + ended.process + " to be gone within "
                             + (detectUs + SLACK_US) / 1000 + " ms of its end", doing(ended.end, ended.process, ended.untilUs),
                             first);
                 } else {
-                    detected.add(first.us - ended.untilUs);
+                    detected.add(first.us() - ended.untilUs);
                 }
             }
         }
     }
 
     private Line doing(String event, String process, long us) {
-        return trial.stream().filter(l -> l.get("event").equals(event) && l.get("process").equals(process) && l.us == us)
+        return trial.stream().filter(l -> l.get("event").equals(event) && l.get("process").equals(process) && l.us() == us)
                 .findFirst().orElse(null);
     }
 
@@ -297,10 +256,10 @@
         for (String process : histories.keySet()) {
             for (Line line : views(process)) {
                 Life of = lives.stream().filter(l -> l.boot.equals(line.get("boot"))).findFirst().orElse(null);
-                long from = line.us - silenceUs - SLACK_US;
-                if (line.get("state").equals("FAILED") && of != null && !of.guest && of.up(line.us) && of.fromUs < from
-                        && !troubled(of.process, from, line.us, true)
-                        && !troubled(line.get("process"), from, line.us, true)) {
+                long from = line.us() - silenceUs - SLACK_US;
+                if (line.get("state").equals("FAILED") && of != null && !of.guest && of.up(line.us()) && of.fromUs < from
+                        && !troubled(of.process, from, line.us(), true)
+                        && !troubled(line.get("process"), from, line.us(), true)) {
                     breaks(process + " held " + of.process + " to be failed while it ran", line);
                 }
             }
@@ -314,7 +273,7 @@
                 continue;
             }
             Life life = life(stop.process, stop.untilUs);
-            Line next = histories.getOrDefault(stop.process, List.of()).stream().filter(l -> l.us > stop.untilUs
+            Line next = histories.getOrDefault(stop.process, List.of()).stream().filter(l -> l.us() > stop.untilUs
                     && !l.get("event").equals("stalled") && !l.get("event").equals("said")).findFirst().orElse(null);
             boolean first = next != null && next.get("member").equals(stop.process) && next.get("state").equals("JOINING");
             if (life != null && life.untilUs > stop.untilUs + SLACK_US && !first) {
@@ -350,7 +309,7 @@
                 }
                 String boot = line.get("boot");
                 Life of = lives.stream().filter(l -> l.boot.equals(boot)).findFirst().orElse(null);
-                boolean over = of != null && line.us > of.untilUs + SLACK_US;
+                boolean over = of != null && line.us() > of.untilUs + SLACK_US;
                 if (GONE.contains(line.get("state")) && !line.get("cause").equals("nobody is heard here")) {
                     gone.put(boot, line);
                 } else if (over && THERE.contains(line.get("state")) && gone.containsKey(boot)) {
@@ -369,11 +328,11 @@
             List<Line> own = views("guest-" + guest.process);
             Line joined = own.stream().filter(l -> l.get("member").equals(guest.process)
                     && l.get("state").equals("ALIVE")).findFirst().orElse(null);
-            Life holder = joined == null ? null : life(guest.process, joined.us);
-            Line after = joined == null ? null : own.stream().filter(l -> l.us > joined.us
+            Life holder = joined == null ? null : life(guest.process, joined.us());
+            Line after = joined == null ? null : own.stream().filter(l -> l.us() > joined.us()
                     && l.get("member").equals(guest.process)).findFirst().orElse(null);
-            boolean both = holder != null && (after == null ? guest.untilUs : after.us) - joined.us > SLACK_US;
-            if (both && !troubled(guest.process, joined.us - silenceUs, joined.us + SLACK_US, true)) {
+            boolean both = holder != null && (after == null ? guest.untilUs : after.us()) - joined.us() > SLACK_US;
+            if (both && !troubled(guest.process, joined.us() - silenceUs, joined.us() + SLACK_US, true)) {
                 breaks("two processes were " + guest.process + " at one time", joined, after);
             }
             boolean stranger = guest.process.equals("stranger");
@@ -406,7 +365,7 @@
                 if (line.get("event").equals("started")) {
                     last.clear();
                 }
-                if (line.get("event").equals("view") && line.us <= at) {
+                if (line.get("event").equals("view") && line.us() <= at) {
                     last.put(line.get("member"), line);
                 }
             }
--- a/src/main/java/petrelstand/lab/check/RulesCheck.java
+++ b/src/main/java/petrelstand/lab/check/RulesCheck.java
@@ -3,7 +3,6 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import com.google.gson.JsonSyntaxException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
+import petrelstand.lab.check.Lines.Line;
 import petrelstand.lab.check.Verdict.Outcome;
 
 /**
@@ -32,21 +32,11 @@
     static final long SETTLE_US = 8_000_000;
     private static final long NEVER_US = Long.MAX_VALUE / 2;
 
-    private record Line(String text, JsonObject json, long us) {
-        String get(String key) {
-            return json.has(key) ? json.get(key).getAsString() : "";
-        }
-
-        long number(String key) {
-            return json.has(key) ? json.get(key).getAsLong() : 0;
-        }
-    }
-
     /** A stretch in which a process acted on a version under a lease. */
     private record Act(String process, long version, JsonObject limits, long fromUs, long untilUs, Line line) {}
 
-    private final List<Line> trial = new ArrayList<>();
-    private final Map<String, List<Line>> histories = new TreeMap<>();
+    private final List<Line> trial;
+    private final Map<String, List<Line>> histories;
     private final Map<String, JsonObject> pages = new TreeMap<>();
     private final List<Act> acts = new ArrayList<>();
     private final List<Long> contradictions = new ArrayList<>();
@@ -57,21 +47,20 @@
     private Verdict broken;
 
     private RulesCheck(Path folder) throws IOException {
-        trial.addAll(read(folder.resolve("trial.jsonl")));
+        trial = Lines.read(folder.resolve("trial.jsonl"));
+        histories = Lines.histories(folder);
+        histories.keySet().removeIf(name -> name.startsWith("guest"));
         try (Stream<Path> files = Files.list(folder)) {
             for (Path file : files.sorted().toList()) {
                 String name = file.getFileName().toString();
-                if (name.startsWith("history-") && name.endsWith(".jsonl") && !name.contains("guest")) {
-                    histories.put(name.substring("history-".length(), name.length() - ".jsonl".length()), read(file));
-                } else if (name.startsWith("rules-") && name.endsWith(".json")) {
+                if (name.startsWith("rules-") && name.endsWith(".json")) {
                     pages.put(name, JsonParser.parseString(Files.readString(file)).getAsJsonObject());
                 }
             }
         }
-        Line end = trial.stream().filter(l -> l.get("event").equals("end")).findFirst()
-                .orElseThrow(() -> new IOException("the trial did not end"));
+        Line end = Lines.one(trial, "end");
         promiseUs = trial.get(0).number("promise_us");
-        endUs = end.us;
+        endUs = end.us();
         calmUs = end.number("calm_us");
         findActs();
     }
@@ -95,27 +84,12 @@
                 check.took, check.contradictions);
     }
 
-    private static List<Line> read(Path file) throws IOException {
-        List<Line> lines = new ArrayList<>();
-        List<String> texts = Files.readAllLines(file);
-        for (int i = 0; i < texts.size(); i++) {
-            try {
-                JsonObject json = JsonParser.parseString(texts.get(i)).getAsJsonObject();
-                lines.add(new Line(file.getFileName() + ":" + (i + 1) + " " + texts.get(i), json,
-                        json.has("mono_us") ? json.get("mono_us").getAsLong() : 0));
-            } catch (JsonSyntaxException | IllegalStateException e) {
-                // A process that was killed in the middle of a line.
-            }
-        }
-        return lines;
-    }
-
     private void breaks(String rule, Line... lines) {
         if (broken == null) {
             List<String> excerpt = new ArrayList<>();
             for (Line line : lines) {
                 if (line != null) {
-                    excerpt.add(line.text);
+                    excerpt.add(line.text());
                 }
             }
             broken = new Verdict(Outcome.FAILED, rule, excerpt, List.of());
@@ -134,15 +108,15 @@
                     continue;
                 }
                 switch (line.get("event")) {
-                    case "stop" -> stoppedUs = line.us;
+                    case "stop" -> stoppedUs = line.us();
                     case "cont" -> {
-                        away.add(new long[] {stoppedUs, line.us + TURN_US});
+                        away.add(new long[] {stoppedUs, line.us() + TURN_US});
                         stoppedUs = -1;
                     }
-                    case "kill", "term" -> downUs = line.us;
+                    case "kill", "term" -> downUs = line.us();
                     case "start" -> {
                         if (downUs >= 0) {
-                            away.add(new long[] {downUs, line.us});
+                            away.add(new long[] {downUs, line.us()});
                         }
                         downUs = -1;
                     }
@@ -157,13 +131,13 @@
                 boolean rules = line.get("event").equals("rules");
                 if (rules || line.get("event").equals("started") || line.get("event").equals("ended")) {
                     if (acting != null) {
-                        add(process, acting, acting.us, line.us, away);
+                        add(process, acting, acting.us(), line.us(), away);
                     }
                     acting = rules && line.get("mode").equals("LEASED") ? line : null;
                 }
             }
             if (acting != null) {
-                add(process, acting, acting.us, endUs, away);
+                add(process, acting, acting.us(), endUs, away);
             }
         }
     }
@@ -182,7 +156,7 @@
                 return;
             }
         }
-        acts.add(new Act(process, line.number("version"), line.json.getAsJsonObject("limits"), from, until, line));
+        acts.add(new Act(process, line.number("version"), line.json().getAsJsonObject("limits"), from, until, line));
     }
 
     private Verdict slow() {
@@ -198,14 +172,14 @@
         for (Map.Entry<String, List<Line>> history : histories.entrySet()) {
             long startedUs = 0;
             for (Line line : history.getValue()) {
-                startedUs = line.get("event").equals("started") ? line.us : startedUs;
-                long us = line.us;
+                startedUs = line.get("event").equals("started") ? line.us() : startedUs;
+                long us = line.us();
                 boolean asked = us - startedUs < 5_000_000 || trial.stream().anyMatch(l -> l.get("event").equals("cont")
-                        && l.get("process").equals(history.getKey()) && Math.abs(us - l.us) < SLACK_US);
+                        && l.get("process").equals(history.getKey()) && Math.abs(us - l.us()) < SLACK_US);
                 if (line.get("event").equals("stalled") && line.number("us") > SLOW_US && !asked
                         || line.number("dropped") > 0) {
                     return new Verdict(Outcome.INCONCLUSIVE, "too slow: " + history.getKey() + " was "
-                            + line.number("us") / 1000 + " ms late", List.of(line.text), List.of());
+                            + line.number("us") / 1000 + " ms late", List.of(line.text()), List.of());
                 }
             }
         }
@@ -361,9 +335,7 @@
                 continue;
             }
             long proposedUs = trial.stream().filter(l -> l.get("event").equals("proposed")
-                    && l.number("change") == line.number("change")).mapToLong(Line::us).findFirst().orElse(line.us);
-            List<Long> begun = acts.stream().filter(a -> a.version == line.number("version")).mapToLong(a -> a.fromUs)
-                    .boxed().toList();
+                    && l.number("change") == line.number("change")).mapToLong(Line::us).findFirst().orElse(line.us());
             long processes = acts.stream().filter(a -> a.version == line.number("version")).map(Act::process).distinct()
                     .count();
             if (processes == histories.size()) {
@@ -371,8 +343,6 @@
                 acts.stream().filter(a -> a.version == line.number("version")).forEach(a ->
                         each.merge(a.process, a.fromUs, Math::min));
                 took.add(each.values().stream().mapToLong(Long::longValue).max().orElse(0) - proposedUs);
-            } else if (begun.isEmpty()) {
-                continue;
             }
         }
     }
--- a/src/main/java/petrelstand/lab/faults/FleetSim.java
+++ b/src/main/java/petrelstand/lab/faults/FleetSim.java
@@ -6,10 +6,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import petrelstand.lab.VirtualTime;
 import petrelstand.members.Change;
 import petrelstand.members.Member;
 import petrelstand.members.MemberState;
@@ -31,13 +31,6 @@
     /** What a process saw change, for the checks and measurements. */
     public record Seen(int process, long boot, Change change) {}
 
-    private record Event(long atUs, long order, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
-        }
-    }
-
     private static final String FLEET = "lab";
     private static final long LEAST_DELAY_US = 150;
 
@@ -59,10 +52,10 @@
             long of = ++life;
             waiting.clear();
             long boot = random.nextLong();
-            Member self = new Member(name(number), boot, 1_000_000 + nowUs, address(number), MemberState.JOINING, "",
-                    nowUs / 1000, "lab", List.of());
-            module = maker.make(nowUs, self, seeds, random.nextLong(), this);
-            at(nowUs + random.nextLong(Timing.TICK_US), () -> tick(of));
+            Member self = new Member(name(number), boot, 1_000_000 + time.nowUs(), address(number), MemberState.JOINING, "",
+                    time.nowUs() / 1000, "lab", List.of());
+            module = maker.make(time.nowUs(), self, seeds, random.nextLong(), this);
+            at(time.nowUs() + random.nextLong(Timing.TICK_US), () -> tick(of));
         }
 
         private void tick(long of) {
@@ -71,18 +64,18 @@
             }
             if (!stopped) {
                 drain();
-                module.tick(nowUs);
+                module.tick(time.nowUs());
                 if (module.ended()) {
                     up = false;
                     return;
                 }
             }
-            at(nowUs + Timing.TICK_US, () -> tick(of));
+            at(time.nowUs() + Timing.TICK_US, () -> tick(of));
         }
 
         private void drain() {
             while (!waiting.isEmpty()) {
-                module.receive(nowUs, waiting.poll());
+                module.receive(time.nowUs(), waiting.poll());
             }
         }
 
@@ -117,12 +110,10 @@
     private final List<String> seeds = new ArrayList<>();
     private final Map<String, Integer> addresses = new HashMap<>();
     private final List<Process> processes = new ArrayList<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final VirtualTime time = new VirtualTime();
     private final Links links;
     private final List<Seen> seen = new ArrayList<>();
     private final Map<String, Long> counts = new TreeMap<>();
-    private long nowUs = 1;
-    private long order;
     private long sent;
     private double loss;
 
@@ -157,21 +148,16 @@
     }
 
     private void at(long us, Runnable action) {
-        events.add(new Event(us, order++, action));
+        time.at(us, action);
     }
 
     /** Plays on to a time. */
     public void run(long untilUs) {
-        while (!events.isEmpty() && events.peek().atUs() <= untilUs) {
-            Event event = events.poll();
-            nowUs = Math.max(nowUs, event.atUs());
-            event.action().run();
-        }
-        nowUs = Math.max(nowUs, untilUs);
+        time.run(untilUs);
     }
 
     public long nowUs() {
-        return nowUs;
+        return time.nowUs();
     }
 
     /** Messages sent by all so far. */
@@ -202,9 +188,9 @@
         if (to < 0 || loss > 0 && random.nextDouble() < loss) {
             return;
         }
-        for (long later : links.delays(from, to, nowUs)) {
+        for (long later : links.delays(from, to, time.nowUs())) {
             double queued = -Math.log(1 - random.nextDouble()) * 200;
-            at(nowUs + later + LEAST_DELAY_US + (long) queued, () -> deliver(from, to, message));
+            at(time.nowUs() + later + LEAST_DELAY_US + (long) queued, () -> deliver(from, to, message));
         }
     }
 
@@ -218,7 +204,7 @@
                 process.waiting.add(message);
             }
         } else {
-            process.module.receive(nowUs, message);
+            process.module.receive(time.nowUs(), message);
         }
     }
 
@@ -239,18 +225,18 @@
             }
             case TERM -> {
                 if (process.up && !process.stopped) {
-                    process.module.leave(nowUs);
+                    process.module.leave(time.nowUs());
                     again(process, fault);
                 }
             }
             case STOP -> {
                 long life = process.life;
                 process.stopped = true;
-                at(nowUs + fault.lengthUs(), () -> process.stopped &= process.life != life);
+                at(time.nowUs() + fault.lengthUs(), () -> process.stopped &= process.life != life);
             }
             default -> {
                 if (fault.kind().ofLinks()) {
-                    links.begin(fault, nowUs + fault.lengthUs());
+                    links.begin(fault, time.nowUs() + fault.lengthUs());
                 }
             }
         }
@@ -259,7 +245,7 @@
     private void again(Process process, FleetPlan.Fault fault) {
         if (fault.lengthUs() > 0) {
             long life = process.life;
-            at(nowUs + Math.max(fault.lengthUs(), 300_000), () -> {
+            at(time.nowUs() + Math.max(fault.lengthUs(), 300_000), () -> {
                 if (process.life == life) {
                     process.start();
                 }
@@ -289,12 +275,12 @@
 
     /** Plays on until a condition holds, looked at every 10 ms; the time it took, or -1 where it did not by then. */
     public long until(Predicate<FleetSim> condition, long mostUs) {
-        long from = nowUs;
-        while (nowUs - from <= mostUs) {
+        long from = time.nowUs();
+        while (time.nowUs() - from <= mostUs) {
             if (condition.test(this)) {
-                return nowUs - from;
+                return time.nowUs() - from;
             }
-            run(nowUs + 10_000);
+            run(time.nowUs() + 10_000);
         }
         return -1;
     }
--- a/src/main/java/petrelstand/lab/rules/RulesSim.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +22,7 @@
 import petrelstand.consensus.RaftFiles;
 import petrelstand.consensus.Voter;
 import petrelstand.consensus.Wire;
+import petrelstand.lab.VirtualTime;
 import petrelstand.lab.faults.FleetPlan;
 import petrelstand.lab.faults.Links;
 import petrelstand.store.StateFault;
@@ -54,13 +54,6 @@
         }
     };
 
-    private record Event(long atUs, long order, Runnable action) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
-        }
-    }
-
     private static final long TICK_US = 50_000;
     private static final long LEAST_DELAY_US = 150;
     private static final int MOST_WAITING = 200;
@@ -94,7 +87,7 @@
 
         /** This process's own clock: another start, and a rate that drifts. */
         long clock() {
-            return offsetUs + (long) (nowUs * rate);
+            return offsetUs + (long) (time.nowUs() * rate);
         }
 
         void start() {
@@ -115,10 +108,10 @@
                         vote();
                     }
                 } catch (IOException | StateFault e) {
-                    broken = broken.isEmpty() ? name + " could not read its own folder: " + e.getMessage() : broken;
+                    breaks(name + " could not read its own folder: " + e.getMessage());
                 }
             }
-            at(nowUs + random.nextLong(TICK_US), () -> tick(of));
+            at(time.nowUs() + random.nextLong(TICK_US), () -> tick(of));
         }
 
         private void vote() {
@@ -145,7 +138,7 @@
                 }
                 look(this);
             }
-            at(nowUs + TICK_US, () -> tick(of));
+            at(time.nowUs() + TICK_US, () -> tick(of));
         }
 
         /** Runs something of this life now, or once it goes on. */
@@ -176,7 +169,7 @@
         @Override
         public void execute(Runnable task) {
             long of = life;
-            at(nowUs, () -> run(of, task));
+            at(time.nowUs(), () -> run(of, task));
         }
 
         @Override
@@ -187,7 +180,7 @@
         @Override
         public void schedule(Runnable task, long delay, TimeUnit unit) {
             long of = life;
-            at(nowUs + (long) (unit.toMicros(delay) / rate), () -> run(of, task));
+            at(time.nowUs() + (long) (unit.toMicros(delay) / rate), () -> run(of, task));
         }
 
         @Override
@@ -251,12 +244,10 @@
     private final int mayVote;
     private final Map<String, Process> processes = new TreeMap<>();
     private final List<Process> byNumber = new ArrayList<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final VirtualTime time = new VirtualTime();
     private final Links links;
     private final Map<String, Long> counts = new TreeMap<>();
     private final Holder.Acting[] acting;
-    private long nowUs = 1;
-    private long order;
     private String broken = "";
     // Proposals of the day's own operator.
     private long proposal;
@@ -303,27 +294,22 @@
     }
 
     private void at(long us, Runnable action) {
-        events.add(new Event(us, order++, action));
+        time.at(us, action);
     }
 
     /** Plays on to a time, or until a promise is broken. */
     public void run(long untilUs) {
-        while (!events.isEmpty() && events.peek().atUs() <= untilUs && broken.isEmpty()) {
-            Event event = events.poll();
-            nowUs = Math.max(nowUs, event.atUs());
-            event.action().run();
-        }
-        nowUs = Math.max(nowUs, untilUs);
+        time.run(untilUs);
     }
 
     public long nowUs() {
-        return nowUs;
+        return time.nowUs();
     }
 
     private void carry(Process from, String to, Parcel parcel) {
         Process there = processes.get(to);
         if (to.equals("operator")) {
-            at(nowUs + LEAST_DELAY_US, () -> answered(parcel.talk()));
+            at(time.nowUs() + LEAST_DELAY_US, () -> answered(parcel.talk()));
         }
         if (there == null) {
             return;
@@ -334,17 +320,17 @@
         counts.merge("longest", (long) bytes.length, Math::max);
         if (from == there) {
             long of = there.life;
-            at(nowUs + 1, () -> there.run(of, () -> there.receive(from.name, parcel)));
+            at(time.nowUs() + 1, () -> there.run(of, () -> there.receive(from.name, parcel)));
             return;
         }
-        for (long later : links.delays(from.number, there.number, nowUs)) {
+        for (long later : links.delays(from.number, there.number, time.nowUs())) {
             long queued = (long) (-Math.log(1 - random.nextDouble()) * 200);
-            at(nowUs + later + LEAST_DELAY_US + queued, () -> {
+            at(time.nowUs() + later + LEAST_DELAY_US + queued, () -> {
                 try {
                     Parcel come = Wire.decode(bytes);
                     there.run(there.life, () -> there.receive(from.name, come));
                 } catch (IOException e) {
-                    broken = "a parcel could not be read back: " + e.getMessage();
+                    breaks("a parcel could not be read back: " + e.getMessage());
                 }
             });
         }
@@ -366,7 +352,7 @@
                 process.end();
                 if (fault.lengthUs() > 0) {
                     long life = process.life;
-                    at(nowUs + fault.lengthUs(), () -> {
+                    at(time.nowUs() + fault.lengthUs(), () -> {
                         if (process.life == life) {
                             process.start();
                         }
@@ -379,7 +365,7 @@
                     process.stopped = true;
                     acting[process.number] = null;
                     compare(process.number);
-                    at(nowUs + fault.lengthUs(), () -> {
+                    at(time.nowUs() + fault.lengthUs(), () -> {
                         if (process.life == life && process.stopped) {
                             process.goOn();
                         }
@@ -388,7 +374,7 @@
             }
             default -> {
                 if (fault.kind().ofLinks()) {
-                    links.begin(fault, nowUs + fault.lengthUs());
+                    links.begin(fault, time.nowUs() + fault.lengthUs());
                 }
             }
         }
@@ -398,7 +384,7 @@
 
     /** Proposes a new version whenever the one before is settled, from now on, a pause after it. */
     public void proposeEvery(long pauseUs) {
-        at(nowUs, () -> propose(pauseUs));
+        at(time.nowUs(), () -> propose(pauseUs));
     }
 
     /** Proposes a new version at each of some moments, and again until it is taken. */
@@ -420,10 +406,10 @@
     private void order(long id, String verb, String name) {
         if (!ordersDone.contains(id)) {
             for (Process there : byNumber.subList(0, mayVote)) {
-                at(nowUs + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator", new Parcel("lab",
+                at(time.nowUs() + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator", new Parcel("lab",
                         "operator", "operator", 0, null, new Talk.Order(id, verb, 0, name, "operator", "day")))));
             }
-            at(nowUs + 1_000_000, () -> order(id, verb, name));
+            at(time.nowUs() + 1_000_000, () -> order(id, verb, name));
         }
     }
 
@@ -440,23 +426,23 @@
 
     private void propose(long pauseUs) {
         boolean settled = proposal == 0;
-        if (settled || nowUs - proposedUs > 2_000_000) {
+        if (settled || time.nowUs() - proposedUs > 2_000_000) {
             if (settled) {
                 proposal = random.nextLong() | 1;
-                proposedUs = nowUs;
+                proposedUs = time.nowUs();
             }
             // Asked of every voter: whoever leads takes it.
             String text = "[fleet]\ngateways = 2\n[limit basic]\nunits = " + (base + 1) + "\nfloor = 0\n";
             Talk.Offer offer = new Talk.Offer(proposal, base, "operator", "day", proposedUs / 1000, 0, 1, text);
             for (Process there : byNumber.subList(0, mayVote)) {
-                at(nowUs + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator",
+                at(time.nowUs() + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator",
                         new Parcel("lab", "operator", "operator", 0, null, offer))));
             }
         }
         if (pauseUs > 0) {
-            at(nowUs + pauseUs, () -> propose(pauseUs));
+            at(time.nowUs() + pauseUs, () -> propose(pauseUs));
         } else if (proposal != 0) {
-            at(nowUs + 700_000, () -> {
+            at(time.nowUs() + 700_000, () -> {
                 if (proposal != 0) {
                     propose(0);
                 }
@@ -472,7 +458,7 @@
             return;
         }
         if (taken.fault().isEmpty()) {
-            acknowledged.put(taken.version(), nowUs);
+            acknowledged.put(taken.version(), time.nowUs());
             proposedAtUs.put(taken.version(), proposedUs);
             base = taken.version();
         } else if (taken.fault().startsWith("it is based on")) {
@@ -483,6 +469,12 @@
 
     // ---- What is checked ----
 
+    /** The first fault ends the day. */
+    private void breaks(String fault) {
+        broken = broken.isEmpty() ? fault : broken;
+        time.end();
+    }
+
     /** What a process acts on now, as a decision at this moment would find it. */
     private void look(Process process) {
         if (!process.up || process.stopped) {
@@ -498,8 +490,6 @@
             if (now.version() > firstActedVersion) {
                 firstActedVersion = now.version();
                 unconfirmed(process, now.version());
-            } else if (!acknowledged.isEmpty() && !process.holder.acting(process.clock()).equals(now)) {
-                broken = "two answers at one moment";
             }
         }
         compare(process.number);
@@ -514,9 +504,9 @@
             }
             Holder.Acting there = other.holder.acting(other.clock());
             boolean old = there.mode() == Holder.Mode.LEASED && there.version() < version;
-            if (old && other.holder.prepared() < version && broken.isEmpty()) {
-                broken = first.name + " acted on version " + version + " while " + other.name
-                        + " acted on version " + there.version() + " and had not confirmed it";
+            if (old && other.holder.prepared() < version) {
+                breaks(first.name + " acted on version " + version + " while " + other.name
+                        + " acted on version " + there.version() + " and had not confirmed it");
             }
         }
     }
@@ -531,12 +521,12 @@
                     && a.version() != b.version() && !a.rules().contradictions(b.rules()).isEmpty();
             Long since = contradictsSinceUs.get(pair);
             if (contradicts && since == null) {
-                contradictsSinceUs.put(pair, nowUs);
-                at(nowUs + promise.withinUs(), () -> still(pair, nowUs));
+                contradictsSinceUs.put(pair, time.nowUs());
+                at(time.nowUs() + promise.withinUs(), () -> still(pair, time.nowUs()));
             } else if (!contradicts && since != null) {
                 contradictsSinceUs.remove(pair);
-                contradictions.add(nowUs - since);
-                longestUs = Math.max(longestUs, nowUs - since);
+                contradictions.add(time.nowUs() - since);
+                longestUs = Math.max(longestUs, time.nowUs() - since);
             }
         }
     }
@@ -544,10 +534,10 @@
     /** A contradiction that began a promise's time ago: a stopped process does not act, so it is looked at anew. */
     private void still(int pair, long at) {
         Long since = contradictsSinceUs.get(pair);
-        if (since != null && at - since >= promise.withinUs() && broken.isEmpty()) {
-            broken = name(pair / byNumber.size()) + " and " + name(pair % byNumber.size()) + " contradict each other for "
+        if (since != null && at - since >= promise.withinUs()) {
+            breaks(name(pair / byNumber.size()) + " and " + name(pair % byNumber.size()) + " contradict each other for "
                     + (at - since) / 1000 + " ms: versions " + acting[pair / byNumber.size()].version() + " and "
-                    + acting[pair % byNumber.size()].version();
+                    + acting[pair % byNumber.size()].version());
         }
     }
 
@@ -562,7 +552,7 @@
                 return;
             }
         }
-        actedByAllUs.put(version, nowUs);
+        actedByAllUs.put(version, time.nowUs());
     }
 
     /** The promise that was broken, in one line, or nothing. */
