Trial processes serve on loopback addresses of their own, so that no outgoing port is in their way

Seen: one of some fifteen trials ended at the start of a process: 'cannot listen on 127.0.0.1:38695: Address already in use'. The port was chosen by binding to 0 on 127.0.0.1 and letting go, and an outgoing connection, whose ports are drawn on the same address, had taken it before the process began. Each process now has 127.0.1.N for clients too, where nothing else draws ports.

--- a/src/main/java/petrelstand/lab/faults/FaultTrial.java
+++ b/src/main/java/petrelstand/lab/faults/FaultTrial.java
@@ -53,9 +53,11 @@
             this.listen = listen;
             this.keyFile = keyFile;
             this.folder = trial.resolve("folder-" + name + (number < scenario.processes() ? "" : "-" + number));
+            // An address of its own: connections that go out take their ports on the usual one, and one of them would
+            // have this one's between two lives.
             try (ServerSocket free = new ServerSocket()) {
-                free.bind(new InetSocketAddress(HOST, 0));
-                serve = HOST + ":" + free.getLocalPort();
+                free.bind(new InetSocketAddress(own(number), 0));
+                serve = own(number) + ":" + free.getLocalPort();
             }
         }
 
@@ -157,7 +159,7 @@
                 || f.kind() == FleetPlan.Kind.STRANGER).count();
         List<InetSocketAddress> real = new ArrayList<>();
         for (int i = 0; i < scenario.processes() + guests; i++) {
-            try (DatagramChannel free = DatagramChannel.open().bind(new InetSocketAddress("127.0.1." + (i + 1), 0))) {
+            try (DatagramChannel free = DatagramChannel.open().bind(new InetSocketAddress(own(i), 0))) {
                 real.add((InetSocketAddress) free.getLocalAddress());
             }
         }
@@ -179,6 +181,10 @@
         }
     }
 
+    private static String own(int number) {
+        return "127.0.1." + (number + 1);
+    }
+
     private String voters() {
         return String.join(" ", gateways.subList(0, scenario.voters()).stream().map(g -> g.name).toList());
     }
