--- a/src/main/java/petrelstand/RulesPart.java
+++ b/src/main/java/petrelstand/RulesPart.java
@@ -22,6 +22,7 @@
 import petrelstand.agreement.LimitGate;
 import petrelstand.agreement.OldCopy;
 import petrelstand.agreement.Proposer;
+import petrelstand.agreement.RuleBook;
 import petrelstand.agreement.Rules;
 import petrelstand.agreement.Talk;
 import petrelstand.config.GatewayConfig;
@@ -30,6 +31,7 @@
 import petrelstand.config.RulesText;
 import petrelstand.consensus.Parcel;
 import petrelstand.consensus.RaftFiles;
+import petrelstand.consensus.Recovery;
 import petrelstand.consensus.RulesPage;
 import petrelstand.consensus.Voter;
 import petrelstand.consensus.Wire;
@@ -89,6 +91,9 @@
     /** How far each other voter's store was heard to be. */
     private final Map<String, Long> generations = new HashMap<>();
     private OldCopy copy;
+    /** The epoch that this gateway's folder has versions of, -1 for none, and whether a later one was heard to have begun. */
+    private long votedEpoch = -1;
+    private boolean superseded;
     /** Ready to vote, and begins when a leader that was ordered to add it sends it something. */
     private boolean awaitsLeader;
     private long copyNonce;
@@ -138,6 +143,8 @@
         try {
             DiskFolder folder = new DiskFolder(config.folder());
             files = new RaftFiles(folder, log);
+            long newest = files.restored() == null ? 0 : new Recovery(files).book().newest();
+            votedEpoch = newest == 0 ? -1 : RuleBook.epoch(newest);
             kept = new KeptText(folder, log);
         } catch (StateFault e) {
             log.accept("this gateway does not vote: " + config.folder() + ": " + e.getMessage());
@@ -176,7 +183,7 @@
 
     /** Asks the other voters how far they have heard this one, until it may vote or must not. */
     private void recall() {
-        switch (left ? OldCopy.Verdict.REFUSE : copy.verdict(nowUs.getAsLong())) {
+        switch (left || superseded ? OldCopy.Verdict.REFUSE : copy.verdict(nowUs.getAsLong())) {
             case VOTE -> {
                 if (copy.answers() < copy.wanted()) {
                     log.accept("votes though only " + copy.answers() + " other voters answered in "
@@ -189,7 +196,7 @@
                 }
             }
             case REFUSE -> {
-                if (!left) {
+                if (!left && !superseded) {
                     log.accept("this gateway does not vote: its folder is an old copy, written " + files.generation()
                             + " times where others have heard of " + copy.highest());
                 }
@@ -197,7 +204,7 @@
             default -> {
                 for (String name : config.voters()) {
                     if (!name.equals(fleet.name())) {
-                        post(name, null, new Talk.Recall(copyNonce));
+                        post(name, heardEpoch(), null, new Talk.Recall(copyNonce));
                     }
                 }
                 timers.at(nowUs.getAsLong() + 2 * TICK_US, this::recall);
@@ -219,8 +226,10 @@
 
     private void turn() {
         try {
-            voter.tick();
-            changed();
+            if (voter != null) {
+                voter.tick();
+                changed();
+            }
         } catch (RuntimeException e) {
             log.accept("the voter's turn failed: " + e);
         }
@@ -245,7 +254,7 @@
     private final class FromFile implements Proposer.Actions {
         @Override
         public void send(String leader, Talk talk) {
-            asked(new Parcel(fleet.config().fleet(), ASKER, fleet.config().advertise(), 0, null, talk));
+            asked(new Parcel(fleet.config().fleet(), ASKER, fleet.config().advertise(), 0, 0, null, talk));
         }
 
         @Override
@@ -300,11 +309,12 @@
         }
         counters.add("rules.taken");
         Talk talk = parcel.talk();
+        laterEpoch(parcel.epoch());
         if (parcel.generation() > 0 && (generations.size() < MOST_VOTERS || generations.containsKey(parcel.from()))) {
             generations.merge(parcel.from(), parcel.generation(), Math::max);
         }
         if (talk instanceof Talk.Recall asked) {
-            post(parcel.from(), null, new Talk.Recalled(asked.nonce(), generations.getOrDefault(parcel.from(), 0L)));
+            post(parcel.from(), heardEpoch(), null, new Talk.Recalled(asked.nonce(), generations.getOrDefault(parcel.from(), 0L)));
         } else if (talk instanceof Talk.Recalled answer) {
             if (copy != null && answer.nonce() == copyNonce) {
                 copy.heard(parcel.from(), answer.generation());
@@ -314,7 +324,7 @@
                 awaitsLeader = false;
                 thread.execute(this::vote);
             }
-            toVoter(() -> voter.receive(parcel.raft()));
+            toVoter(() -> voter.receive(parcel.raft(), parcel.epoch()));
         } else if (talk instanceof Talk.Taken taken) {
             if (proposer != null) {
                 proposer.receive(nowUs.getAsLong(), taken);
@@ -328,6 +338,23 @@
         }
     }
 
+    /** Who has voted in an epoch that the operator ended takes no further part: its majority is not the fleet's. */
+    private void laterEpoch(long heard) {
+        RulesPage.Votes now = shown;
+        if (now != null && now.book().newest() > 0) {
+            votedEpoch = Math.max(votedEpoch, RuleBook.epoch(now.book().newest()));
+        }
+        if (votedEpoch >= 0 && heard > votedEpoch && !superseded) {
+            superseded = true;
+            log.accept("this gateway does not vote: epoch " + heard + " has begun, and its folder is of epoch " + votedEpoch);
+            Voter voting = voter;
+            voter = null;
+            if (voting != null) {
+                thread.execute(voting::stop);
+            }
+        }
+    }
+
     /** The command line asks whom it knows; who does not lead passes it on to who does, once. */
     private void asked(Parcel parcel) {
         RulesPage.Votes now = shown;
@@ -337,8 +364,8 @@
         if (leads) {
             toVoter(() -> voter.hear("@" + parcel.address(), parcel.talk()));
         } else if (parcel.from().equals(ASKER) && address != null && !leader.equals(fleet.name())) {
-            fleet.sendRules(address, Wire.encode(new Parcel(parcel.fleet(), PASSED_ON, parcel.address(), 0, null,
-                    parcel.talk())));
+            fleet.sendRules(address, Wire.encode(new Parcel(parcel.fleet(), PASSED_ON, parcel.address(), 0, 0,
+                    null, parcel.talk())));
         }
     }
 
@@ -350,16 +377,20 @@
             counters.add("rules.refused.full");
             return;
         }
-        execute(task);
+        execute(() -> {
+            if (voter != null) {
+                task.run();
+            }
+        });
     }
 
-    private void post(String to, RaftMessage raft, Talk talk) {
+    private void post(String to, long epoch, RaftMessage raft, Talk talk) {
         // What is asked before it votes tells nothing of a store that may be an old copy.
         long generation = files == null || voter == null ? 0 : files.generation();
         loop.execute(() -> {
             String address = to.startsWith("@") ? to.substring(1) : fleet.addressOf(to);
-            Parcel parcel = new Parcel(fleet.config().fleet(), fleet.name(), fleet.config().advertise(), generation, raft,
-                    talk);
+            Parcel parcel = new Parcel(fleet.config().fleet(), fleet.name(), fleet.config().advertise(), generation, epoch,
+                    raft, talk);
             if (to.equals(fleet.name())) {
                 take(parcel);
             } else if (address != null) {
@@ -368,19 +399,30 @@
         });
     }
 
+    /** The epoch of what this gateway heard to be acted on; for the loop. */
+    private long heardEpoch() {
+        return RuleBook.epoch(holder.heard()[0]);
+    }
+
+    /** On the voter's thread. */
+    private long ownEpoch() {
+        Voter now = voter;
+        return now == null ? 0 : now.epoch();
+    }
+
     @Override
     public void send(String to, RaftMessage message) {
-        post(to, message, null);
+        post(to, ownEpoch(), message, null);
     }
 
     @Override
     public void talk(String to, Talk talk) {
-        post(to, null, talk);
+        post(to, ownEpoch(), null, talk);
     }
 
     @Override
     public void send(String voterName, Talk talk) {
-        post(voterName, null, talk);
+        post(voterName, heardEpoch(), null, talk);
     }
 
     // ---- The voter's executor ----
@@ -402,7 +444,11 @@
 
     @Override
     public void submit(Runnable task) {
-        execute(task);
+        execute(() -> {
+            if (voter != null) {
+                task.run();
+            }
+        });
     }
 
     @Override
--- a/src/main/java/petrelstand/agreement/RuleBook.java
+++ b/src/main/java/petrelstand/agreement/RuleBook.java
@@ -17,6 +17,10 @@
 public final class RuleBook {
     /** Versions kept with their texts. */
     public static final int KEPT = 16;
+    /** A version's number is its epoch times this, and its place in the epoch. */
+    public static final long EPOCH = 1_000_000;
+    /** Of an epoch's number the part that is drawn. */
+    public static final int TAGS = 1000;
     static final int MOST_PROPOSALS = 4;
     static final int MOST_NAMES = 1024;
 
@@ -51,6 +55,11 @@
         return active;
     }
 
+    /** The epoch of a version: another one after each recovery by the operator. */
+    public static long epoch(long version) {
+        return version / EPOCH;
+    }
+
     /** The version that waits until all that act on the one before have confirmed it; 0 where none does. */
     public long waiting() {
         return waiting;
--- a/src/main/java/petrelstand/cli/RulesCommand.java
+++ b/src/main/java/petrelstand/cli/RulesCommand.java
@@ -15,16 +15,22 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.security.SecureRandom;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
 import java.util.concurrent.Callable;
 import petrelstand.agreement.Command;
 import petrelstand.agreement.Talk;
 import petrelstand.config.FleetConfig;
 import petrelstand.config.IniFile;
 import petrelstand.config.RulesText;
+import petrelstand.consensus.RaftFiles;
+import petrelstand.consensus.Recovery;
 import petrelstand.fleet.RulesClient;
+import petrelstand.store.DiskFolder;
+import petrelstand.store.StateFault;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -36,7 +42,7 @@
         subcommands = {RulesCommand.Check.class, RulesCommand.Show.class, RulesCommand.Diff.class,
             RulesCommand.History.class, RulesCommand.Who.class, RulesCommand.Propose.class, RulesCommand.Rollback.class,
             RulesCommand.Withdraw.class, RulesCommand.Forget.class, RulesCommand.AddVoter.class,
-            RulesCommand.RemoveVoter.class}, mixinStandardHelpOptions = true)
+            RulesCommand.RemoveVoter.class, RulesCommand.Recover.class}, mixinStandardHelpOptions = true)
 final class RulesCommand implements Runnable {
     private static final Duration PATIENCE = Duration.ofSeconds(3);
     private static final int REFUSED = 1;
@@ -506,4 +512,62 @@
             return order("forget", 0, name, name + " is forgotten");
         }
     }
+
+    /** Begins a new epoch from one voter's folder. */
+    @CommandLine.Command(name = "recover", description = "After a majority of voters is lost for ever: makes one former voter's"
+            + " folder the beginning of a new epoch, with that voter alone. First shows what the folder holds and a word; with"
+            + " --confirm WORD and the names of all other voters in --give-up it writes. Its gateway, and all former voters, must"
+            + " be ended.", mixinStandardHelpOptions = true)
+    static final class Recover implements Callable<Integer> {
+        @Parameters(paramLabel = "FOLDER", description = "the [rules] folder of a former voter, the one with the highest version")
+        private Path folder;
+        @Option(names = "--give-up", paramLabel = "NAMES", split = ",", description = "all other voters of the folder's group")
+        private List<String> givenUp = List.of();
+        @Option(names = "--confirm", paramLabel = "WORD", description = "the word that the first call showed")
+        private String word;
+        @Option(names = "--who", paramLabel = "NAME", description = "who does it; the user's name")
+        private String who;
+        @Option(names = "--why", paramLabel = "TEXT", required = true, description = "why, kept with the version")
+        private String why;
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            PrintWriter out = spec.commandLine().getOut();
+            PrintWriter err = spec.commandLine().getErr();
+            if (!Files.isDirectory(folder)) {
+                err.println(folder + " is not a folder");
+                return REFUSED;
+            }
+            try (DiskFolder disk = new DiskFolder(folder)) {
+                Recovery recovery = new Recovery(new RaftFiles(disk, out::println));
+                List<String> others = new ArrayList<>(recovery.voters());
+                others.remove(recovery.name());
+                out.println(folder + " is " + recovery.name() + "'s: acted on is version " + recovery.book().active()
+                        + ", the newest is " + recovery.book().newest() + "; the other voters are " + String.join(",", others)
+                        + "; the word is " + recovery.print());
+                if (word == null) {
+                    out.println("nothing was written");
+                    return NOT_ALL;
+                }
+                if (!word.equals(recovery.print()) || !new TreeSet<>(others).equals(new TreeSet<>(givenUp))) {
+                    err.println("not written: --confirm must be the word, and --give-up name the other voters, all of them");
+                    return REFUSED;
+                }
+                String name = who == null ? System.getProperty("user.name", "operator") : who;
+                long version = recovery.write(name.substring(0, Math.min(name.length(), Command.MOST_WHO)),
+                        why.substring(0, Math.min(why.length(), Command.MOST_WHY - 20)), System.currentTimeMillis(),
+                        new SecureRandom().nextInt());
+                out.println("version " + version + " is the first of a new epoch; start " + recovery.name()
+                        + ", then add the other voters with empty folders");
+                return 0;
+            } catch (IOException | StateFault e) {
+                err.println(folder + ": " + e.getMessage());
+                return REFUSED;
+            } finally {
+                out.flush();
+            }
+        }
+    }
 }
--- a/src/main/java/petrelstand/consensus/RaftFiles.java
+++ b/src/main/java/petrelstand/consensus/RaftFiles.java
@@ -302,6 +302,25 @@
         files++;
     }
 
+    /** Puts a snapshot, a term and one voter in the place of all that is there, in one step. */
+    void begin(String voter, RaftGroupMembersView view, int newTerm, long index, List<byte[]> pieces) throws IOException {
+        entries.clear();
+        chunks.clear();
+        pending.clear();
+        endpoint = voter;
+        voting = true;
+        members = view;
+        term = newTerm;
+        votedFor = null;
+        for (int i = 0; i < pieces.size(); i++) {
+            chunks.computeIfAbsent(index, n -> new TreeMap<>()).put(i, Wire.MODEL.createSnapshotChunkBuilder()
+                    .setIndex(index).setTerm(newTerm).setSnapshotChunkIndex(i).setSnapshotChunkCount(pieces.size())
+                    .setOperation(pieces.get(i)).setGroupMembersView(view).build());
+        }
+        putTogether();
+        folder.syncNames();
+    }
+
     private void write(List<Wire.Body> records) throws IOException {
         byte[] payload = Wire.array(to -> {
             to.writeStartArray();
--- a/src/main/java/petrelstand/consensus/Voter.java
+++ b/src/main/java/petrelstand/consensus/Voter.java
@@ -80,6 +80,7 @@
     };
     private String leader = "";
     private long term;
+    private long joined;
 
     /** Makes the leader's half of the leases; the usual one, but for tests that plant a defect. */
     public interface Maker {
@@ -132,9 +133,20 @@
         grantor.tick(nowUs.getAsLong());
     }
 
-    /** A voters' message; on any thread. */
-    public void receive(RaftMessage message) {
-        node.handle(message);
+    /** A voters' message, on the executor; one of another epoch is passed over. */
+    public void receive(RaftMessage message, long ofEpoch) {
+        if (book.newest() == 0) {
+            // It was just added, and learns from the first that writes to it.
+            joined = Math.max(joined, ofEpoch);
+        }
+        if (ofEpoch == epoch()) {
+            node.handle(message);
+        }
+    }
+
+    /** The epoch that it votes in. */
+    public long epoch() {
+        return book.newest() == 0 ? joined : RuleBook.epoch(book.newest());
     }
 
     // ---- MicroRaft's side ----
--- a/src/main/java/petrelstand/consensus/Wire.java
+++ b/src/main/java/petrelstand/consensus/Wire.java
@@ -81,6 +81,7 @@
             to.writeString(parcel.from());
             to.writeString(parcel.address());
             to.writeNumber(parcel.generation());
+            to.writeNumber(parcel.epoch());
             if (parcel.raft() != null) {
                 write(to, parcel.raft());
             } else {
@@ -101,9 +102,11 @@
             String name = from.text(MOST_NAME);
             String address = from.text(MOST_ADDRESS);
             long generation = from.whole();
+            long epoch = from.whole();
             int kind = from.count();
-            Parcel parcel = kind < 20 ? new Parcel(fleet, name, address, generation, raft(from, kind, new Name(name)), null)
-                    : new Parcel(fleet, name, address, generation, null, talk(from, kind));
+            Parcel parcel = kind < 20
+                    ? new Parcel(fleet, name, address, generation, epoch, raft(from, kind, new Name(name)), null)
+                    : new Parcel(fleet, name, address, generation, epoch, null, talk(from, kind));
             from.expect(JsonToken.END_ARRAY);
             from.end();
             return parcel;
--- a/src/main/java/petrelstand/fleet/RulesClient.java
+++ b/src/main/java/petrelstand/fleet/RulesClient.java
@@ -75,7 +75,7 @@
     }
 
     private Talk.Taken ask(Talk talk, long id) throws IOException {
-        byte[] datagram = seal.close(Seal.RULES, Wire.encode(new Parcel(fleet, NAME, own, 0, null, talk)));
+        byte[] datagram = seal.close(Seal.RULES, Wire.encode(new Parcel(fleet, NAME, own, 0, 0, null, talk)));
         for (InetSocketAddress gateway : gateways) {
             try {
                 socket.send(new DatagramPacket(datagram, datagram.length, gateway));
--- a/src/main/java/petrelstand/lab/rules/RulesSim.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -20,6 +20,7 @@
 import petrelstand.config.RulesText;
 import petrelstand.consensus.Parcel;
 import petrelstand.consensus.RaftFiles;
+import petrelstand.consensus.Recovery;
 import petrelstand.consensus.Voter;
 import petrelstand.consensus.Wire;
 import petrelstand.lab.VirtualTime;
@@ -185,17 +186,18 @@
 
         @Override
         public void send(String to, RaftMessage message) {
-            carry(this, to, new Parcel("lab", name, name, files.generation(), message, null));
+            carry(this, to, new Parcel("lab", name, name, files.generation(), voter.epoch(), message,
+                    null));
         }
 
         @Override
         public void talk(String to, Talk talk) {
-            carry(this, to, new Parcel("lab", name, name, files.generation(), null, talk));
+            carry(this, to, new Parcel("lab", name, name, files.generation(), voter.epoch(), null, talk));
         }
 
         @Override
         public void send(String to, Talk talk) {
-            carry(this, to, new Parcel("lab", name, name, 0, null, talk));
+            carry(this, to, new Parcel("lab", name, name, 0, 0, null, talk));
         }
 
         @Override
@@ -224,7 +226,7 @@
                     vote();
                 }
                 if (voter != null) {
-                    voter.receive(parcel.raft());
+                    voter.receive(parcel.raft(), parcel.epoch());
                 }
             } else if (parcel.talk() instanceof Talk.Renew || parcel.talk() instanceof Talk.Fetch
                     || parcel.talk() instanceof Talk.Offer || parcel.talk() instanceof Talk.Order) {
@@ -407,7 +409,7 @@
         if (!ordersDone.contains(id)) {
             for (Process there : byNumber.subList(0, mayVote)) {
                 at(time.nowUs() + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator", new Parcel("lab",
-                        "operator", "operator", 0, null, new Talk.Order(id, verb, 0, name, "operator", "day")))));
+                        "operator", "operator", 0, 0, null, new Talk.Order(id, verb, 0, name, "operator", "day")))));
             }
             at(time.nowUs() + 1_000_000, () -> order(id, verb, name));
         }
@@ -418,6 +420,20 @@
         return ordersDone.size();
     }
 
+    /** A process that is down has its folder made the beginning of a new epoch, and starts again. */
+    public void recover(int number, int drawn) throws IOException, StateFault {
+        Process process = byNumber.get(number);
+        base = new Recovery(new RaftFiles(process.folder.opened(), line -> { })).write("operator", "day",
+                time.nowUs() / 1000, drawn);
+        proposal = 0;
+        process.start();
+    }
+
+    /** The newest version that was acknowledged, or that a recovery made. */
+    public long newest() {
+        return base;
+    }
+
     /** Who votes, as the process that leads holds it; empty where none does. */
     public List<String> votersNow() {
         return byNumber.stream().filter(p -> p.up && p.voter != null && p.voter.grantor().leads()).findFirst()
@@ -432,11 +448,11 @@
                 proposedUs = time.nowUs();
             }
             // Asked of every voter: whoever leads takes it.
-            String text = "[fleet]\ngateways = 2\n[limit basic]\nunits = " + (base + 1) + "\nfloor = 0\n";
+            String text = "[fleet]\ngateways = 2\n[limit basic]\nunits = " + (base + 1) % RuleBook.EPOCH + "\nfloor = 0\n";
             Talk.Offer offer = new Talk.Offer(proposal, base, "operator", "day", proposedUs / 1000, 0, 1, text);
             for (Process there : byNumber.subList(0, mayVote)) {
                 at(time.nowUs() + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator",
-                        new Parcel("lab", "operator", "operator", 0, null, offer))));
+                        new Parcel("lab", "operator", "operator", 0, 0, null, offer))));
             }
         }
         if (pauseUs > 0) {
--- a/src/test/java/petrelstand/agreement/AgreementTest.java
+++ b/src/test/java/petrelstand/agreement/AgreementTest.java
@@ -83,6 +83,29 @@
         assertTrue(whole >= 15, whole + " of 25");
     }
 
+    /** Two of three voters are lost for ever; the third one's folder begins a new epoch, and others are added to it. */
+    @Test
+    void aMajorityThatIsLostForEverIsRecoveredByTheOperator() throws Exception {
+        RulesSim sim = new RulesSim(6, 3, 5, Promise.USUAL, 3, RulesSim.USUAL);
+        sim.arm(new FleetPlan(6, 3, 0, List.of(new FleetPlan.Fault(FleetPlan.Kind.KILL, 0, 10_000_000, 0, 0),
+                new FleetPlan.Fault(FleetPlan.Kind.KILL, 1, 10_000_000, 0, 0),
+                new FleetPlan.Fault(FleetPlan.Kind.KILL, 2, 25_000_000, 0, 0))));
+        sim.run(5_000_000);
+        sim.proposeEvery(500_000);
+        sim.run(24_000_000);
+        int before = sim.acknowledged();
+        assertTrue(before > 5 && !sim.settled(), before + " changes; without a majority all act on floors");
+        sim.run(26_000_000);
+        sim.recover(2, 42);
+        sim.orderAt(35_000_000, "add-voter", "g003");
+        sim.orderAt(40_000_000, "add-voter", "g004");
+        sim.run(60_000_000);
+        assertEquals("", sim.fault());
+        assertTrue(sim.acknowledged() > before + 10 && sim.settled(), sim.acknowledged() + " after " + before);
+        assertEquals(List.of("g002", "g003", "g004"), sim.votersNow());
+        assertTrue(sim.newest() > 1042 * RuleBook.EPOCH, "" + sim.newest());
+    }
+
     // ---- Planted mistakes ----
 
     /** The lease is counted from the answer, which may have been under way for any time. */
