A leader of voters that ends hands on; a version that a member can't load is shown to wait under leases

Need: after SIGTERM of the leader changes stood still for an election of 1 to 3 s; a task given to the voter's thread after its end would have thrown on the loop; the promise on kinds that a member does not know had no test. A leader transfers its lead through MicroRaft within 0.3 s and then ends; the thread's refusals after the end are passed over. A version that one gateway can't load waits 20 s, all five go on under leases on the one before, and the next one is acted on after its withdrawal.

--- a/src/main/java/petrelstand/RulesPart.java
+++ b/src/main/java/petrelstand/RulesPart.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -192,7 +193,7 @@
                 // One that is none of the first voters and was not added yet would only call elections that it can't win.
                 awaitsLeader = !config.voters().contains(fleet.name()) && files.restored() == null;
                 if (!awaitsLeader) {
-                    thread.execute(this::vote);
+                    execute(this::vote);
                 }
             }
             case REFUSE -> {
@@ -276,12 +277,12 @@
     /** SIGTERM: asks for no lease any more; a leader's successor is found by the others. */
     void leave() {
         left = true;
-        thread.execute(() -> {
+        execute(() -> {
             if (voter != null) {
-                voter.stop();
+                voter.leave();
             }
-            thread.shutdown();
         });
+        schedule(thread::shutdown, 2 * Voter.HAND_ON_MS, TimeUnit.MILLISECONDS);
     }
 
     // ---- What comes and goes ----
@@ -322,7 +323,7 @@
         } else if (parcel.raft() != null) {
             if (awaitsLeader) {
                 awaitsLeader = false;
-                thread.execute(this::vote);
+                execute(this::vote);
             }
             toVoter(() -> voter.receive(parcel.raft(), parcel.epoch()));
         } else if (talk instanceof Talk.Taken taken) {
@@ -350,7 +351,7 @@
             Voter voting = voter;
             voter = null;
             if (voting != null) {
-                thread.execute(voting::stop);
+                execute(voting::stop);
             }
         }
     }
@@ -429,9 +430,7 @@
 
     @Override
     public void execute(Runnable task) {
-        if (!thread.isShutdown()) {
-            thread.execute(() -> guarded(task));
-        }
+        schedule(task, 0, TimeUnit.MILLISECONDS);
     }
 
     private void guarded(Runnable task) {
@@ -453,8 +452,10 @@
 
     @Override
     public void schedule(Runnable task, long delay, TimeUnit unit) {
-        if (!thread.isShutdown()) {
+        try {
             thread.schedule(() -> guarded(task), delay, unit);
+        } catch (RejectedExecutionException e) {
+            // This gateway ends: nobody waits for it any more.
         }
     }
 
@@ -490,7 +491,7 @@
     @Override
     public void keep(long version, String text) {
         if (kept != null) {
-            thread.execute(() -> kept.keep(version, text));
+            execute(() -> kept.keep(version, text));
         }
     }
 
--- a/src/main/java/petrelstand/consensus/Voter.java
+++ b/src/main/java/petrelstand/consensus/Voter.java
@@ -39,6 +39,8 @@
     private static final int SNAPSHOT_AFTER = 500;
     private static final int MOST_PENDING = 256;
     private static final int MOST_OFFERS = 8;
+    /** A leader that ends has so long to hand on; shorter than the time in which a gateway that ends takes what comes. */
+    public static final long HAND_ON_MS = 300;
     /** A new voter is sent the log or a snapshot for so long before it counts. */
     private static final long LISTENS_MS = 2_000;
 
@@ -128,6 +130,19 @@
         node.terminate();
     }
 
+    /** Ends in order: a leader hands on to another voter first, or ends without where that takes too long; on the executor. */
+    public void leave() {
+        Name self = new Name(name);
+        if (grantor.leads()) {
+            node.getCommittedMembers().getVotingMembers().stream().filter(other -> !other.equals(self)).findFirst()
+                    .ifPresent(other -> node.transferLeadership(other).whenComplete((done, fault) ->
+                            executor.execute(this::stop)));
+            executor.schedule(this::stop, HAND_ON_MS, TimeUnit.MILLISECONDS);
+        } else {
+            stop();
+        }
+    }
+
     /** What is due by now; on the executor. */
     public void tick() {
         grantor.tick(nowUs.getAsLong());
--- a/src/main/java/petrelstand/lab/rules/RulesSim.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -58,6 +58,8 @@
     private static final long TICK_US = 50_000;
     private static final long LEAST_DELAY_US = 150;
     private static final int MOST_WAITING = 200;
+    /** A process ends so long after it was told to. */
+    private static final long ENDS_US = 600_000;
 
     /** What a text of these days rules: they hold one limit, its units the version's own number. */
     public static Rules load(String text) {
@@ -351,11 +353,21 @@
         Process process = byNumber.get(Math.min(fault.who(), byNumber.size() - 1));
         switch (fault.kind()) {
             case KILL, TERM -> {
-                process.end();
+                if (fault.kind() == FleetPlan.Kind.TERM && process.up && !process.stopped && process.voter != null) {
+                    Voter leaving = process.voter;
+                    long of = process.life;
+                    leaving.leave();
+                    at(time.nowUs() + ENDS_US, () -> {
+                        if (process.life == of) {
+                            process.end();
+                        }
+                    });
+                } else {
+                    process.end();
+                }
                 if (fault.lengthUs() > 0) {
-                    long life = process.life;
-                    at(time.nowUs() + fault.lengthUs(), () -> {
-                        if (process.life == life) {
+                    at(time.nowUs() + Math.max(fault.lengthUs(), ENDS_US + 1), () -> {
+                        if (!process.up) {
                             process.start();
                         }
                     });
@@ -402,16 +414,17 @@
     /** Gives an order from a moment on, until it is answered. */
     public void orderAt(long moment, String verb, String name) {
         long id = random.nextLong() | 1;
-        at(moment, () -> order(id, verb, name));
+        // Of a version the newest that was acknowledged.
+        at(moment, () -> order(id, verb, base, name));
     }
 
-    private void order(long id, String verb, String name) {
+    private void order(long id, String verb, long version, String name) {
         if (!ordersDone.contains(id)) {
             for (Process there : byNumber.subList(0, mayVote)) {
                 at(time.nowUs() + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator", new Parcel("lab",
-                        "operator", "operator", 0, 0, null, new Talk.Order(id, verb, 0, name, "operator", "day")))));
+                        "operator", "operator", 0, 0, null, new Talk.Order(id, verb, version, name, "operator", "day")))));
             }
-            at(time.nowUs() + 1_000_000, () -> order(id, verb, name));
+            at(time.nowUs() + 1_000_000, () -> order(id, verb, version, name));
         }
     }
 
@@ -434,6 +447,18 @@
         return base;
     }
 
+    /** How many processes act under a lease on a version. */
+    public int leasedOn(long version) {
+        return (int) byNumber.stream().filter(p -> p.up && !p.stopped).map(p -> p.holder.acting(p.clock()))
+                .filter(a -> a.mode() == Holder.Mode.LEASED && a.version() == version).count();
+    }
+
+    /** The process that leads, or -1. */
+    public int leaderNow() {
+        return byNumber.stream().filter(p -> p.up && !p.stopped && p.voter != null && p.voter.grantor().leads())
+                .mapToInt(p -> p.number).max().orElse(-1);
+    }
+
     /** Who votes, as the process that leads holds it; empty where none does. */
     public List<String> votersNow() {
         return byNumber.stream().filter(p -> p.up && p.voter != null && p.voter.grantor().leads()).findFirst()
--- a/src/test/java/petrelstand/agreement/AgreementTest.java
+++ b/src/test/java/petrelstand/agreement/AgreementTest.java
@@ -106,6 +106,51 @@
         assertTrue(sim.newest() > 1042 * RuleBook.EPOCH, "" + sim.newest());
     }
 
+    /** One gateway's program does not know what version 3 rules: it waits, leases on version 2 go on, until it is withdrawn. */
+    @Test
+    void aVersionThatAMemberCantLoadWaitsAndNobodyLosesItsLease() {
+        int[] made = new int[1];
+        RulesSim sim = new RulesSim(5, 3, Promise.USUAL, 1, new Planted() {
+            @Override
+            public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
+                    Holder.Actions actions) {
+                boolean older = made[0]++ == 2;
+                return new Holder(nowUs, life, voters, promise, seed, text -> {
+                    if (older && text.contains("units = 3\n")) {
+                        throw new IllegalArgumentException("rules:9: [quota a] is no section of this file");
+                    }
+                    return RulesSim.load(text);
+                }, actions);
+            }
+        });
+        sim.proposeAt(6_000_000, 8_000_000, 10_000_000);
+        sim.run(9_500_000);
+        assertEquals(2, sim.newest());
+        assertTrue(sim.settled());
+        sim.run(30_000_000);
+        assertEquals(3, sim.newest());
+        assertEquals(5, sim.leasedOn(2), "all go on under leases");
+        sim.orderAt(30_000_000, "withdraw", "");
+        sim.proposeAt(33_000_000);
+        sim.run(40_000_000);
+        assertEquals(4, sim.newest());
+        assertEquals(5, sim.leasedOn(4));
+        assertEquals("", sim.fault());
+    }
+
+    /** A leader that ends in order hands on: changes go on within half a second, not after an election. */
+    @Test
+    void aLeaderThatEndsHandsOn() {
+        for (int seed = 1; seed <= 5; seed++) {
+            RulesSim sim = new RulesSim(5, 3, Promise.USUAL, seed, RulesSim.USUAL);
+            sim.run(8_000_000);
+            int leader = sim.leaderNow();
+            sim.arm(new FleetPlan(5, seed, 0, List.of(new FleetPlan.Fault(FleetPlan.Kind.TERM, leader, 8_000_001, 0, 0))));
+            sim.run(8_500_000);
+            assertTrue(sim.leaderNow() >= 0 && sim.leaderNow() != leader, "seed " + seed);
+        }
+    }
+
     // ---- Planted mistakes ----
 
     /** The lease is counted from the answer, which may have been under way for any time. */
