--- a/src/test/java/petrelstand/lab/RulesTrialTest.java
+++ b/src/test/java/petrelstand/lab/RulesTrialTest.java
@@ -20,11 +20,13 @@
     private static final String FIVE = "[trial]\nprocesses = 5\nload = 10\nvoters = 3\nchange = 700 ms\n";
     @TempDir
     Path folder;
+    /** Where the last trial's histories lie. */
+    private Path trial;
 
     private RulesCheck.Found play(String name, String scenario, String program, String argument) throws Exception {
         RulesCheck.Found found = null;
         for (int attempt = 1; attempt <= 2; attempt++) {
-            Path trial = folder.resolve(name + attempt);
+            trial = folder.resolve(name + attempt);
             try (FaultTrial one = new FaultTrial(trial, FaultScenario.of(new IniFile(Path.of(name + ".ini"), scenario)),
                     attempt, program, List.of(argument))) {
                 one.play();
@@ -53,7 +55,6 @@
         assertTrue(found.verdict().outcome() != Outcome.FAILED, found.verdict().toString());
         assertTrue(found.verdict().outcome() == Outcome.INCONCLUSIVE || found.agreed() >= 15, found.agreed() + " changes");
         // The folder of the first moments was put back: that voter says so and does not vote.
-        Path trial = folder.resolve("rules1");
         assertTrue(found.verdict().outcome() == Outcome.INCONCLUSIVE || Files.readString(trial.resolve("log-2.txt"))
                 .contains("this gateway does not vote: its folder is an old copy"), "it voted");
     }
