--- a/src/main/java/petrelstand/agreement/Grantor.java
+++ b/src/main/java/petrelstand/agreement/Grantor.java
@@ -44,6 +44,8 @@
         long heardUs;
         long prepared;
         long acting;
+        /** The highest that it said it acted on: it never goes back, but what it says may come in another order. */
+        long acted;
         long actingSinceUs;
         String refuses = "";
         long hintedUs = Long.MIN_VALUE / 2;
@@ -164,6 +166,7 @@
             holder.acting = renew.acting();
             holder.actingSinceUs = nowUs;
         }
+        holder.acted = Math.max(holder.acted, renew.acting());
         holder.refuses = renew.refuses();
         if (!book.names().contains(name) && nowUs - registering.getOrDefault(name, nowUs - HINT_US) >= HINT_US) {
             registering.put(name, nowUs);
@@ -239,7 +242,7 @@
         holders.values().removeIf(h -> nowUs > Math.max(h.untilUs, h.heardUs) + 2 * promise.surelyOverUs());
         long state = book.active() * 31 + book.waiting();
         for (Holder holder : holders.values()) {
-            boolean behind = holder.acting < book.active() || holder.prepared < book.waiting();
+            boolean behind = holder.acted < book.active() || holder.prepared < book.waiting();
             if (state != hinted || behind && nowUs - holder.hintedUs >= HINT_US) {
                 holder.hintedUs = nowUs;
                 act.send(holder.name, new Talk.Hint(book.active(), book.waiting()));
@@ -285,7 +288,7 @@
         boolean formerOver = nowUs >= activeSinceUs + promise.surelyOverUs();
         for (Holder holder : holders.values()) {
             if (nowUs < holder.untilUs && (holder.prepared < book.waiting()
-                    || holder.acting < book.active() && !formerOver)) {
+                    || holder.acted < book.active() && !formerOver)) {
                 return false;
             }
         }
--- a/src/main/java/petrelstand/agreement/Holder.java
+++ b/src/main/java/petrelstand/agreement/Holder.java
@@ -249,7 +249,8 @@
                 nextAskUs = Math.min(nextAskUs, nowUs + (known ? 0 : PATIENCE_US / 2));
             }
         } else if (talk instanceof Hint hint) {
-            if (hint.active() > active || hint.waiting() > waiting || hint.active() == active && hint.waiting() == 0) {
+            // Also one that tells nothing new is answered: the leader gives them to those of whom it thinks they are behind.
+            if (hint.active() >= active && (hint.waiting() >= waiting || hint.waiting() == 0)) {
                 leader = from;
                 heardOf(nowUs, hint.active(), hint.waiting());
                 if (!kept(Math.max(active, waiting)).whole()) {
--- a/src/main/java/petrelstand/cli/LabFaults.java
+++ b/src/main/java/petrelstand/cli/LabFaults.java
@@ -19,6 +19,7 @@
 import petrelstand.lab.faults.FleetSearch;
 import petrelstand.lab.faults.FleetSim;
 import petrelstand.lab.faults.FleetCost;
+import petrelstand.lab.rules.RulesMeasure;
 import petrelstand.lab.rules.RulesSearch;
 import petrelstand.lab.rules.RulesSim;
 import petrelstand.members.Timing;
@@ -61,6 +62,8 @@
     @Option(names = "--search-rules", paramLabel = "FAULTS", description = "all faults round a change of rules, up to so many,"
             + " among 3 in virtual time, over the seeds")
     private Integer searchRules;
+    @Option(names = "--measure-rules", description = "times of agreed rules in virtual time, over --seeds 1-B")
+    private boolean measureRules;
     @Spec
     private CommandSpec spec;
 
@@ -85,6 +88,11 @@
             spec.commandLine().getOut().flush();
             return 0;
         }
+        if (measureRules) {
+            spec.commandLine().getOut().print(RulesMeasure.table((int) until));
+            spec.commandLine().getOut().flush();
+            return 0;
+        }
         if (rules != null) {
             return rules(from, until);
         }
--- a/src/main/java/petrelstand/consensus/Voter.java
+++ b/src/main/java/petrelstand/consensus/Voter.java
@@ -83,6 +83,8 @@
     private String leader = "";
     private long term;
     private long joined;
+    /** Commands of this voter's that are not in the log of a majority yet. */
+    private int outstanding;
 
     /** Makes the leader's half of the leases; the usual one, but for tests that plant a defect. */
     public interface Maker {
@@ -146,6 +148,9 @@
     /** What is due by now; on the executor. */
     public void tick() {
         grantor.tick(nowUs.getAsLong());
+        if (outstanding > 0 && grantor.leads()) {
+            node.query(ASK, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).exceptionally(fault -> null);
+        }
     }
 
     /** A voters' message, on the executor; one of another epoch is passed over. */
@@ -239,7 +244,8 @@
 
     @Override
     public void commit(Command command) {
-        node.replicate(command).exceptionally(fault -> null);
+        outstanding++;
+        node.replicate(command).whenComplete((done, fault) -> executor.execute(() -> outstanding--));
     }
 
     @Override
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -43,7 +43,8 @@
     /** Events that came while the module was at work: it is never entered twice. */
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private Watcher watcher = Watcher.NOBODY;
-    private Gate gate = Gate.OPEN;
+    /** Null where nothing rules on requests beyond the module: a start links no code for it. */
+    private Gate gate;
     private boolean busy;
     private long nextId = 1;
 
@@ -140,7 +141,7 @@
         watcher.taken(exchange.id(), demand, now);
         taken.accept(exchange);
         exchange.guard(timers.at(exchange.deadlineUs() + GUARD_US, () -> overdue(exchange)));
-        long waitUs = gate.refuses(demand, now);
+        long waitUs = gate == null ? 0 : gate.refuses(demand, now);
         if (waitUs > 0) {
             counters.add("refused.rules");
             refuse(exchange, waitUs);
