Proposals are sent on as the leader's other commands are; a test shows the tables of leases bounded

Grantor.kept and Holder.kept promised a test that was not there; now it is. RulesSim.actedByAll had no caller.

--- a/src/main/java/petrelstand/consensus/Voter.java
+++ b/src/main/java/petrelstand/consensus/Voter.java
@@ -1,6 +1,7 @@
 package petrelstand.consensus;
 
 import io.microraft.MembershipChangeMode;
+import io.microraft.Ordered;
 import io.microraft.QueryPolicy;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
@@ -21,6 +22,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -244,8 +246,7 @@
 
     @Override
     public void commit(Command command) {
-        outstanding++;
-        node.replicate(command).whenComplete((done, fault) -> executor.execute(() -> outstanding--));
+        replicate(command, (done, fault) -> { });
     }
 
     @Override
@@ -398,16 +399,25 @@
                 offer.pieces.length, figures));
     }
 
+    /** Puts a command into the log; {@code then} is told how that went, on the executor. */
+    private void replicate(Command command, BiConsumer<Ordered<RuleBook.Result>, Throwable> then) {
+        outstanding++;
+        node.<RuleBook.Result>replicate(command).whenComplete((done, fault) -> executor.execute(() -> {
+            outstanding--;
+            then.accept(done, fault);
+        }));
+    }
+
     /** Answers once the command is in the log of a majority; where that can't be told, the asker asks again. */
     private void answer(String to, long id, Command command) {
-        node.replicate(command).whenComplete((done, fault) -> executor.execute(() -> {
+        replicate(command, (done, fault) -> {
             offers.remove(id);
             if (fault == null) {
-                RuleBook.Result result = (RuleBook.Result) done.getResult();
+                RuleBook.Result result = done.getResult();
                 carrier.talk(to, new Talk.Taken(id, -1, result.version(), cut(result.fault())));
                 grantor.tick(nowUs.getAsLong());
             }
-        }));
+        });
     }
 
     private static String cut(String line) {
--- a/src/main/java/petrelstand/lab/rules/RulesSim.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -648,11 +648,6 @@
         return acknowledged.size();
     }
 
-    /** Versions that all who run act on at one moment. */
-    public int actedByAll() {
-        return actedByAllUs.size();
-    }
-
     public Map<String, Long> counts() {
         return counts;
     }
--- a/src/test/java/petrelstand/agreement/AgreementTest.java
+++ b/src/test/java/petrelstand/agreement/AgreementTest.java
@@ -320,6 +320,32 @@
         assertTrue(alone.lines.get(0).startsWith("nobody who leads took the file's rules in 30 s"), "" + alone.lines);
     }
 
+    @Test
+    void aFloodOfAskersAndOfVersionsLeavesEveryTableBounded() {
+        Grantor grantor = new Grantor(Promise.USUAL, new RuleBook(), new Grantor.Actions() {
+            @Override
+            public void send(String name, Talk talk) {}
+
+            @Override
+            public void commit(Command command) {}
+
+            @Override
+            public void confirm(long round) {}
+
+            @Override
+            public void say(String line) {}
+        });
+        grantor.leads(1, 1);
+        FromFile one = new FromFile();
+        for (int i = 0; i < 3_000; i++) {
+            grantor.renew(2, "n" + i, new Talk.Renew(i, i, 0, 0, ""));
+            one.holder.receive(one.nowUs, "v", new Talk.Hint(i, 0));
+        }
+        assertTrue(grantor.kept().stream().allMatch(n -> n <= 2 * Grantor.MOST_HOLDERS), "" + grantor.kept());
+        assertEquals(Grantor.MOST_HOLDERS, grantor.kept().get(0));
+        assertTrue(one.holder.kept().get(0) <= Holder.MOST_ASKED && one.holder.kept().get(1) <= Holder.MOST_TEXTS);
+    }
+
     // ---- The book and the rules ----
 
     private static RuleBook.Result propose(RuleBook book, long id, long base, long units, long floor) {
