The operators' address: readiness, true figures, and a drain that is asked for and ended

Change: package lifecycle decides what a process does in each part of its life; drains, SIGTERM and /ready follow it in one place instead of by flags and timers in two. Package operation is the address, on the same loop and Jetty's parser (one HTTP library for all sides), bounded, one call a connection. Figures are counted in the core where a request ends and an attempt's last byte leaves. What comes after SIGTERM is taken for as long as its answer can be written before the kill, and refused at once otherwise. EventLoop knows listeners by whole address: two may have one port on two addresses. The core's Exchange keeps its class as it was taken, so that figures survive other settings.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -18,10 +18,13 @@
 import petrelstand.core.Node;
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.ListKind;
+import petrelstand.decision.Scheduling.RequestClass;
+import petrelstand.decision.Scheduling.Settings;
 import petrelstand.discovery.Watch;
 import petrelstand.http.Front;
 import petrelstand.http.NodePool;
 import petrelstand.http.Rehearsal;
+import petrelstand.lifecycle.Lifecycle;
 import petrelstand.net.Addresses;
 import petrelstand.net.Clock;
 import petrelstand.net.EventLoop;
@@ -33,9 +36,8 @@
 
 /** One real gateway: the parts put together, started, drained and ended. */
 final class Gateway {
-    /** After SIGTERM connections still come for up to 0.4 s; the rest is margin. */
-    private static final long LAST_CONNECTIONS_US = 550_000;
     private static final long END_CHECK_US = 10_000;
+    private static final long DRAIN_CHECK_US = 50_000;
     /**
      * Lingering connections are not waited for longer than this once all is answered. Counted from the last answer, not
      * from the end of listening: the end of the process resets its connections, and an answer under way is lost with it.
@@ -67,7 +69,10 @@
     private final Runnable atEnd;
     private final List<ServerSocketChannel> listeners = new ArrayList<>();
     private final CompletableFuture<List<Integer>> ports = new CompletableFuture<>();
-    private boolean draining;
+    private final Lifecycle life;
+    /** Null where no address for operators is given: nothing of it is loaded then. */
+    private final OperationPart operation;
+    private Timers.Timer turn;
     /** When all that was taken was answered, as of now; 0 while something is not. */
     private long answeredUs;
 
@@ -89,7 +94,10 @@
                 rsync == null ? pool : new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers,
                         config.settings().may().connectTimeoutMs())), counters, log);
         this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
-        this.front = new Front(broker, timers, parts.clients());
+        this.life = new Lifecycle(times(config.settings()));
+        this.front = new Front(broker, timers, parts.clients(), life);
+        this.operation = config.operator() == null ? null : new OperationPart(life, broker, front, timers,
+                clock::nowUs, counters, this::evacuate, this::rejoin);
         this.watch = new Watch(loop::connect, clock::nowUs, timers, config.discovery(), "backend.local",
                 config.settings().zones(), config.known().version(), this::heard, counters, log);
         this.keeper = operator == null || operator.state() == null ? null
@@ -106,6 +114,11 @@
                         counters, this::ruled, log);
     }
 
+    private static Lifecycle.Times times(Settings settings) {
+        return Lifecycle.Times.of((long) (1000 * settings.classes().stream()
+                .mapToDouble(RequestClass::deadlineMs).max().orElseThrow()));
+    }
+
     /** Switches the accounts on; where they are off nothing of them is loaded. */
     private void account(OperatorConfig.AccountsConfig how) {
         AccountsPage page = AccountsPage.watch(broker, how.nodeCores());
@@ -169,15 +182,27 @@
         if (rules != null) {
             rules.start(front);
         }
-        front.ready();
+        life.serving(clock.nowUs());
+        if (operation != null) {
+            listen(operation::open, config.operator());
+        }
         ports.complete(listeners.stream().map(listener -> listener.socket().getLocalPort()).toList());
         log.accept("ready: " + config.name() + " on " + config.listen() + ", " + config.known().nodes().size()
                 + " nodes known");
     }
 
     private void listen(String address, Function<EndPoint, Connection> to) {
+        listen((on, at) -> listeners.add(on.listen(Addresses.parse(at), to)), address);
+    }
+
+    /** Opens a listener on the loop. */
+    private interface Opening {
+        void open(EventLoop loop, String address) throws IOException;
+    }
+
+    private void listen(Opening opening, String address) {
         try {
-            listeners.add(loop.listen(Addresses.parse(address), to));
+            opening.open(loop, address);
         } catch (IOException | IllegalArgumentException e) {
             ports.completeExceptionally(new IOException("cannot listen on " + address + ": " + e.getMessage()));
         }
@@ -249,24 +274,61 @@
         return all;
     }
 
-    /** Takes what still comes for a while, answers all that was taken, and ends. On the loop's thread. */
+    /** SIGTERM: takes what still comes for a while, answers all that was taken, and ends. On the loop's thread. */
     void drain() {
-        if (draining) {
+        if (!life.terminate(clock.nowUs())) {
             return;
         }
-        draining = true;
         log.accept("draining: " + broker.open() + " requests open, " + front.connections() + " connections");
-        front.drain();
         if (rules != null) {
             rules.leave();
         }
         if (fleet != null) {
             fleet.leave();
         }
+        live();
+    }
+
+    private boolean evacuate() {
+        boolean done = life.evacuate(clock.nowUs());
+        log.accept(done ? "evacuate: " + broker.open() + " requests open, " + front.connections() + " connections"
+                : "evacuate: not before this process serves");
+        live();
+        return done;
+    }
+
+    private boolean rejoin() {
+        boolean done = life.rejoin(clock.nowUs());
+        log.accept(done ? "rejoin: serving" : "rejoin: this process is ending");
+        live();
+        return done;
+    }
+
+    /** Does what the process's life asks at this turn's time, and comes again when that changes. */
+    private void live() {
+        long now = clock.nowUs();
+        if (turn != null) {
+            turn.cancel();
+        }
+        boolean ending = life.phase() == Lifecycle.Phase.ENDING;
         if (rsyncFront != null) {
-            rsyncFront.drain();
+            rsyncFront.takes(life.saysYes());
+        }
+        if (ending && !life.listens(now)) {
+            stopListening();
+        }
+        if (life.closesIdle(now)) {
+            front.closeIdle();
+            if (ending && over(now)) {
+                end();
+                return;
+            }
+        }
+        long next = life.closesIdle(now) ? now + (ending ? END_CHECK_US : DRAIN_CHECK_US) : Long.MAX_VALUE;
+        next = Math.min(next, life.nextUs(now));
+        if (next < Long.MAX_VALUE) {
+            turn = timers.at(next, this::live);
         }
-        timers.at(clock.nowUs() + LAST_CONNECTIONS_US, this::stopListening);
     }
 
     private void stopListening() {
@@ -277,23 +339,18 @@
                 log.accept("a listener would not close: " + e.getMessage());
             }
         }
-        front.closeIdle();
+        listeners.clear();
         if (rsyncFront != null) {
             rsyncFront.closeIdle();
         }
-        awaitEnd();
     }
 
-    private void awaitEnd() {
-        long now = clock.nowUs();
+    /** Whether all that was taken is answered, and no connection is waited for any more. */
+    private boolean over(long now) {
         boolean answered = broker.open() == 0 && front.answering() == 0;
         answeredUs = !answered ? 0 : answeredUs == 0 ? now : answeredUs;
-        if (answered && (front.connections() + (rsync == null ? 0 : rsyncFront.sessions()) == 0
-                || now >= answeredUs + LAST_LINGER_US)) {
-            end();
-        } else {
-            timers.at(now + END_CHECK_US, this::awaitEnd);
-        }
+        return answered && (front.connections() + (rsync == null ? 0 : rsyncFront.sessions()) == 0
+                || now >= answeredUs + LAST_LINGER_US);
     }
 
     private void end() {
--- a/src/main/java/petrelstand/config/GatewayConfig.java
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -14,9 +14,12 @@
 import java.util.Map;
 import petrelstand.decision.Scheduling.Settings;
 
-/** What a gateway is told at its start: its addresses, its limits, its last node list and the settings. */
-public record GatewayConfig(String name, String listen, String discovery, long seed, int sockets, Settings settings,
-        NodeList known) {
+/**
+ * What a gateway is told at its start: its addresses, its limits, its last node list and the settings. The operators'
+ * address is null where none is given.
+ */
+public record GatewayConfig(String name, String listen, String discovery, String operator, long seed, int sockets,
+        Settings settings, NodeList known) {
 
     /** Reads the file that the environment names; whatever is wrong is one IllegalArgumentException. */
     public static GatewayConfig load(Map<String, String> env) {
@@ -52,10 +55,20 @@
                 ? NodeList.of(json.getAsJsonObject("known"), settings.zones()) : NodeList.empty();
         return new GatewayConfig(word(json, "name", env.get("RELAY_NAME")),
                 address("listen", word(json, "listen", env.get("RELAY_LISTEN"))),
-                address("discovery", word(json, "discovery", env.get("RELAY_DISCOVERY"))),
+                address("discovery", word(json, "discovery", env.get("RELAY_DISCOVERY"))), operator(json, env),
                 seed(word(json, "seed", "0")), whole(limits, "sockets", 1024), settings, known);
     }
 
+    /**
+     * The environment goes first here, other than for the rest: a second process of one gateway has an address of its
+     * own, and may find the file as the first one was given it.
+     */
+    private static String operator(JsonObject json, Map<String, String> env) {
+        String told = env.get("RELAY_OPERATOR");
+        String text = told != null && !told.isBlank() ? told : word(json, "operator", "");
+        return text.isEmpty() ? null : address("operator", text);
+    }
+
     /** What differs in another file that a running gateway cannot take, by the names the file has for it. */
     public List<String> fixedChanges(GatewayConfig other) {
         List<String> names = new ArrayList<>();
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -11,13 +11,16 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import petrelstand.core.Figures.End;
 import petrelstand.decision.Policy;
 import petrelstand.decision.Scheduling.Actions;
 import petrelstand.decision.Scheduling.AttemptEnd;
 import petrelstand.decision.Scheduling.Events;
 import petrelstand.decision.Scheduling.Learned;
+import petrelstand.decision.Scheduling.LearnedNode;
 import petrelstand.decision.Scheduling.ListKind;
 import petrelstand.decision.Scheduling.NodeEntry;
+import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.decision.Scheduling.Request;
 import petrelstand.decision.Scheduling.RequestClass;
@@ -36,6 +39,7 @@
     private final Timers timers;
     private final ServerSide server;
     private final Counters counters;
+    private final Figures figures = new Figures();
     private final Consumer<String> log;
     private final Events module;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -67,6 +71,7 @@
         this.counters = counters;
         this.log = log;
         this.module = maker.make(ms(clock.getAsLong()), settings, new ModuleActions());
+        settings.classes().forEach(kind -> figures.knows(kind.name()));
     }
 
     // The one border between the core's microseconds and the module's milliseconds.
@@ -93,6 +98,24 @@
         return counters;
     }
 
+    /** What became of requests since the process began. */
+    public Figures figures() {
+        return figures;
+    }
+
+    /** Listed nodes that anybody's requests may go to. */
+    public int listedNodes() {
+        return (int) nodes.values().stream().filter(node -> !node.isPrivate()).count();
+    }
+
+    /** Those of them that get nothing new at this moment: they drain, or the module has them for silent. */
+    public int avoidedNodes() {
+        Set<Long> silent = learned().nodes().stream().filter(node -> node.silentMs() > 0)
+                .map(LearnedNode::node).collect(Collectors.toSet());
+        return (int) nodes.values().stream().filter(node -> !node.isPrivate()
+                && (node.entry().state() != NodeState.READY || silent.contains(node.number()))).count();
+    }
+
     /** Tells a watcher of each step from now on; there is one at most. */
     public void watch(Watcher by) {
         watcher = by;
@@ -103,16 +126,23 @@
         gate = by;
     }
 
-    /** Takes the right to give the final answer, and tells the watcher. */
-    private boolean finish(Exchange exchange, boolean served) {
+    /** Takes the right to give the final answer, counts it, and tells the watcher. */
+    private boolean finish(Exchange exchange, End how) {
         boolean first = exchange.finish();
         if (first) {
-            watcher.answered(exchange.id(), served, clock.getAsLong());
+            figures.ended(exchange.kind().name(), how);
+            watcher.answered(exchange.id(), how == End.SERVED, clock.getAsLong());
         }
         return first;
     }
 
+    /** A request that was turned away before it came here; its class by name, which may be none. */
+    public void turnedAway(String requestClass) {
+        figures.ended(requestClass, End.REFUSED);
+    }
+
     void written(Attempt attempt) {
+        figures.tried();
         watcher.written(attempt.exchange().id(), attempt.number(), clock.getAsLong());
     }
 
@@ -134,8 +164,8 @@
      */
     public Exchange take(Demand demand, Object message, ClientSide client, Consumer<Exchange> taken) {
         long now = clock.getAsLong();
-        Exchange exchange = new Exchange(nextId++, demand, message, client, now);
         RequestClass kind = settings.classes().get(demand.requestClass());
+        Exchange exchange = new Exchange(nextId++, demand, kind, message, client, now);
         counters.add("taken." + kind.name());
         exchanges.put(exchange.id(), exchange);
         watcher.taken(exchange.id(), demand, now);
@@ -156,7 +186,7 @@
     }
 
     private void refuse(Exchange exchange, long retryAfterUs) {
-        if (exchange != null && finish(exchange, false)) {
+        if (exchange != null && finish(exchange, End.REFUSED)) {
             counters.add("answered.refused");
             exchange.client().refused(retryAfterUs);
         }
@@ -164,7 +194,7 @@
 
     /** Guards against a request that the module forgot: its client must hear of the end at its deadline. */
     private void overdue(Exchange exchange) {
-        if (finish(exchange, false)) {
+        if (finish(exchange, End.FAILED)) {
             counters.add("answered.overdue");
             log.accept("core: request " + exchange.id() + " had no final answer at its deadline; failed");
             exchange.client().failed(exchange.last());
@@ -174,7 +204,7 @@
 
     /** The client left: nothing more is owed. */
     public void clientGone(Exchange exchange) {
-        if (finish(exchange, false)) {
+        if (finish(exchange, End.GONE)) {
             counters.add("client_gone");
             tellGone(exchange);
         }
@@ -251,13 +281,13 @@
             watcher.ended(exchange.id(), attempt.number(), outcome, clock.getAsLong());
         }
         if (outcome == Outcome.SERVED) {
-            if (finish(exchange, true)) {
+            if (finish(exchange, End.SERVED)) {
                 counters.add("answered.served");
                 exchange.client().served(answer);
             } else {
                 counters.add("served_too_late");
             }
-        } else if (exchange.begun() && finish(exchange, false)) {
+        } else if (exchange.begun() && finish(exchange, End.FAILED)) {
             counters.add("answered.cut");
             exchange.client().failed(attempt);
         }
@@ -294,7 +324,7 @@
                 StackTraceElement[] trace = e.getStackTrace();
                 log.accept("core: fault in the decision module: " + e
                         + (trace.length == 0 ? "" : " at " + trace[0]));
-                if (about != null && finish(about, false)) {
+                if (about != null && finish(about, End.FAILED)) {
                     counters.add("answered.failed");
                     about.client().failed(about.last());
                 }
@@ -362,7 +392,7 @@
         @Override
         public void fail(long request) {
             Exchange exchange = exchanges.get(request);
-            if (exchange != null && finish(exchange, false)) {
+            if (exchange != null && finish(exchange, End.FAILED)) {
                 counters.add("answered.failed");
                 exchange.client().failed(exchange.last());
             }
--- a/src/main/java/petrelstand/core/Exchange.java
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import petrelstand.decision.Scheduling.RequestClass;
 
 /**
  * One request from its taking to its one final answer. The client side and the server side meet only here: the
@@ -10,6 +11,7 @@
 public final class Exchange {
     private final long id;
     private final Demand demand;
+    private final RequestClass kind;
     private final Object message;
     private final ClientSide client;
     private final long takenUs;
@@ -18,9 +20,10 @@
     private boolean begun;
     private Timers.Timer guard;
 
-    Exchange(long id, Demand demand, Object message, ClientSide client, long takenUs) {
+    Exchange(long id, Demand demand, RequestClass kind, Object message, ClientSide client, long takenUs) {
         this.id = id;
         this.demand = demand;
+        this.kind = kind;
         this.message = message;
         this.client = client;
         this.takenUs = takenUs;
@@ -34,6 +37,11 @@
         return demand;
     }
 
+    /** Its class as the settings had it when it was taken. */
+    public RequestClass kind() {
+        return kind;
+    }
+
     public Object message() {
         return message;
     }
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.core.Attempt;
 import petrelstand.core.ClientSide;
+import petrelstand.core.Demand;
 import petrelstand.core.Exchange;
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.Outcome;
@@ -88,7 +89,7 @@
     /** Closes to make room, but for what has just sent a whole request; half of one is told so first. */
     boolean giveWay() {
         if (idle()) {
-            closeIfIdle();
+            closeIfIdle(Long.MAX_VALUE);
         } else {
             malformed(408, "the request did not come whole while there was room");
             close();
@@ -96,8 +97,14 @@
         return state == State.CLOSED;
     }
 
-    /** Closes between requests; one that has arrived by now is still taken, and closes with its answer. */
-    void closeIfIdle() {
+    /**
+     * Closes between requests, unless it opened after a time and has not been used; a request that has arrived by now is
+     * still taken.
+     */
+    void closeIfIdle(long openedByUs) {
+        if (!used && openedUs > openedByUs) {
+            return;
+        }
         try {
             if (idle() && getEndPoint().fill(input) > 0) {
                 parse();
@@ -300,9 +307,10 @@
         try {
             if (full) {
                 front.broker().counters().add("connections.full");
+                front.turnedAway(target);
                 answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
             } else if (target.equals("/ready")) {
-                local(front.isReady() ? 200 : 503, front.isReady() ? "ready\n" : "not ready\n");
+                local(front.life().saysYes() ? 200 : 503, front.life().saysYes() ? "ready\n" : "not ready\n");
             } else if (target.equals("/counters")) {
                 local(200, front.broker().counters().text());
             } else if (front.page(target) != null) {
@@ -318,14 +326,22 @@
     }
 
     private void take(byte[] bytes) throws DemandReader.Malformed {
-        var demand = front.reader().read(method, target, fields, bytes.length);
+        Demand demand = front.reader().read(method, target, fields, bytes.length);
+        long now = front.broker().nowUs();
+        long leftUs = front.life().grantsUs(now, demand.leftUs());
+        if (leftUs < demand.leftUs() && leftUs == 0) {
+            front.broker().counters().add("refused.ending");
+            front.turnedAway(target);
+            refused(front.life().comeBackUs(now));
+            return;
+        }
         String txn = fields.get(Wire.TXN);
         // Guards against a second copy of another client's request: nodes count attempts by this id.
         if (!front.claim(txn)) {
             throw new DemandReader.Malformed(409, Wire.TXN + " is that of an open request");
         }
         state = State.TAKEN;
-        front.broker().take(demand, new Message.Ask(method, target, txn, fields.get(Wire.EFFECT_KEY),
+        front.broker().take(demand.within(leftUs), new Message.Ask(method, target, txn, fields.get(Wire.EFFECT_KEY),
                 fields.get(HttpHeader.CONTENT_TYPE), bytes), this, taken -> exchange = taken);
     }
 
@@ -391,7 +407,7 @@
         stopLimit();
         state = State.ANSWERING;
         exchange = null;
-        boolean last = close || !persistent || front.closesAfterAnswer();
+        boolean last = close || !persistent || front.life().endsWithAnswer(front.broker().nowUs());
         limit = front.timers().at(front.broker().nowUs() + Front.ANSWER_US, this::close);
         ByteBuffer head = Wire.answer(status, type, retryAfterUs, last, content.remaining());
         getEndPoint().write(nonBlocking(() -> written(last), this::notWritten), head, content);
@@ -454,7 +470,7 @@
         }
         if (sawEnd) {
             close();
-        } else if (last || front.isClosing()) {
+        } else if (last || front.life().closesIdle(front.broker().nowUs())) {
             linger();
         } else {
             next();
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.core.Broker;
 import petrelstand.core.Timers;
+import petrelstand.lifecycle.Lifecycle;
 
 /** The platform's front: its client connections, and what they share. */
 public final class Front {
@@ -55,9 +56,7 @@
     private final ByteBuffer dropped = BufferUtil.allocateDirect(MOST_READ);
     /** Pages beside those that every gateway has, by path. */
     private Map<String, Supplier<String>> pages = Map.of();
-    private boolean ready;
-    private boolean draining;
-    private boolean closing;
+    private final Lifecycle life;
 
     /**
      * Answers a path with a text made when it is asked for; for pages that an operator switched on. Where a part has
@@ -74,7 +73,9 @@
         return pages.get(path);
     }
 
-    public Front(Broker broker, Timers timers, int mostConnections) {
+    /** A front that does with connections what the process's life says. */
+    public Front(Broker broker, Timers timers, int mostConnections, Lifecycle life) {
+        this.life = life;
         this.broker = broker;
         this.timers = timers;
         this.mostConnections = mostConnections;
@@ -132,20 +133,10 @@
         return dropped;
     }
 
-    /** From here on /ready answers 200. */
-    public void ready() {
-        ready = true;
-    }
-
-    /** SIGTERM: goes on answering, but each answer ends its connection. */
-    public void drain() {
-        draining = true;
-    }
-
-    /** Closes what is between requests; the rest closes with its answer. */
+    /** Closes what is between requests, but for newcomers that may be about to speak. */
     public void closeIdle() {
-        closing = true;
-        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+        long now = broker.nowUs();
+        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(now - SILENT_US));
     }
 
     public int connections() {
@@ -157,16 +148,14 @@
         return connections.stream().filter(c -> c.state() == ClientConnection.State.ANSWERING).count();
     }
 
-    boolean isReady() {
-        return ready && !draining;
-    }
-
-    boolean closesAfterAnswer() {
-        return draining;
+    Lifecycle life() {
+        return life;
     }
 
-    boolean isClosing() {
-        return closing;
+    /** A request that finds no room, or comes when nothing is taken any more: its class's figures have it as refused. */
+    void turnedAway(String target) {
+        int end = target.indexOf('/', 1);
+        broker.turnedAway(end < 0 ? target : target.substring(1, end));
     }
 
     Budget requests() {
--- a/src/main/java/petrelstand/http/Rehearsal.java
+++ b/src/main/java/petrelstand/http/Rehearsal.java
@@ -14,6 +14,7 @@
 import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.decision.Scheduling.RequestClass;
 import petrelstand.decision.Scheduling.Settings;
+import petrelstand.lifecycle.Lifecycle;
 import petrelstand.net.EventLoop;
 import petrelstand.net.MemoryEnd;
 
@@ -39,7 +40,9 @@
         this.settings = settings;
         NodePool pool = new NodePool(this::dial, () -> nowUs, timers, counters, settings, "backend.local", 64);
         this.broker = new Broker(settings, 1, () -> nowUs, timers, pool, counters, line -> {});
-        this.front = new Front(broker, timers, 64);
+        Lifecycle life = new Lifecycle(Lifecycle.Times.of(0));
+        life.serving(nowUs);
+        this.front = new Front(broker, timers, 64, life);
     }
 
     /** Plays so many requests and returns how many of them were served. */
--- a/src/main/java/petrelstand/http/Wire.java
+++ b/src/main/java/petrelstand/http/Wire.java
@@ -33,7 +33,8 @@
 
     private Wire() {}
 
-    static boolean speaks(HttpVersion version) {
+    /** The versions that are spoken here. */
+    public static boolean speaks(HttpVersion version) {
         return version == HttpVersion.HTTP_1_1 || version == HttpVersion.HTTP_1_0;
     }
 
@@ -41,7 +42,7 @@
      * What is wrong with how a message says where it ends; null where nothing is. Two ways to find the end may find
      * two ends: a request could be hidden between them, and an answer cut short.
      */
-    static String wrongFraming(HttpFields fields) {
+    public static String wrongFraming(HttpFields fields) {
         int lengths = 0;
         int codings = 0;
         boolean chunked = true;
@@ -62,7 +63,7 @@
     }
 
     /** The head of an answer with a body of a length. */
-    static ByteBuffer answer(int status, String type, long retryAfterUs, boolean close, int length) {
+    public static ByteBuffer answer(int status, String type, long retryAfterUs, boolean close, int length) {
         HttpFields.Mutable fields = HttpFields.build();
         if (type != null) {
             fields.put(HttpHeader.CONTENT_TYPE, type);
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -45,7 +46,7 @@
     private final Clock clock;
     private final Timers timers;
     private final LoopExecutor executor;
-    private final Map<Integer, Function<EndPoint, Connection>> fronts = new HashMap<>();
+    private final Map<SocketAddress, Function<EndPoint, Connection>> fronts = new HashMap<>();
 
     public EventLoop(Clock clock, Timers timers) {
         this(clock, timers, new LoopExecutor());
@@ -80,7 +81,7 @@
             server.close();
             throw e;
         }
-        fronts.put(server.socket().getLocalPort(), front);
+        fronts.put(server.getLocalAddress(), front);
         acceptor(server);
         return server;
     }
@@ -123,10 +124,12 @@
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
         SocketChannel socket = (SocketChannel) channel;
-        int port = socket.socket().getLocalPort();
+        InetSocketAddress at = (InetSocketAddress) socket.getLocalAddress();
+        Function<EndPoint, Connection> front = fronts.get(at);
         socket.configureBlocking(false);
         socket.socket().setTcpNoDelay(true);
-        accept(socket, fronts.get(port));
+        // One that listens on all of the machine's addresses is known by none of them.
+        accept(socket, front != null ? front : fronts.get(new InetSocketAddress(at.getPort())));
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/petrelstand/operation/OperatorConnection.java
@@ -0,0 +1,178 @@
+package petrelstand.operation;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import petrelstand.core.Timers;
+import petrelstand.http.Wire;
+import petrelstand.net.LoopConnection;
+
+/** An operator's connection: one call, one answer, and the end. */
+final class OperatorConnection extends LoopConnection implements HttpParser.RequestHandler {
+    private enum State { READING, ANSWERING, LINGERING, CLOSED }
+
+    private static final int MOST_HEAD = 4096;
+    private static final int MOST_BODY = 4096;
+
+    private final OperatorDoor door;
+    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
+    private final ByteBuffer input = BufferUtil.allocate(1024);
+    private State state = State.READING;
+    private Timers.Timer limit;
+    private HttpFields.Mutable fields;
+    private String method;
+    private String target;
+    private HttpVersion version;
+    private int bodyBytes;
+
+    OperatorConnection(EndPoint endPoint, OperatorDoor door) {
+        super(endPoint);
+        this.door = door;
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        limit = door.timers().at(door.nowUs() + OperatorDoor.CALL_US, () -> answer(408, "the call did not come whole"));
+        fillInterested();
+    }
+
+    @Override
+    public void onFillable() {
+        try {
+            while (state != State.CLOSED) {
+                BufferUtil.clear(input);
+                int filled = getEndPoint().fill(input);
+                if (filled < 0) {
+                    close();
+                } else if (filled == 0) {
+                    fillInterested();
+                    return;
+                } else {
+                    while (state == State.READING && BufferUtil.hasContent(input) && !parser.parseNext(input)) {
+                        // The parser stops at the end of a line too.
+                    }
+                }
+            }
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    @Override
+    protected void onFillInterestedFailed(Throwable cause) {
+        close();
+    }
+
+    @Override
+    public void startRequest(String newMethod, String uri, HttpVersion newVersion) {
+        method = newMethod;
+        target = uri;
+        version = newVersion;
+        fields = HttpFields.build();
+    }
+
+    @Override
+    public void parsedHeader(HttpField field) {
+        fields.add(field);
+    }
+
+    @Override
+    public boolean headerComplete() {
+        String wrong = Wire.wrongFraming(fields);
+        if (!Wire.speaks(version)) {
+            answer(505, "the version is neither 1.0 nor 1.1");
+        } else if (wrong != null) {
+            answer(400, wrong);
+        } else if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
+            getEndPoint().write(nonBlocking(() -> {}, cause -> close()),
+                    BufferUtil.toBuffer("HTTP/1.1 100 Continue\r\n\r\n"));
+        }
+        return state != State.READING;
+    }
+
+    /** No call has a body; a small one is dropped. */
+    @Override
+    public boolean content(ByteBuffer item) {
+        bodyBytes += item.remaining();
+        item.position(item.limit());
+        if (bodyBytes > MOST_BODY) {
+            answer(413, "no call has a body");
+        }
+        return state != State.READING;
+    }
+
+    @Override
+    public boolean contentComplete() {
+        return false;
+    }
+
+    @Override
+    public boolean messageComplete() {
+        if (state == State.READING) {
+            String path = HttpURI.from(target).getPath();
+            OperatorDoor.Answer answer = door.answer(method, path == null ? target : path);
+            answer(answer.status(), answer.text());
+        }
+        return true;
+    }
+
+    @Override
+    public void badMessage(HttpException failure) {
+        answer(failure.getCode() == 431 || failure.getCode() == 414 ? 431 : 400, String.valueOf(failure.getReason()));
+    }
+
+    @Override
+    public void earlyEOF() {
+        answer(400, "the call's body can't be read");
+    }
+
+    private void answer(int status, String text) {
+        if (state != State.READING) {
+            return;
+        }
+        state = State.ANSWERING;
+        ByteBuffer content = BufferUtil.toBuffer(text.endsWith("\n") ? text : text + "\n", StandardCharsets.UTF_8);
+        limit.cancel();
+        limit = door.timers().at(door.nowUs() + OperatorDoor.CALL_US, this::close);
+        getEndPoint().write(nonBlocking(this::linger, cause -> close()),
+                Wire.answer(status, "text/plain", 0, true, content.remaining()), content);
+    }
+
+    /** Closing at once with bytes unread would reset the connection, and the answer could be lost with it. */
+    private void linger() {
+        if (state == State.ANSWERING) {
+            state = State.LINGERING;
+            getEndPoint().shutdownOutput();
+            limit.cancel();
+            limit = door.timers().at(door.nowUs() + OperatorDoor.LINGER_US, this::close);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (state != State.CLOSED) {
+            state = State.CLOSED;
+            if (limit != null) {
+                limit.cancel();
+            }
+            door.closed(this);
+            getEndPoint().close();
+        }
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        close();
+    }
+}
--- a/src/main/java/petrelstand/rsync/RsyncFront.java
+++ b/src/main/java/petrelstand/rsync/RsyncFront.java
@@ -41,9 +41,9 @@
         return session;
     }
 
-    /** SIGTERM: transfers that were taken go on to their end, no new one is taken. */
-    public void drain() {
-        draining = true;
+    /** Whether new transfers are taken; those that were go on to their end. */
+    public void takes(boolean any) {
+        draining = !any;
     }
 
     /** Ends the sessions that have asked for nothing yet. */
--- a/src/test/java/petrelstand/LayersTest.java
+++ b/src/test/java/petrelstand/LayersTest.java
@@ -17,7 +17,7 @@
     private static final Path ROOT = Path.of("src/main/java/petrelstand");
     private static final Pattern FORBIDDEN = Pattern.compile("java\\.net|java\\.nio|java\\.io\\.|java\\.time|"
             + "org\\.eclipse|com\\.google|nanoTime|currentTimeMillis|System\\.(in|out|err)|new Thread|"
-            + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab|fleet|consensus|cbor)\\b");
+            + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab|fleet|consensus|cbor|operation)\\b");
 
     private static List<String> found(String layer, Pattern forbidden) throws IOException {
         List<String> found = new ArrayList<>();
@@ -67,11 +67,18 @@
         assertEquals(List.of(), found("agreement", Pattern.compile("import petrelstand\\.(?!agreement)|microraft")));
     }
 
+    /** What each part of a process's life means is decided by what was asked, and when, alone. */
+    @Test
+    void lifecycleIsFreeOfTheWorld() throws IOException {
+        assertEquals(List.of(), found("lifecycle", FORBIDDEN));
+        assertEquals(List.of(), found("lifecycle", Pattern.compile("import petrelstand\\.(?!lifecycle)")));
+    }
+
     /** Only the command line and the gateway's own wiring know the store, and nothing that serves knows the lab. */
     @Test
     void theLaboratoryAndTheCommandLineAreKnownToNobodyThatServes() throws IOException {
         for (String layer : List.of("decision", "core", "accounts", "state", "store", "net", "http", "rsync", "discovery",
-                "config", "logging", "sim", "members", "fleet", "agreement", "consensus", "cbor")) {
+                "config", "logging", "sim", "members", "fleet", "agreement", "consensus", "cbor", "lifecycle", "operation")) {
             assertEquals(List.of(), found(layer, Pattern.compile("petrelstand\\.(lab|cli)\\b|picocli")), layer);
         }
     }
--- a/src/test/java/petrelstand/ServeProcessTest.java
+++ b/src/test/java/petrelstand/ServeProcessTest.java
@@ -26,8 +26,8 @@
 
 /** The program as it is started: what it loads, and what it remembers after SIGTERM and after SIGKILL. */
 class ServeProcessTest {
-    private static final Pattern OFF = Pattern.compile("petrelstand\\.(state|store|cli|lab|logging|accounts|report|members|fleet|agreement|consensus|cbor)\\.|"
-            + "petrelstand\\.(FleetPart|RulesPart)|io\\.microraft|picocli|"
+    private static final Pattern OFF = Pattern.compile("petrelstand\\.(state|store|cli|lab|logging|accounts|report|members|fleet|agreement|consensus|cbor|operation)\\.|"
+            + "petrelstand\\.(FleetPart|RulesPart|OperationPart)|io\\.microraft|picocli|"
             + "org\\.apache\\.commons|com\\.fasterxml|ch\\.qos\\.logback|org\\.HdrHistogram|io\\.prometheus|"
             + "petrelstand\\.config\\.(IniFile|RsyncConfig|FleetConfig|RulesConfig|RulesText)");
     @TempDir
--- a/src/test/java/petrelstand/http/FrontTest.java
+++ b/src/test/java/petrelstand/http/FrontTest.java
@@ -14,6 +14,7 @@
 import petrelstand.core.Node;
 import petrelstand.decision.Scheduling.ListKind;
 import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.lifecycle.Lifecycle;
 import petrelstand.net.MemoryEnd;
 import petrelstand.testing.Harness;
 
@@ -22,9 +23,14 @@
     private final Harness world = new Harness();
     private final NodePool pool = new NodePool(world::dial, () -> world.nowUs, world.timers, world.counters,
             world.settings, "backend.local", 40);
-    private final Front front = new Front(world.broker(pool), world.timers, 50);
+    private final Lifecycle life = new Lifecycle(Lifecycle.Times.of(5_000_000));
+    private final Front front = new Front(world.broker(pool), world.timers, 50, life);
     private final MemoryEnd client = MemoryEnd.open(front::accept);
 
+    {
+        life.serving(world.nowUs);
+    }
+
     private void listOne() {
         world.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
     }
@@ -506,16 +512,19 @@
     @Test
     void drainingAnswersAllAndClosesBetweenRequests() {
         listOne();
-        front.ready();
         client.put(read(1, ""));
         MemoryEnd idle = MemoryEnd.open(front::accept);
-        front.drain();
+        MemoryEnd node = world.up();
+        life.terminate(world.nowUs);
         idle.put("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n");
         assertEquals(List.of("503"), statuses(idle.taken()));
         MemoryEnd between = MemoryEnd.open(front::accept);
         front.closeIdle();
+        assertTrue(between.isOpen());
+        world.run(600_000);
+        front.closeIdle();
         assertFalse(between.isOpen());
-        world.up().put(ok("kept"));
+        node.put(ok("kept"));
         String answer = client.taken();
         assertTrue(answer.contains("Connection: close\r\n") && answer.endsWith("kept"));
         client.putEnd();
