--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -18,8 +18,6 @@
 import petrelstand.core.Node;
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.ListKind;
-import petrelstand.decision.Scheduling.RequestClass;
-import petrelstand.decision.Scheduling.Settings;
 import petrelstand.discovery.Watch;
 import petrelstand.http.Front;
 import petrelstand.http.NodePool;
@@ -55,7 +53,8 @@
     private final Timers timers = new Timers();
     private final Counters counters = new Counters();
     private final Consumer<String> log;
-    private final GatewayConfig config;
+    /** As the file in use says. */
+    private volatile GatewayConfig config;
     private final EventLoop loop;
     private final Broker broker;
     private final Front front;
@@ -72,6 +71,7 @@
     private final Lifecycle life;
     /** Null where no address for operators is given: nothing of it is loaded then. */
     private final OperationPart operation;
+    private final RetunePart retuning;
     private Timers.Timer turn;
     /** When all that was taken was answered, as of now; 0 while something is not. */
     private long answeredUs;
@@ -94,10 +94,11 @@
                 rsync == null ? pool : new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers,
                         config.settings().may().connectTimeoutMs())), counters, log);
         this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
-        this.life = new Lifecycle(times(config.settings()));
+        this.life = new Lifecycle(Lifecycle.Times.of(config.settings()));
         this.front = new Front(broker, timers, parts.clients(), life);
-        this.operation = config.operator() == null ? null : new OperationPart(life, broker, front, timers,
-                clock::nowUs, counters, this::evacuate, this::rejoin);
+        this.retuning = new RetunePart(broker, front, pool, life, timers, clock::nowUs, log);
+        this.operation = config.operator() == null ? null : new OperationPart(config, transfers, life, broker, front, pool,
+                timers, clock::nowUs, loop::execute, counters, log, this::evacuate, this::rejoin);
         this.watch = new Watch(loop::connect, clock::nowUs, timers, config.discovery(), "backend.local",
                 config.settings().zones(), config.known().version(), this::heard, counters, log);
         this.keeper = operator == null || operator.state() == null ? null
@@ -114,11 +115,6 @@
                         counters, this::ruled, log);
     }
 
-    private static Lifecycle.Times times(Settings settings) {
-        return Lifecycle.Times.of((long) (1000 * settings.classes().stream()
-                .mapToDouble(RequestClass::deadlineMs).max().orElseThrow()));
-    }
-
     /** Switches the accounts on; where they are off nothing of them is loaded. */
     private void account(OperatorConfig.AccountsConfig how) {
         AccountsPage page = AccountsPage.watch(broker, how.nodeCores());
@@ -139,6 +135,9 @@
         if (keeper != null) {
             keeper.open();
         }
+        if (operation != null) {
+            operation.look();
+        }
         if (fleet != null) {
             fleet.open();
         }
@@ -159,6 +158,11 @@
         return broker;
     }
 
+    /** The file in use, from any thread. */
+    GatewayConfig config() {
+        return config;
+    }
+
     void stop() throws Exception {
         loop.stop();
     }
@@ -169,8 +173,21 @@
         if (keeper != null) {
             keeper.start(broker);
         }
+        if (operation != null) {
+            operation.recall();
+        }
         broker.nodes(ListKind.CACHED, withOperators(config.known().nodes()));
         watch.start();
+        if (operation == null || !operation.awaitsList(this::open)) {
+            open();
+        }
+    }
+
+    /** Listens, and serves. */
+    private void open() {
+        if (life.phase() != Lifecycle.Phase.STARTING) {
+            return;
+        }
         listen(config.listen(), front::accept);
         if (rsync != null) {
             listen(rsync.listen(), rsyncFront::accept);
@@ -192,7 +209,7 @@
     }
 
     private void listen(String address, Function<EndPoint, Connection> to) {
-        listen((on, at) -> listeners.add(on.listen(Addresses.parse(at), to)), address);
+        listen((on, at) -> listeners.add(on.listen(Addresses.parse(at), operation != null, to)), address);
     }
 
     /** Opens a listener on the loop. */
@@ -209,6 +226,9 @@
     }
 
     private void heard(NodeList list) {
+        if (operation != null) {
+            timers.at(clock.nowUs(), operation::heard);
+        }
         if (list.full()) {
             broker.nodes(ListKind.WHOLE, withOperators(list.nodes()));
         } else if (!list.nodes().isEmpty()) {
@@ -221,8 +241,23 @@
      * its node list is older than the one in use. On the loop's thread.
      */
     void reload(GatewayConfig changed) {
-        counters.add("reloads");
         List<String> later = config.fixedChanges(changed);
+        if (!changed.settings().equals(config.settings())) {
+            try {
+                retuning.begin(changed.settings());
+                if (keeper != null) {
+                    keeper.retune(changed.settings());
+                }
+                if (operation != null) {
+                    operation.retune(changed.settings());
+                }
+            } catch (IllegalArgumentException e) {
+                reloadFailed(e.getMessage());
+                return;
+            }
+        }
+        counters.add("reloads");
+        config = changed;
         log.accept("reload: discovery at " + changed.discovery()
                 + (later.isEmpty() ? "" : "; only a restart takes the changed " + String.join(", ", later)));
         watch.move(changed.discovery());
@@ -332,13 +367,7 @@
     }
 
     private void stopListening() {
-        for (ServerSocketChannel listener : listeners) {
-            try {
-                listener.close();
-            } catch (IOException e) {
-                log.accept("a listener would not close: " + e.getMessage());
-            }
-        }
+        listeners.forEach(loop::unlisten);
         listeners.clear();
         if (rsyncFront != null) {
             rsyncFront.closeIdle();
@@ -378,6 +407,9 @@
     }
 
     private void ended() {
+        if (operation != null) {
+            operation.close();
+        }
         log.accept("ended: " + counters.line());
         atEnd.run();
     }
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -115,7 +115,7 @@
      */
     private static synchronized void reload(Gateway gateway) {
         try {
-            GatewayConfig changed = GatewayConfig.load(System.getenv());
+            GatewayConfig changed = GatewayConfig.reload(System.getenv(), gateway.config());
             gateway.execute(() -> gateway.reload(changed));
         } catch (RuntimeException e) {
             gateway.execute(() -> gateway.reloadFailed(e.getMessage()));
@@ -133,6 +133,7 @@
                 client.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n".getBytes(StandardCharsets.UTF_8));
                 client.getInputStream().read();
             }
+            TwinPart.rehearse(config);
             gateway.execute(gateway::drain);
             ended.await();
             System.exit(0);
--- a/src/main/java/petrelstand/OperationPart.java
+++ b/src/main/java/petrelstand/OperationPart.java
@@ -1,13 +1,20 @@
 package petrelstand;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import petrelstand.config.GatewayConfig;
 import petrelstand.core.Broker;
 import petrelstand.core.Counters;
 import petrelstand.core.Timers;
+import petrelstand.decision.Scheduling.Learned;
+import petrelstand.decision.Scheduling.Settings;
 import petrelstand.http.Front;
+import petrelstand.http.NodePool;
 import petrelstand.lifecycle.Lifecycle;
 import petrelstand.net.Addresses;
 import petrelstand.net.EventLoop;
@@ -15,28 +22,63 @@
 import petrelstand.operation.OperatorDoor.Answer;
 import petrelstand.operation.OperatorDoor.Call;
 import petrelstand.operation.Telemetry;
+import petrelstand.store.Marks.Other;
 
-/** The operators' address of a gateway, where its file gives one: the calls, and what each does. */
+/**
+ * What a gateway has for its operators, where its file gives an address for them: the calls and what each does, and the
+ * change from one process to the next.
+ */
 final class OperationPart {
+    /** A process that takes another's place waits so long for the list as it is now; an agent that has it answers at once. */
+    private static final long LIST_US = 300_000;
+    /** Of the gateway's part at cold nodes, while two processes spend it. */
+    private static final double HALF = 0.5;
+
+    private final int sockets;
+    private final int transfers;
     private final OperatorDoor door;
+    private final TwinPart twin;
+    private final Lifecycle life;
+    private final Broker broker;
+    private final Front front;
+    private final NodePool pool;
+    private final Timers timers;
+    private final LongSupplier clock;
+    private final Consumer<String> log;
+    private Other other = Other.NONE;
+    /** What waits for the list; null where nothing does. */
+    private Runnable open;
 
-    /** Calls before a gateway's parts; evacuate and rejoin say whether they could be done. */
-    OperationPart(Lifecycle life, Broker broker, Front front, Timers timers, LongSupplier clock, Counters counters,
-            BooleanSupplier evacuate, BooleanSupplier rejoin) {
+    /** Before a gateway's parts, of which its rsync transfers take descriptors too; evacuate and rejoin say whether they could be done. */
+    OperationPart(GatewayConfig config, int transfers, Lifecycle life, Broker broker, Front front, NodePool pool, Timers timers,
+            LongSupplier clock, Executor loop, Counters counters, Consumer<String> log, BooleanSupplier evacuate,
+            BooleanSupplier rejoin) {
+        this.sockets = config.sockets();
+        this.transfers = transfers;
+        this.life = life;
+        this.broker = broker;
+        this.front = front;
+        this.pool = pool;
+        this.timers = timers;
+        this.clock = clock;
+        this.log = log;
+        String shared = System.getenv("TMPDIR");
+        this.twin = new TwinPart(config, Path.of(shared == null ? System.getProperty("java.io.tmpdir") : shared), loop,
+                this::other, log);
         Telemetry telemetry = new Telemetry(broker, counters, () -> (int) front.answering());
-        door = new OperatorDoor(timers, clock, counters, Map.of(
+        this.door = new OperatorDoor(timers, clock, counters, Map.of(
                 "/api/ready", new Call("GET", () -> life.canServe() ? new Answer(200, "ready")
-                        : new Answer(503, "this process can't serve: " + word(life))),
+                        : new Answer(503, "this process can't serve: " + word())),
                 "/api/telemetry", new Call("GET", () -> new Answer(200, telemetry.text())),
-                "/api/evacuate", new Call("POST", () -> done(evacuate, life)),
-                "/api/rejoin", new Call("POST", () -> done(rejoin, life))));
+                "/api/evacuate", new Call("POST", () -> done(evacuate)),
+                "/api/rejoin", new Call("POST", () -> done(rejoin))));
     }
 
-    private static Answer done(BooleanSupplier call, Lifecycle life) {
-        return call.getAsBoolean() ? new Answer(200, word(life)) : new Answer(409, "not now: this process is " + word(life));
+    private Answer done(BooleanSupplier call) {
+        return call.getAsBoolean() ? new Answer(200, word()) : new Answer(409, "not now: this process is " + word());
     }
 
-    private static String word(Lifecycle life) {
+    private String word() {
         return switch (life.phase()) {
             case STARTING -> "starting";
             case SERVING -> "serving";
@@ -45,8 +87,79 @@
         };
     }
 
-    /** Listens at the operators' address; answers go on to the end of the process. */
+    /** Looks for a process whose place this one takes; before the loop starts. */
+    void look() {
+        other = twin.open();
+    }
+
+    /** Takes over what that process has learned, before the first list. */
+    void recall() {
+        if (other != Other.NONE) {
+            log.accept("twin: this process takes the place of another");
+            share();
+            Learned learned = twin.handed();
+            if (learned != null) {
+                broker.recall(learned);
+            }
+        }
+    }
+
+    /**
+     * Whether opening waits for the list as it is now, which then opens: the last one in the file of a process that takes
+     * another's place may be as old as that one, and clients come from the first moment.
+     */
+    boolean awaitsList(Runnable opening) {
+        if (other != Other.NONE) {
+            open = opening;
+            timers.at(clock.getAsLong() + LIST_US, this::heard);
+        }
+        return open != null;
+    }
+
+    /** A list came, or was waited for long enough. */
+    void heard() {
+        Runnable due = open;
+        open = null;
+        if (due != null) {
+            due.run();
+        }
+    }
+
+    /** Listens at the operators' address, to the end of the process, and looks for one that takes this one's place. */
     void open(EventLoop loop, String address) throws IOException {
         loop.listen(Addresses.parse(address), door::accept);
+        twin.listens(broker);
+    }
+
+    /** Told by the twin's thread, on the loop. */
+    private void other(Other now) {
+        log.accept("twin: " + switch (now) {
+            case NONE -> "the other process is gone; this one has all that is the gateway's";
+            case STARTING -> "another process of this gateway starts";
+            case LISTENING -> "another process of this gateway listens too";
+        });
+        other = now;
+        share();
+    }
+
+    /**
+     * While two processes are one gateway, each has half of its part at cold nodes; and half of its descriptors, once the
+     * newer listens: until then connections that the older closed would only come back to it.
+     */
+    private void share() {
+        boolean both = other == Other.LISTENING;
+        life.twin(both);
+        broker.share(other == Other.NONE ? 1 : HALF);
+        Descriptors parts = Descriptors.of(both ? sockets / 2 : sockets, transfers);
+        front.bound(parts.clients());
+        pool.bound(parts.nodes());
+    }
+
+    void retune(Settings changed) {
+        twin.retune(changed);
+    }
+
+    void close() {
+        twin.close();
     }
 }
--- /dev/null
+++ b/src/main/java/petrelstand/TwinPart.java
@@ -0,0 +1,177 @@
+package petrelstand;
+
+import java.io.IOException;
+import java.nio.file.AtomicMoveNotSupportedException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import petrelstand.config.GatewayConfig;
+import petrelstand.core.Broker;
+import petrelstand.decision.Scheduling.Learned;
+import petrelstand.decision.Scheduling.LearnedNode;
+import petrelstand.decision.Scheduling.LearnedVolume;
+import petrelstand.decision.Scheduling.Settings;
+import petrelstand.state.Snapshot;
+import petrelstand.state.Trust;
+import petrelstand.store.Marks;
+import petrelstand.store.Marks.Other;
+import petrelstand.store.SnapshotFormat;
+import petrelstand.store.StateFault;
+
+/**
+ * Two processes of one gateway, of which the newer takes the older's place: each looks for the other by its mark, from a
+ * thread of its own, and tells the loop what changed. While both live, each has half of what the gateway may spend; the
+ * older hands on what it has learned, for as long as the newer does not yet listen.
+ *
+ * <p>The thread owns the marks and the file; the loop's thread owns what is told here, and takes each snapshot.
+ */
+final class TwinPart {
+    /** How often a process looks for another, and hands on what it knows while that one starts. */
+    static final long LOOK_MS = 100;
+    /** Told on the loop's thread that another process has come, listens, or is gone. */
+    interface Told {
+        void other(Other what);
+    }
+
+    private final GatewayConfig config;
+    private final Path folder;
+    private final Executor loop;
+    private final Told told;
+    private final Consumer<String> log;
+    private final Thread thread = new Thread(this::run, "twin");
+    /** Of the thread alone, but for the start. */
+    private Marks marks;
+    private Other seen = Other.NONE;
+    /** Of the loop's thread. */
+    private Broker broker;
+    private Settings settings;
+    /** Set by the loop, taken by the thread. */
+    private final AtomicReference<Snapshot> handing = new AtomicReference<>();
+    private volatile boolean ended;
+
+    /** Looks in a folder; what is told, and logged, is on the loop. */
+    TwinPart(GatewayConfig config, Path folder, Executor loop, Told told, Consumer<String> log) {
+        this.config = config;
+        this.settings = config.settings();
+        this.folder = folder;
+        this.loop = loop;
+        this.told = told;
+        this.log = line -> log.accept("twin: " + line);
+        thread.setDaemon(true);
+    }
+
+    /** Writes and reads a file as between two processes, so that the build's class-data archive has what that takes. */
+    static void rehearse(GatewayConfig config) throws StateFault {
+        long now = System.currentTimeMillis();
+        Learned learned = new Learned(now, 1, 1, List.of(new LearnedNode(1, 0, 1, 1, 3, 10, 0, 0)),
+                List.of(new LearnedVolume(1, 0, 1, 1, 0, 0, 0)));
+        Snapshot taken = new Snapshot(config.name(), Snapshot.print(config.settings()), 1, now, false, learned);
+        new Trust(config.name(), config.settings()).weigh(SnapshotFormat.decode(SnapshotFormat.encode(taken)), now);
+    }
+
+    /** Leaves this process's mark and looks for another's, before anything is opened. Without a folder there is no twin. */
+    Other open() {
+        try {
+            marks = new Marks(folder, config.name() + " " + config.listen());
+            seen = marks.look();
+        } catch (IOException | RuntimeException e) {
+            log.accept("no second process of this gateway can be known: " + e);
+            marks = null;
+        }
+        return seen;
+    }
+
+    /** What the other process has learned, weighed for this one; null where it has handed on nothing that can be used. */
+    Learned handed() {
+        try {
+            Path file = marks == null ? null : marks.handover();
+            if (file == null || !Files.exists(file) || Files.size(file) > SnapshotFormat.MOST_BYTES) {
+                return null;
+            }
+            Snapshot old = SnapshotFormat.decode(Files.readAllBytes(file));
+            Trust.Verdict verdict = new Trust(config.name(), config.settings()).weigh(old, System.currentTimeMillis());
+            log.accept(verdict.refused() != null ? "what the other process handed on is not used: " + verdict.refused()
+                    : "took over " + verdict.learned().nodes().size() + " nodes and " + verdict.learned().volumes().size()
+                            + " volumes, " + (long) verdict.ageMs() + " ms old");
+            return verdict.refused() == null ? verdict.learned() : null;
+        } catch (IOException | StateFault | RuntimeException e) {
+            log.accept("what the other process handed on is not used: " + e.getMessage());
+            return null;
+        }
+    }
+
+    /** This process listens from here on; it tells the other one, and looks for a later one. On the loop's thread. */
+    void listens(Broker of) {
+        broker = of;
+        if (marks != null) {
+            thread.start();
+        }
+    }
+
+    /** Learned from now on under other settings. */
+    void retune(Settings changed) {
+        settings = changed;
+    }
+
+    /** The end: the mark goes with the process at the latest. */
+    void close() {
+        ended = true;
+        thread.interrupt();
+    }
+
+    private void run() {
+        try {
+            marks.listening();
+            while (!ended) {
+                Thread.sleep(LOOK_MS);
+                look();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException | RuntimeException e) {
+            loop.execute(() -> log.accept("a second process is no longer looked for: " + e));
+        }
+        closeMarks();
+    }
+
+    private void look() throws IOException {
+        Other now = marks.look();
+        if (now != seen) {
+            seen = now;
+            loop.execute(() -> told.other(now));
+        }
+        if (now == Other.STARTING) {
+            // The snapshot is the loop's to take; the file is this thread's to write.
+            loop.execute(() -> handing.set(new Snapshot(config.name(), Snapshot.print(settings), 1,
+                    System.currentTimeMillis(), false, broker.learned())));
+            Snapshot due = handing.getAndSet(null);
+            if (due != null) {
+                write(SnapshotFormat.encode(due));
+            }
+        }
+    }
+
+    private void write(byte[] file) throws IOException {
+        Path whole = marks.handover();
+        Path part = whole.resolveSibling(whole.getFileName() + ".tmp");
+        Files.write(part, file);
+        try {
+            Files.move(part, whole, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (AtomicMoveNotSupportedException e) {
+            Files.delete(part);
+            throw e;
+        }
+    }
+
+    private void closeMarks() {
+        try {
+            marks.close();
+        } catch (IOException e) {
+            // The system lets go of the mark with the process.
+        }
+    }
+}
--- a/src/main/java/petrelstand/config/GatewayConfig.java
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -5,21 +5,28 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import petrelstand.decision.Scheduling.Settings;
+import petrelstand.retuning.Retuning;
 
 /**
  * What a gateway is told at its start: its addresses, its limits, its last node list and the settings. The operators'
- * address is null where none is given.
+ * address is null where none is given. {@code file} is the text as it was read; nobody changes it.
  */
 public record GatewayConfig(String name, String listen, String discovery, String operator, long seed, int sockets,
-        Settings settings, NodeList known) {
+        Settings settings, NodeList known, JsonObject file) {
+    /** What a later file may leave out: it tells of the moment, or the environment tells it. */
+    private static final Set<String> SPARED = Set.of("known", "seed", "operator");
 
     /** Reads the file that the environment names; whatever is wrong is one IllegalArgumentException. */
     public static GatewayConfig load(Map<String, String> env) {
@@ -27,8 +34,27 @@
         if (file == null || file.isBlank()) {
             throw new IllegalArgumentException("RELAY_CONFIG is not set");
         }
+        return load(file, env, json -> {});
+    }
+
+    /**
+     * Reads the file anew. It must have every key that the one in use has, so that one which was cut or edited in haste is
+     * turned down whole; what is wrong is one IllegalArgumentException that names file and field.
+     */
+    public static GatewayConfig reload(Map<String, String> env, GatewayConfig inUse) {
+        return load(env.get("RELAY_CONFIG"), env, json -> {
+            String missing = missing("", inUse.file, json);
+            if (missing != null) {
+                throw new IllegalArgumentException(missing + " is missing");
+            }
+        });
+    }
+
+    private static GatewayConfig load(String file, Map<String, String> env, Consumer<JsonObject> check) {
         try {
-            return parse(Files.readString(Path.of(file)), env);
+            JsonObject json = object(Files.readString(Path.of(file)));
+            check.accept(json);
+            return of(json, env);
         } catch (IOException e) {
             throw new IllegalArgumentException(file + " cannot be read: " + e.getClass().getSimpleName());
         } catch (IllegalArgumentException e) {
@@ -36,8 +62,51 @@
         }
     }
 
+    /** The first key that a former object has, at any depth, and a changed one lacks; null where none is lacking. */
+    private static String missing(String path, JsonObject former, JsonObject changed) {
+        for (String key : former.keySet()) {
+            String at = path.isEmpty() ? key : path + "." + key;
+            if (SPARED.contains(at)) {
+                continue;
+            }
+            JsonElement was = former.get(key);
+            JsonElement is = changed.get(key);
+            if (is == null || is.isJsonNull() && !was.isJsonNull()) {
+                return at;
+            }
+            String below = was.isJsonObject() && is.isJsonObject() ? missing(at, was.getAsJsonObject(), is.getAsJsonObject())
+                    : was.isJsonArray() && is.isJsonArray() ? missing(at, was.getAsJsonArray(), is.getAsJsonArray()) : null;
+            if (below != null) {
+                return below;
+            }
+        }
+        return null;
+    }
+
+    /** Items come and go; each must have the keys that all of the former ones had. */
+    private static String missing(String path, JsonArray former, JsonArray changed) {
+        Set<String> shared = null;
+        for (JsonElement item : former) {
+            Set<String> keys = item.isJsonObject() ? item.getAsJsonObject().keySet() : Set.of();
+            shared = shared == null ? new HashSet<>(keys) : shared;
+            shared.retainAll(keys);
+        }
+        for (int i = 0; shared != null && i < changed.size(); i++) {
+            JsonObject item = changed.get(i).isJsonObject() ? changed.get(i).getAsJsonObject() : new JsonObject();
+            for (String key : shared) {
+                if (!item.has(key)) {
+                    return path + "." + i + "." + key;
+                }
+            }
+        }
+        return null;
+    }
+
     public static GatewayConfig parse(String text, Map<String, String> env) {
-        JsonObject json = object(text);
+        return of(object(text), env);
+    }
+
+    private static GatewayConfig of(JsonObject json, Map<String, String> env) {
         JsonObject limits = json.has("limits") && json.get("limits").isJsonObject()
                 ? json.getAsJsonObject("limits") : new JsonObject();
         if (!json.has("settings") || !json.get("settings").isJsonObject()) {
@@ -45,6 +114,7 @@
         }
         Map<String, String> values = new HashMap<>();
         flatten("", json.get("settings"), values);
+        numbers(json.getAsJsonObject("settings"));
         Settings settings;
         try {
             settings = SettingsReader.of(values);
@@ -56,7 +126,7 @@
         return new GatewayConfig(word(json, "name", env.get("RELAY_NAME")),
                 address("listen", word(json, "listen", env.get("RELAY_LISTEN"))),
                 address("discovery", word(json, "discovery", env.get("RELAY_DISCOVERY"))), operator(json, env),
-                seed(word(json, "seed", "0")), whole(limits, "sockets", 1024), settings, known);
+                seed(word(json, "seed", "0")), whole(limits, "sockets", 1024), settings, known, json);
     }
 
     /**
@@ -81,12 +151,31 @@
         if (sockets != other.sockets) {
             names.add("limits");
         }
-        if (!settings.equals(other.settings)) {
-            names.add("settings");
-        }
+        names.addAll(Retuning.fixed(settings, other.settings));
         return names;
     }
 
+    /** A number in quotes is none: whoever wrote it may have meant something else. */
+    private static void numbers(JsonObject settings) {
+        if (settings.get("caps") instanceof JsonObject caps) {
+            number("caps.most_tries", caps.get("most_tries"));
+        }
+        if (settings.get("classes") instanceof JsonArray classes) {
+            for (int i = 0; i < classes.size(); i++) {
+                if (classes.get(i) instanceof JsonObject kind) {
+                    number("classes." + i + ".hard_limit_ms", kind.get("hard_limit_ms"));
+                    number("classes." + i + ".aim_ms", kind.get("aim_ms"));
+                }
+            }
+        }
+    }
+
+    private static void number(String path, JsonElement value) {
+        if (value != null && !(value instanceof JsonPrimitive number && number.isNumber() && number.getAsDouble() > 0)) {
+            throw new IllegalArgumentException("settings: " + path + " is no number above 0: " + value);
+        }
+    }
+
     static JsonObject object(String text) {
         try {
             JsonElement element = JsonParser.parseString(text);
--- a/src/main/java/petrelstand/config/SettingsReader.java
+++ b/src/main/java/petrelstand/config/SettingsReader.java
@@ -58,8 +58,8 @@
 
     private RequestClass requestClass(int i) {
         String at = "classes." + i + ".";
-        return new RequestClass(values.getOrDefault(at + "name", Integer.toString(i)), number(at + "aim_ms"),
-                number(at + "aim_stretch", 0), number(at + "hard_limit_ms"), number(at + "value", 1),
+        return new RequestClass(values.getOrDefault(at + "name", Integer.toString(i)), above0(at + "aim_ms"),
+                number(at + "aim_stretch", 0), above0(at + "hard_limit_ms"), number(at + "value", 1),
                 number(at + "late_value", 0), effect(at + "semantics"), group(at + "group"),
                 number(at + "repeat_window_ms", 0), flag(at + "fifo_by_key"), flag(at + "stream"), writes(i));
     }
@@ -77,7 +77,7 @@
     }
 
     private Capabilities capabilities() {
-        return new Capabilities(whole("caps.most_tries"), flag("caps.cancel"), flag("caps.probes"),
+        return new Capabilities((int) Math.min(whole("caps.most_tries"), above0("caps.most_tries")), flag("caps.cancel"), flag("caps.probes"),
                 flag("caps.peer_messages"), flag("caps.may_duplicate"), flag("caps.retry_after"),
                 number("caps.max_retry_after_ms", 0),
                 number("caps.connect_timeout_ms", CONNECT_MS), number("caps.idle_close_ms", IDLE_MS));
@@ -164,6 +164,14 @@
         }
     }
 
+    private double above0(String path) {
+        double value = number(path);
+        if (!(value > 0 && value < Double.POSITIVE_INFINITY)) {
+            throw new IllegalArgumentException(path + " is no number above 0: '" + values.get(path) + "'");
+        }
+        return value;
+    }
+
     private String needed(String path) {
         String value = values.get(path);
         if (value == null || value.isEmpty()) {
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -34,7 +34,7 @@
     /** The guard on a forgotten request comes after the time-outs at the deadline, and within the rule's grace. */
     private static final long GUARD_US = 2_000;
 
-    private final Settings settings;
+    private Settings settings;
     private final LongSupplier clock;
     private final Timers timers;
     private final ServerSide server;
@@ -89,6 +89,16 @@
         return settings;
     }
 
+    /**
+     * Other settings from now on. Requests that are open keep the class they came with, and may have no more attempts
+     * than they came with either.
+     */
+    public void retune(Settings changed) {
+        settings = changed;
+        changed.classes().forEach(kind -> figures.knows(kind.name()));
+        event(() -> module.retune(ms(clock.getAsLong()), changed), null);
+    }
+
     /** The time of this turn of the loop. */
     public long nowUs() {
         return clock.getAsLong();
@@ -260,6 +270,11 @@
         return module.learned(ms(clock.getAsLong()));
     }
 
+    /** The part of this gateway's due at cold nodes that is this process's own from now on. */
+    public void share(double part) {
+        event(() -> module.share(ms(clock.getAsLong()), part), null);
+    }
+
     /** Gives the module what an earlier run learned, weighed and bounded; only before the first node list. */
     public void recall(Learned learned) {
         event(() -> module.recall(ms(clock.getAsLong()), learned), null);
--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -62,11 +62,12 @@
     private static final double NEVER = Double.NEGATIVE_INFINITY;
     private static final long TICK = -1, ASK = -2;
 
-    private final Settings settings;
-    private final Rules rules;
+    private Settings settings;
+    private Rules rules;
     private final Actions act;
     private final SplittableRandom random;
-    private final double startedMs, tightestAimMs, slotMs, latencyStartMs;
+    private final double startedMs;
+    private double tightestAimMs, slotMs, latencyStartMs, share = 1;
     private final TreeMap<Long, Node> nodes = new TreeMap<>();
     private final Map<Long, Item> items = new HashMap<>();
     private final Map<Long, Volume> volumes = new LinkedHashMap<>(16, 0.75f, true);
@@ -90,6 +91,7 @@
         final Volume volume;
         final long order;
         final double aimMs;
+        final int mostAttempts;
         final List<Attempt> attempts = new ArrayList<>();
         final Set<Attempt> open = new HashSet<>();
         /** The store of its volume that it draws on, reserve or share; null where it is due neither. */
@@ -99,8 +101,9 @@
         boolean closed, streaming;
         Attempt mayHaveRun;
 
-        Item(Request request, RequestClass kind, Volume volume, long order, double aimMs) {
+        Item(Request request, RequestClass kind, Volume volume, long order, double aimMs, int mostAttempts) {
             this.request = request;
+            this.mostAttempts = mostAttempts;
             this.kind = kind;
             this.volume = volume;
             this.order = order;
@@ -186,15 +189,12 @@
 
     /** A policy for one host, started at a time with the settings, its seed, and its host's actions. */
     public Policy(double nowMs, Settings settings, long seed, Actions actions) {
-        this.settings = Objects.requireNonNull(settings, "settings are missing");
-        this.rules = settings.rules();
+        retune(nowMs, Objects.requireNonNull(settings, "settings are missing"));
         this.act = Objects.requireNonNull(actions, "actions are missing");
         this.random = new SplittableRandom(seed);
         this.startedMs = forgotMs = nowMs;
         this.many = settings.hosts() > WINDOW_CEILING;
-        this.tightestAimMs = settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElseThrow();
-        this.slotMs = Math.min(SLOT_MS, SLOT_PART * tightestAimMs);
-        this.latencyStartMs = usualMs = LATENCY_START_SLOTS * slotMs;
+        this.usualMs = latencyStartMs;
         this.taken = new SlidingSum(Math.max(0, rules.furtherSpanMs() - settings.tickMs()));
         this.further = new SlidingSum(rules.furtherSpanMs() + settings.tickMs());
         if (settings.discovery() == Discovery.ASKED) {
@@ -202,6 +202,20 @@
         }
     }
 
+    @Override
+    public void retune(double nowMs, Settings changed) {
+        settings = changed;
+        rules = changed.rules();
+        tightestAimMs = settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElseThrow();
+        slotMs = Math.min(SLOT_MS, SLOT_PART * tightestAimMs);
+        latencyStartMs = LATENCY_START_SLOTS * slotMs;
+    }
+
+    @Override
+    public void share(double nowMs, double part) {
+        share = part;
+    }
+
     // ---- Node list ----
 
     @Override
@@ -327,7 +341,7 @@
         double margin = Math.max(FINAL_MARGIN_MS, FINAL_MARGIN_TICKS * settings.tickMs());
         double waited = request.clientRepeat() ? Math.max(0, kind.deadlineMs() - request.timeLeftMs()) : 0;
         double aim = nowMs + Math.min(kind.aimMs() - waited, request.timeLeftMs());
-        Item item = new Item(request, kind, volume, sequence++, aim);
+        Item item = new Item(request, kind, volume, sequence++, aim, settings.may().maxAttempts());
         items.put(request.id(), item);
         act.timer(nowMs + Math.max(0, request.timeLeftMs() - margin), request.id());
         if (kind.ordered() && request.key() != 0) {
@@ -508,10 +522,7 @@
             double wait = standingMs(nowMs, node);
             if ((!first || cold(nowMs, node)) && nowMs + LEAST_LATENCY_PART * node.latencyMs > item.aimMs
                     || wait > 0 && nowMs + wait > dueMs(nowMs, item)) {
-                leave(item);
-                if (item.open.isEmpty()) {
-                    conclude(nowMs, item, slotMs);
-                }
+                conclude(nowMs, item, slotMs);
             } else if (maySend(nowMs, node, item)) {
                 if (hasRoom(nowMs, node, item)) {
                     send(nowMs, node, item);
@@ -636,14 +647,9 @@
 
     /** After an attempt without an answer: another, where class, time and budget allow it, or the end. */
     private void goOn(double nowMs, Item item, Outcome outcome) {
-        boolean may = item.mayHaveRun == null || item.kind.effect() != Effect.UNSAFE;
-        Node node = may && outcome != Outcome.TIMED_OUT ? nodeForFurther(nowMs, item) : null;
-        holdOrConclude(nowMs, item, node, slotMs);
-    }
-
-    private Node nodeForFurther(double nowMs, Item item) {
-        boolean left = nowMs < item.aimMs && item.attempts.size() < settings.may().maxAttempts();
-        return left && mayTryFurther(nowMs) ? nodeFor(nowMs, item) : null;
+        int most = Math.min(item.mostAttempts, settings.may().maxAttempts());
+        boolean may = outcome != Outcome.TIMED_OUT && nowMs < item.aimMs && item.attempts.size() < most;
+        holdOrConclude(nowMs, item, may && mayTryFurther(nowMs) ? nodeFor(nowMs, item) : null, slotMs);
     }
 
     /** The final answer for what is not served: a refusal where that is harmless, else a failure. */
@@ -827,7 +833,7 @@
 
     /** This host's even part of what a cold node bears in a window. */
     private double coldPart(double nowMs, Node node) {
-        return settings.coldUnits() / settings.hosts() * warmth(nowMs, node) / rules.coldShare();
+        return share * settings.coldUnits() / settings.hosts() * warmth(nowMs, node) / rules.coldShare();
     }
 
     /** What a request of mean size takes at a cold node by now. */
@@ -846,7 +852,8 @@
         double part = coldPart(nowMs, node) / rules.fallMultiple() / settings.meanUnits();
         double safe = part * room >= 1 ? part * room : part * Math.min(room, ms / rules.fallMs());
         double most = node.heard > 0 ? LEAST_OUT_TOGETHER : COLD_OUT_TOGETHER;
-        return Math.max(safe, Math.min(most, COLD_MARGIN * room * rules.fallMs() / ms) / settings.hosts());
+        double seen = Math.min(most, COLD_MARGIN * room * rules.fallMs() / ms);
+        return Math.max(safe, share * seen / settings.hosts());
     }
 
     /** The part of its next turn that this host has at a cold node: one turn a latency over the part out. */
@@ -964,10 +971,4 @@
             node.halvedMs = nowMs;
         }
     }
-
-    @Override // Nodes are not asked for their load.
-    public void probed(double nowMs, long node, double elapsedMs, Outcome outcome, List<Double> load) {}
-
-    @Override
-    public void peerMessage(double nowMs, int sender, byte[] message) {} // Hosts tell each other nothing.
 }
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -167,13 +167,25 @@
         void clientGone(double nowMs, long request);
 
         /** A probe came back. */
-        void probed(double nowMs, long node, double elapsedMs, Outcome outcome, List<Double> load);
+        default void probed(double nowMs, long node, double elapsedMs, Outcome outcome, List<Double> load) {}
 
         /** A timer set by {@link Actions#timer} is due. */
         void timer(double nowMs, long token);
 
         /** Another host sent a message. */
-        void peerMessage(double nowMs, int sender, byte[] message);
+        default void peerMessage(double nowMs, int sender, byte[] message) {}
+
+        /**
+         * Other settings from now on; a class keeps its place. What is open keeps the class and the attempts that it came
+         * with, and what was learned stays.
+         */
+        default void retune(double nowMs, Settings changed) {}
+
+        /**
+         * The part of this host's due at cold nodes that is its own from now on: below 1 where a second process spends
+         * in its name too.
+         */
+        default void share(double nowMs, double part) {}
 
         /** What the module has learned, as plain figures; a look that changes nothing. */
         default Learned learned(double nowMs) {
--- a/src/main/java/petrelstand/http/DemandReader.java
+++ b/src/main/java/petrelstand/http/DemandReader.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import petrelstand.core.Demand;
@@ -35,11 +36,13 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> plans = new HashMap<>();
 
-    DemandReader(Settings settings) {
+    /** A reader under settings, to which some of their classes are closed. */
+    DemandReader(Settings settings, Set<String> closed) {
         this.settings = settings;
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
         }
+        classes.keySet().removeAll(closed);
         for (int i = 0; i < settings.plans().size(); i++) {
             plans.put(settings.plans().get(i).name(), i);
         }
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.core.Broker;
 import petrelstand.core.Timers;
+import petrelstand.decision.Scheduling.Settings;
 import petrelstand.lifecycle.Lifecycle;
 
 /** The platform's front: its client connections, and what they share. */
@@ -47,8 +48,8 @@
     private final Budget answers = new Budget(MOST_ANSWERS);
     private final Broker broker;
     private final Timers timers;
-    private final DemandReader reader;
-    private final int mostConnections;
+    private DemandReader reader;
+    private int mostConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     /** Ids of the requests that are not over, or have an attempt out. */
     private final Set<String> openIds = new HashSet<>();
@@ -79,7 +80,7 @@
         this.broker = broker;
         this.timers = timers;
         this.mostConnections = mostConnections;
-        this.reader = new DemandReader(broker.settings());
+        this.reader = new DemandReader(broker.settings(), Set.of());
     }
 
     /**
@@ -133,6 +134,19 @@
         return dropped;
     }
 
+    /** At most so many connections from now on; what is between requests beyond it closes, the longest unused first. */
+    public void bound(int most) {
+        mostConnections = most;
+        for (int i = connections.size(); i > most; i--) {
+            makeRoom();
+        }
+    }
+
+    /** Other settings from now on; requests of closed classes are no longer known. */
+    public void retune(Settings settings, Set<String> closed) {
+        reader = new DemandReader(settings, closed);
+    }
+
     /** Closes what is between requests, but for newcomers that may be about to speak. */
     public void closeIdle() {
         long now = broker.nowUs();
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -50,9 +50,9 @@
     private final Timers timers;
     private final Counters counters;
     private final String host;
-    private final long connectUs;
-    private final long reuseUs;
-    private final int mostOpen;
+    private long connectUs;
+    private long reuseUs;
+    private int mostOpen;
     private final Budget answers = new Budget(MOST_ANSWERS);
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private int open;
@@ -66,8 +66,21 @@
         this.counters = counters;
         this.host = host;
         this.mostOpen = mostOpen;
-        this.connectUs = (long) (settings.may().connectTimeoutMs() * 1000);
-        this.reuseUs = (long) (settings.may().idleCloseMs() * 1000 * REUSE_PART);
+        retune(settings);
+    }
+
+    /** Other settings from now on. */
+    public void retune(Settings settings) {
+        connectUs = (long) (settings.may().connectTimeoutMs() * 1000);
+        reuseUs = (long) (settings.may().idleCloseMs() * 1000 * REUSE_PART);
+    }
+
+    /** At most so many connections from now on; idle ones beyond it close. */
+    public void bound(int most) {
+        mostOpen = most;
+        while (open > mostOpen && dropOldestIdle()) {
+            counters.add("connections.gave_way");
+        }
     }
 
     /** Connections open or coming up. */
--- a/src/main/java/petrelstand/lifecycle/Lifecycle.java
+++ b/src/main/java/petrelstand/lifecycle/Lifecycle.java
@@ -1,5 +1,8 @@
 package petrelstand.lifecycle;
 
+import petrelstand.decision.Scheduling.RequestClass;
+import petrelstand.decision.Scheduling.Settings;
+
 /**
  * What a gateway's process does with connections and requests in each part of its life, from the start to the end:
  * a function of what was asked of it, and when, and of the time. No timer belongs to it, so nothing of a former phase
@@ -45,6 +48,11 @@
             }
         }
 
+        /** The platform's, under settings. */
+        public static Times of(Settings settings) {
+            return of((long) (1000 * settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElseThrow()));
+        }
+
         /** The platform's, where the longest deadline is so long. */
         public static Times of(long longestDeadlineUs) {
             return new Times(NOTED_US, DRAINED_US, LAST_OPEN_US,
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -73,9 +74,18 @@
 
     /** Listens; each accepted connection is made by the front. A port of 0 takes a free one. */
     public ServerSocketChannel listen(InetSocketAddress address, Function<EndPoint, Connection> front) throws IOException {
+        return listen(address, false, front);
+    }
+
+    /** Listens, where shared beside other processes that do so too: the system gives each its part of connections. */
+    public ServerSocketChannel listen(InetSocketAddress address, boolean shared, Function<EndPoint, Connection> front)
+            throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         server.configureBlocking(false);
         try {
+            if (shared) {
+                server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             server.bind(address, 1024);
         } catch (IOException e) {
             server.close();
@@ -86,6 +96,28 @@
         return server;
     }
 
+    /**
+     * Ends listening, in a later turn: what the system holds for the listener is taken first. A listener that closes while
+     * it is registered stays open to the system until the next select, and what comes up meanwhile would be reset.
+     */
+    public void unlisten(ServerSocketChannel server) {
+        executor.execute(() -> {
+            try {
+                SelectionKey key = server.keyFor(executor.selector);
+                if (key != null) {
+                    key.cancel();
+                    executor.selector.selectNow();
+                }
+                for (SocketChannel last = server.accept(); last != null; last = server.accept()) {
+                    accepted(last);
+                }
+                server.close();
+            } catch (IOException e) {
+                System.err.println("petrelstand: loop: a listener would not close: " + e);
+            }
+        });
+    }
+
     /** Starts a connection out; the connector hears of it in a later turn. */
     public SocketChannel connect(InetSocketAddress address, Connector connector) throws IOException {
         SocketChannel channel = SocketChannel.open();
@@ -126,10 +158,14 @@
         SocketChannel socket = (SocketChannel) channel;
         InetSocketAddress at = (InetSocketAddress) socket.getLocalAddress();
         Function<EndPoint, Connection> front = fronts.get(at);
+        if (front == null) {
+            // One that listens on all of the machine's addresses is known by none of them.
+            front = fronts.entrySet().stream().filter(one -> ((InetSocketAddress) one.getKey()).getPort() == at.getPort())
+                    .findFirst().orElseThrow(() -> new IOException("nobody listens at " + at)).getValue();
+        }
         socket.configureBlocking(false);
         socket.socket().setTcpNoDelay(true);
-        // One that listens on all of the machine's addresses is known by none of them.
-        accept(socket, front != null ? front : fronts.get(new InetSocketAddress(at.getPort())));
+        accept(socket, front);
     }
 
     @Override
--- a/src/main/java/petrelstand/report/AccountsPage.java
+++ b/src/main/java/petrelstand/report/AccountsPage.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import petrelstand.accounts.Accounts;
 import petrelstand.accounts.Book;
 import petrelstand.accounts.Cause;
@@ -23,7 +24,9 @@
     private static final int MOST_CAUSES = 8;
     private static final long LAST_WRITE_MS = 300;
 
-    private final Settings settings;
+    /** As they are now: a class keeps its place, and others may come. */
+    private final Supplier<Settings> settings;
+    private final Broker broker;
     private final Accounts accounts;
     private final Book book;
     private AccountsLog records;
@@ -33,14 +36,14 @@
         Book book = new Book();
         Accounts accounts = new Accounts(nodeCores, broker.settings().rules().warmUpMs(), book);
         broker.watch(accounts);
-        return new AccountsPage(broker.settings(), accounts, book);
+        return new AccountsPage(broker, accounts, book);
     }
 
     /** Records in a folder from now on; what is logged and counted is on the loop. */
     public void record(Path folder, String gateway, Counters counters, Consumer<Runnable> loop, Consumer<String> log) {
         records = AccountsLog.onDisk(folder, new AccountsRecord.Names(gateway,
-                settings.classes().stream().map(c -> c.name()).toList(),
-                settings.plans().stream().map(p -> p.name()).toList()), counters, loop, log);
+                settings.get().classes().stream().map(c -> c.name()).toList(),
+                settings.get().plans().stream().map(p -> p.name()).toList()), counters, loop, log);
         book.keep(records);
     }
 
@@ -65,11 +68,12 @@
 
     /** The same accounts as metrics. */
     public MetricsPage metrics() {
-        return new MetricsPage(settings, book);
+        return new MetricsPage(settings, book, broker.figures());
     }
 
-    AccountsPage(Settings settings, Accounts accounts, Book book) {
-        this.settings = settings;
+    AccountsPage(Broker broker, Accounts accounts, Book book) {
+        this.broker = broker;
+        this.settings = broker::settings;
         this.accounts = accounts;
         this.book = book;
     }
@@ -115,8 +119,8 @@
             if (group.node() >= 0) {
                 of.addProperty("node", String.format("%08x", group.node()));
             } else if (group.requestClass() >= 0) {
-                of.addProperty("class", settings.classes().get(group.requestClass()).name());
-                of.addProperty("plan", settings.plans().get(group.plan()).name());
+                of.addProperty("class", settings.get().classes().get(group.requestClass()).name());
+                of.addProperty("plan", settings.get().plans().get(group.plan()).name());
             } else {
                 of.addProperty("others", true);
             }
@@ -152,11 +156,11 @@
         Ledger.Cell cell = entry.cell();
         json.addProperty("node", String.format("%08x", cell.node()));
         json.addProperty("volume", String.format("%016x", cell.volume()));
-        json.addProperty("class", settings.classes().get(cell.requestClass()).name());
+        json.addProperty("class", settings.get().classes().get(cell.requestClass()).name());
         json.addProperty("cause", cell.cause().kind().name().toLowerCase(java.util.Locale.ROOT));
         if (cell.cause().kind() == Cause.Kind.WORK) {
             json.addProperty("cause_volume", String.format("%016x", cell.cause().volume()));
-            json.addProperty("cause_class", settings.classes().get(cell.cause().requestClass()).name());
+            json.addProperty("cause_class", settings.get().classes().get(cell.cause().requestClass()).name());
         }
         json.addProperty("ms", entry.us() / 1000.0);
         json.addProperty("over_by_at_most_ms", entry.overUs() / 1000.0);
--- a/src/main/java/petrelstand/report/MetricsPage.java
+++ b/src/main/java/petrelstand/report/MetricsPage.java
@@ -14,8 +14,10 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.function.Supplier;
 import petrelstand.accounts.Book;
 import petrelstand.accounts.Cause;
+import petrelstand.core.Figures;
 import petrelstand.decision.Scheduling.Settings;
 
 /**
@@ -26,20 +28,22 @@
     private static final int MOST_NAMED = 16;
     private static final double US = 1e6;
 
-    private final Settings settings;
+    private final Supplier<Settings> settings;
     private final Book book;
+    private final Figures figures;
 
-    MetricsPage(Settings settings, Book book) {
+    MetricsPage(Supplier<Settings> settings, Book book, Figures figures) {
+        this.figures = figures;
         this.settings = settings;
         this.book = book;
     }
 
     private String className(int place) {
-        return settings.classes().get(place).name();
+        return settings.get().classes().get(place).name();
     }
 
     private String planName(int place) {
-        return settings.plans().get(place).name();
+        return settings.get().plans().get(place).name();
     }
 
     /** The page, made on the loop: a few hundred lines at most. */
@@ -48,8 +52,8 @@
                 .help("Time that requests were held and waited, by class and kind of cause");
         CounterSnapshot.Builder ended = CounterSnapshot.builder().name("petrelstand_requests")
                 .help("Requests that are over, by class, plan and whether they were served");
-        int classes = Math.min(MOST_NAMED, settings.classes().size());
-        int plans = Math.min(MOST_NAMED, settings.plans().size());
+        int classes = Math.min(MOST_NAMED, settings.get().classes().size());
+        int plans = Math.min(MOST_NAMED, settings.get().plans().size());
         for (int kind = 0; kind < classes; kind++) {
             for (Cause.Kind cause : Cause.Kind.values()) {
                 waits.dataPoint(CounterDataPointSnapshot.builder().labels(Labels.of("class", className(kind), "cause",
@@ -63,7 +67,7 @@
                 }
             }
         }
-        MetricSnapshots all = new MetricSnapshots(waits.build(), ended.build(), phases(classes, plans));
+        MetricSnapshots all = new MetricSnapshots(waits.build(), ended.build(), phases(classes, plans), ends(), tries());
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create().write(text, all);
@@ -73,6 +77,25 @@
         return text.toString(StandardCharsets.UTF_8);
     }
 
+    /** The same counts as the operators' address gives. */
+    private CounterSnapshot ends() {
+        CounterSnapshot.Builder ends = CounterSnapshot.builder().name("petrelstand_ends")
+                .help("Requests that are over, by class and how they ended");
+        for (String kind : figures.classes()) {
+            for (Figures.End end : Figures.End.values()) {
+                ends.dataPoint(CounterDataPointSnapshot.builder().labels(Labels.of("class", kind, "how",
+                        end.name().toLowerCase(Locale.ROOT))).value(figures.count(kind, end)).build());
+            }
+        }
+        return ends.build();
+    }
+
+    private CounterSnapshot tries() {
+        return CounterSnapshot.builder().name("petrelstand_upstream_tries")
+                .help("Attempts written whole to storage nodes")
+                .dataPoint(CounterDataPointSnapshot.builder().value(figures.tries()).build()).build();
+    }
+
     /** Percentiles of the last whole minute, or of the one that runs while there is no other. */
     private SummarySnapshot phases(int classes, int plans) {
         SummarySnapshot.Builder phases = SummarySnapshot.builder().name("petrelstand_phase_seconds")
--- /dev/null
+++ b/src/main/java/petrelstand/store/Marks.java
@@ -0,0 +1,94 @@
+package petrelstand.store;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Locale;
+
+/**
+ * The marks that processes of one gateway leave in the folder that they share: a file each, locked for as long as the
+ * process lives, whose one byte says whether it listens. The system lets go of a lock with its process, so that a mark
+ * whose process was killed is known as such, and goes. Not for several threads.
+ */
+public final class Marks implements Closeable {
+    /** What else there is: no other process, one that starts, or one that listens at the clients' address. */
+    public enum Other { NONE, STARTING, LISTENING }
+
+    private static final byte STARTING = 's';
+    private static final byte LISTENING = 'l';
+
+    private final Path folder;
+    private final String prefix;
+    private final Path own;
+    private final FileChannel channel;
+
+    /** Leaves a mark of a gateway, known by its name and address, that starts. */
+    public Marks(Path folder, String gateway) throws IOException {
+        this.folder = folder;
+        this.prefix = String.format(Locale.ROOT, "petrelstand-%08x-", gateway.hashCode());
+        this.own = folder.resolve(prefix + Long.toHexString(ProcessHandle.current().pid()) + "-"
+                + Long.toHexString(System.nanoTime()) + ".mark");
+        this.channel = FileChannel.open(own, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
+        FileLock lock = channel.tryLock();
+        if (lock == null) {
+            channel.close();
+            throw new IOException("the new mark " + own.getFileName() + " is locked by another process");
+        }
+        say(STARTING);
+    }
+
+    /** The file that one process hands its knowledge to the other in. */
+    public Path handover() {
+        return folder.resolve(prefix + "learned");
+    }
+
+    /** From here on the other process knows that this one listens. */
+    public void listening() throws IOException {
+        say(LISTENING);
+    }
+
+    private void say(byte what) throws IOException {
+        channel.write(ByteBuffer.wrap(new byte[] {what}), 0);
+    }
+
+    /** Looks for another process of this gateway; marks without one are taken away. */
+    public Other look() throws IOException {
+        Other found = Other.NONE;
+        try (DirectoryStream<Path> marks = Files.newDirectoryStream(folder, prefix + "*.mark")) {
+            for (Path mark : marks) {
+                Other other = mark.equals(own) ? Other.NONE : look(mark);
+                found = other.compareTo(found) > 0 ? other : found;
+            }
+        }
+        return found;
+    }
+
+    private Other look(Path mark) throws IOException {
+        try (FileChannel other = FileChannel.open(mark, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            FileLock lock = other.tryLock();
+            if (lock != null) {
+                Files.deleteIfExists(mark);
+                return Other.NONE;
+            }
+            ByteBuffer said = ByteBuffer.allocate(1);
+            return other.read(said, 0) == 1 && said.get(0) == LISTENING ? Other.LISTENING : Other.STARTING;
+        } catch (NoSuchFileException e) {
+            return Other.NONE;
+        }
+    }
+
+    /** Takes the own mark away. */
+    @Override
+    public void close() throws IOException {
+        Files.deleteIfExists(own);
+        channel.close();
+    }
+}
--- a/src/main/java/petrelstand/store/StateKeeper.java
+++ b/src/main/java/petrelstand/store/StateKeeper.java
@@ -40,7 +40,7 @@
 
     private final Opening opening;
     private final String gateway;
-    private final long settingsPrint;
+    private long settingsPrint;
     private final Trust trust;
     private final Timers timers;
     private final LongSupplier nowUs;
@@ -158,6 +158,11 @@
         }
     }
 
+    /** What is learned from now on is learned under other settings: a start under these will find it its own. */
+    public void retune(Settings settings) {
+        settingsPrint = Snapshot.print(settings);
+    }
+
     private void tick() {
         if (atLast != null) {
             return;
--- /dev/null
+++ b/src/test/java/petrelstand/OperationProcessTest.java
@@ -0,0 +1,303 @@
+package petrelstand;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import petrelstand.testing.ServedGateway;
+import petrelstand.testing.ServedGateway.Run;
+import petrelstand.testing.StandIns.Client;
+
+/** Started processes, as operators meet them: calls, drains, other settings, a change of the process. */
+@Timeout(120)
+class OperationProcessTest {
+    @TempDir
+    Path folder;
+    private ServedGateway gateway;
+
+    @BeforeEach
+    void open() throws IOException {
+        gateway = new ServedGateway(folder, 2);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        gateway.close();
+    }
+
+    private Run serving() throws Exception {
+        Run run = gateway.start();
+        run.await("ready: ");
+        return run;
+    }
+
+    private String ready() throws IOException {
+        try (Client client = new Client(gateway.port())) {
+            client.send("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n");
+            return client.answer().substring(0, 3);
+        }
+    }
+
+    @Test
+    void callsAreAnsweredBesideSilentCallersAndFiguresAreTrue() throws Exception {
+        Run run = serving();
+        List<Client> silent = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            silent.add(new Client(run.operator()));
+            silent.get(i).send("GET /api/rea");
+        }
+        try (Client client = new Client(gateway.port())) {
+            for (int i = 0; i < 20; i++) {
+                assertTrue(ServedGateway.read(client, "tile-read", "t" + i).startsWith("200"));
+            }
+            client.send(ServedGateway.request("GET", "bulk-export", "", "e").replace("shard=0", "shard=7") + "\r\n");
+            assertTrue(client.answer().startsWith("503"));
+            long before = System.nanoTime();
+            assertEquals("200 ready\n", run.call("GET", "/api/ready"));
+            assertTrue(System.nanoTime() - before < TimeUnit.SECONDS.toNanos(1));
+            assertEquals(20, run.figure("passed.tile-read"));
+            assertEquals(0, run.figure("bad_gateway.tile-read"));
+            assertEquals(1, run.figure("dropped.bulk-export"));
+            assertEquals(20, run.figure("upstream_tries"));
+            assertEquals(1, run.figure("known_storage_nodes"));
+            assertEquals(0, run.figure("skipped_storage_nodes"));
+            assertEquals(0, run.figure("in_progress"));
+        }
+        assertTrue(run.call("GET", "/api/evacuate").startsWith("405"));
+        assertTrue(run.call("GET", "/tile-read").startsWith("404"));
+        for (Client one : silent) {
+            one.close();
+        }
+    }
+
+    @Test
+    void aDrainEndsConnectionsAndARejoinBringsTheYesBack() throws Exception {
+        Run run = serving();
+        try (Client idle = new Client(gateway.port()); Client used = new Client(gateway.port())) {
+            assertTrue(ServedGateway.read(idle, "tile-read", "a").startsWith("200"));
+            assertTrue(run.call("POST", "/api/evacuate").startsWith("200"));
+            assertEquals("503", ready());
+            assertEquals("200 ready\n", run.call("GET", "/api/ready"));
+            // In use until they are noted: none of these may be lost, and the connection ends between two of them.
+            String last = "200";
+            int served = 0;
+            while (last.startsWith("200")) {
+                try {
+                    last = ServedGateway.read(used, "tile-read", "u" + served);
+                    served += last.startsWith("200") ? 1 : 0;
+                    Thread.sleep(20);
+                } catch (java.io.UncheckedIOException | java.net.SocketException e) {
+                    last = "closed";
+                }
+            }
+            assertEquals("closed", last);
+            assertTrue(served > 5);
+            assertEquals("closed", idle.answer());
+            assertTrue(run.call("POST", "/api/evacuate").startsWith("200"));
+            assertTrue(run.call("POST", "/api/rejoin").startsWith("200"));
+            assertEquals("200", ready());
+            assertEquals(served + 1, run.figure("passed.tile-read"));
+        }
+        run.signal("TERM");
+        assertTrue(run.process().waitFor(20, TimeUnit.SECONDS));
+    }
+
+    private static JsonObject changed(JsonObject config, int drop, String added, int attempts) {
+        JsonObject settings = config.getAsJsonObject("settings");
+        JsonArray classes = settings.getAsJsonArray("classes");
+        if (drop >= 0) {
+            classes.remove(drop);
+        }
+        if (added != null) {
+            JsonObject more = classes.get(0).deepCopy().getAsJsonObject();
+            more.addProperty("name", added);
+            classes.add(more);
+        }
+        settings.getAsJsonObject("caps").addProperty("most_tries", attempts);
+        return config;
+    }
+
+    @Test
+    void classesComeAndGoAndBrokenFilesAreTurnedDownWhole() throws Exception {
+        Run run = serving();
+        try (Client client = new Client(gateway.port())) {
+            assertTrue(ServedGateway.read(client, "tile-read", "a").startsWith("200"));
+            assertTrue(ServedGateway.read(client, "sounding-read", "b").startsWith("404"));
+        }
+        gateway.config(changed(gateway.config(), -1, "sounding-read", 2));
+        run.signal("HUP");
+        run.await("at most 2 attempts; clients may go by the former file yet");
+        try (Client client = new Client(gateway.port())) {
+            assertTrue(ServedGateway.read(client, "sounding-read", "c").startsWith("200"));
+        }
+        String whole = gateway.config().toString();
+        JsonObject zero = changed(gateway.config(), -1, null, 0);
+        JsonObject lacks = gateway.config();
+        lacks.getAsJsonObject("settings").getAsJsonArray("classes").get(1).getAsJsonObject().remove("hard_limit_ms");
+        JsonObject word = gateway.config();
+        word.getAsJsonObject("settings").getAsJsonArray("classes").get(2).getAsJsonObject().addProperty("hard_limit_ms", "1500");
+        JsonObject without = gateway.config();
+        without.remove("limits");
+        String[][] broken = {
+            {"", "the text is not a JSON object"},
+            {whole.substring(0, whole.length() / 2), "the text is not JSON"},
+            {zero.toString(), "caps.most_tries is no number above 0"},
+            {lacks.toString(), "settings.classes.1.hard_limit_ms is missing"},
+            {word.toString(), "classes.2.hard_limit_ms is no number above 0: \"1500\""},
+            {without.toString(), "limits is missing"},
+        };
+        for (int i = 0; i < broken.length; i++) {
+            gateway.text(broken[i][0]);
+            run.signal("HUP");
+            String line = run.await(broken[i][1]);
+            assertTrue(line.contains("the former file stays in use") && line.contains("config.json"), line);
+            assertEquals(i + 1, run.figure("load_errors"));
+        }
+        gateway.config(changed(gateway.config(), 0, null, 1));
+        run.signal("HUP");
+        run.await("classes survey-write, bulk-export, sounding-read; at most 1 attempts");
+        try (Client client = new Client(gateway.port())) {
+            assertTrue(ServedGateway.read(client, "sounding-read", "d").startsWith("200"));
+            assertTrue(ServedGateway.read(client, "tile-read", "e").startsWith("404"));
+        }
+        assertEquals(2, run.figure("loads"));
+        assertEquals(1, run.figure("passed.tile-read"));
+        assertEquals(2, run.figure("passed.sounding-read"));
+    }
+
+    /** Clients that keep a connection, and open another where it ended before they sent; what went wrong is told. */
+    private final class Load {
+        private final AtomicBoolean over = new AtomicBoolean();
+        private final AtomicInteger served = new AtomicInteger();
+        private final AtomicInteger crossed = new AtomicInteger();
+        private final List<String> wrong = new java.util.concurrent.CopyOnWriteArrayList<>();
+        private final List<Thread> threads = new ArrayList<>();
+
+        Load(int clients) {
+            for (int i = 0; i < clients; i++) {
+                int number = i;
+                threads.add(new Thread(() -> run(number), "client-" + i));
+                threads.get(i).start();
+            }
+        }
+
+        private void run(int number) {
+            Client client = null;
+            try {
+                for (int i = 0; !over.get(); i++) {
+                    boolean fresh = client == null;
+                    client = fresh ? new Client(gateway.port()) : client;
+                    String answer;
+                    try {
+                        answer = ServedGateway.read(client, "tile-read", number + "-" + i);
+                    } catch (IOException | java.io.UncheckedIOException e) {
+                        answer = "closed";
+                    }
+                    if (answer.startsWith("200")) {
+                        served.incrementAndGet();
+                    } else if (answer.equals("closed") && !fresh) {
+                        crossed.incrementAndGet();
+                    } else {
+                        wrong.add(answer);
+                    }
+                    if (!answer.startsWith("200")) {
+                        client.close();
+                        client = null;
+                    }
+                    Thread.sleep(10);
+                }
+            } catch (IOException | InterruptedException e) {
+                wrong.add(e.toString());
+            }
+        }
+
+        void end() throws InterruptedException {
+            over.set(true);
+            for (Thread thread : threads) {
+                thread.join(20_000);
+            }
+        }
+    }
+
+    private void awaitMore(Load load, int more) throws InterruptedException {
+        int before = load.served.get();
+        for (int i = 0; i < 2000 && load.served.get() < before + more; i++) {
+            Thread.sleep(10);
+        }
+        assertTrue(load.served.get() >= before + more, load.wrong.toString());
+    }
+
+    @Test
+    void aNewProcessTakesTheOldOnesPlaceUnderLoadWithoutALostRequest() throws Exception {
+        Run old = serving();
+        Load load = new Load(8);
+        awaitMore(load, 200);
+        Run fresh = gateway.start();
+        old.await("another process of this gateway starts");
+        fresh.await("twin: took over 1 nodes and 1 volumes");
+        fresh.await("ready: ");
+        assertEquals("200 ready\n", fresh.call("GET", "/api/ready"));
+        old.await("another process of this gateway listens too");
+        awaitMore(load, 100);
+        old.signal("TERM");
+        assertTrue(old.process().waitFor(20, TimeUnit.SECONDS));
+        fresh.await("the other process is gone");
+        awaitMore(load, 200);
+        load.end();
+        assertEquals(List.of(), load.wrong);
+        // A connection closed between requests can be crossed by the next one: a few of eight at most.
+        assertTrue(load.crossed.get() <= 8 + 2, "crossed " + load.crossed.get());
+        assertTrue(fresh.figure("passed.tile-read") >= 200);
+        try (Stream<Path> marks = Files.list(folder)) {
+            assertEquals(1, marks.filter(file -> file.toString().endsWith(".mark")).count());
+        }
+    }
+
+    @Test
+    void aNewProcessThatDiesLeavesTheOldOneServingAndAKilledOldOneIsReplaced() throws Exception {
+        Run old = serving();
+        Run died = gateway.start();
+        old.await("another process of this gateway starts");
+        died.process().destroyForcibly();
+        old.await("the other process is gone");
+        try (Client client = new Client(gateway.port())) {
+            assertTrue(ServedGateway.read(client, "tile-read", "a").startsWith("200"));
+        }
+        assertEquals("200", ready());
+        Run second = gateway.start();
+        second.await("ready: ");
+        old.await("another process of this gateway listens too");
+        second.process().destroyForcibly().waitFor();
+        for (int i = 0; i < 20; i++) {
+            try (Client client = new Client(gateway.port())) {
+                assertTrue(ServedGateway.read(client, "tile-read", "b" + i).startsWith("200"));
+            }
+        }
+        Run third = gateway.start();
+        third.await("ready: ");
+        old.process().destroyForcibly().waitFor();
+        third.await("the other process is gone");
+        for (int i = 0; i < 20; i++) {
+            try (Client client = new Client(gateway.port())) {
+                assertTrue(ServedGateway.read(client, "tile-read", "c" + i).startsWith("200"));
+            }
+        }
+        third.signal("TERM");
+        assertTrue(third.process().waitFor(20, TimeUnit.SECONDS));
+    }
+}
--- /dev/null
+++ b/src/test/java/petrelstand/testing/ServedGateway.java
@@ -0,0 +1,210 @@
+package petrelstand.testing;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32;
+import petrelstand.testing.StandIns.Client;
+
+/** Real processes of one gateway, before one storage node that this process plays; they share a folder and an address. */
+public final class ServedGateway implements Closeable {
+    private final Path folder;
+    private final HttpServer node;
+    private final StandIns.Server discovery = StandIns.silent();
+    private final int port = free();
+    private final List<Process> started = new ArrayList<>();
+    private JsonObject config;
+
+    /** A process as it was started: its operators' port, and its lines as they come. */
+    public record Run(Process process, int operator, BlockingQueue<String> lines, List<String> seen) {
+        /** Waits for a line that holds a text; all that came up to it stays in {@code seen}. */
+        public String await(String part) throws InterruptedException {
+            for (String old : seen) {
+                if (old.contains(part)) {
+                    return old;
+                }
+            }
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+            while (true) {
+                String line = lines.poll(until - System.nanoTime(), TimeUnit.NANOSECONDS);
+                if (line == null || line.equals(END)) {
+                    throw new AssertionError("no line with '" + part + "': " + seen);
+                }
+                seen.add(line);
+                if (line.contains(part)) {
+                    return line;
+                }
+            }
+        }
+
+        /** An operator's call: status and text. */
+        public String call(String method, String path) throws IOException {
+            try (Client client = new Client(operator)) {
+                client.send(method + " " + path + " HTTP/1.1\r\nHost: o\r\n\r\n");
+                return client.answer();
+            }
+        }
+
+        /** A figure's value; -1 where there is none. */
+        public long figure(String name) throws IOException {
+            for (String line : call("GET", "/api/telemetry").split("\n")) {
+                int at = line.indexOf("relay." + name + ":");
+                if (at >= 0) {
+                    return Long.parseLong(line.substring(line.indexOf(':') + 1, line.indexOf('|')));
+                }
+            }
+            return -1;
+        }
+
+        public void signal(String name) throws IOException, InterruptedException {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        }
+    }
+
+    private static final String END = "(the process ended)";
+
+    public ServedGateway(Path folder, long serviceMs) throws IOException {
+        this.folder = folder;
+        node = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 200);
+        node.setExecutor(Executors.newCachedThreadPool(task -> {
+            Thread thread = new Thread(task, "node");
+            thread.setDaemon(true);
+            return thread;
+        }));
+        node.createContext("/", exchange -> serve(exchange, serviceMs));
+        node.start();
+        config = JsonParser.parseString(Files.readString(Path.of("src/main/resources/tryout.json"))).getAsJsonObject();
+        config.addProperty("name", "n1");
+        config.addProperty("listen", "127.0.0.1:" + port);
+        config.addProperty("discovery", "127.0.0.1:" + discovery.port());
+        config.add("known", JsonParser.parseString("{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s-00000001\","
+                + "\"addr\":\"127.0.0.1:" + node.getAddress().getPort() + "\",\"zone\":\"a\",\"cell\":0,\"state\":\"up\","
+                + "\"started_ms\":0}]}"));
+        config(config.deepCopy());
+    }
+
+    private static int free() throws IOException {
+        try (StandIns.Server free = StandIns.silent()) {
+            return free.port();
+        }
+    }
+
+    /** Answers a write with the length and checksum of what came, a read with so many bytes as its query asks. */
+    private static void serve(HttpExchange exchange, long serviceMs) throws IOException {
+        try (exchange) {
+            CRC32 crc = new CRC32();
+            long length = 0;
+            byte[] buffer = new byte[1 << 16];
+            InputStream in = exchange.getRequestBody();
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                crc.update(buffer, 0, n);
+                length += n;
+            }
+            Thread.sleep(serviceMs);
+            String query = String.valueOf(exchange.getRequestURI().getQuery());
+            if (query.startsWith("bytes=")) {
+                long bytes = Long.parseLong(query.substring("bytes=".length()).replaceAll("&.*", ""));
+                exchange.sendResponseHeaders(200, query.endsWith("&chunked") ? 0 : bytes);
+                OutputStream out = exchange.getResponseBody();
+                for (long sent = 0; sent < bytes;) {
+                    int piece = (int) Math.min(buffer.length, bytes - sent);
+                    java.util.Arrays.fill(buffer, 0, piece, (byte) (sent >> 16));
+                    out.write(buffer, 0, piece);
+                    sent += piece;
+                }
+                out.close();
+            } else {
+                byte[] told = (length + " " + Long.toHexString(crc.getValue())).getBytes(StandardCharsets.UTF_8);
+                exchange.sendResponseHeaders(200, told.length);
+                exchange.getResponseBody().write(told);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The port that clients use. */
+    public int port() {
+        return port;
+    }
+
+    public JsonObject config() {
+        return config.deepCopy();
+    }
+
+    /** Writes another file; text that is no JSON goes as it is. */
+    public void config(JsonObject changed) throws IOException {
+        config = changed;
+        text(changed.toString());
+    }
+
+    public void text(String text) throws IOException {
+        Files.writeString(folder.resolve("config.json"), text);
+    }
+
+    /** Starts a process of the gateway, which shares folder and address with those before. */
+    public Run start(String... options) throws IOException {
+        int operator = free();
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m", "-XX:+UseSerialGC", "-XX:MaxDirectMemorySize=16m"));
+        command.addAll(List.of(options));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "petrelstand.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().putAll(Map.of("RELAY_CONFIG", folder.resolve("config.json").toString(),
+                "RELAY_OPERATOR", "127.0.0.1:" + operator, "TMPDIR", folder.toString()));
+        Process process = builder.start();
+        started.add(process);
+        BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+        Thread reader = new Thread(() -> {
+            try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                    StandardCharsets.UTF_8))) {
+                out.lines().forEach(lines::add);
+            } catch (IOException | java.io.UncheckedIOException e) {
+                // It was killed.
+            }
+            lines.add(END);
+        }, "lines");
+        reader.setDaemon(true);
+        reader.start();
+        return new Run(process, operator, lines, new ArrayList<>());
+    }
+
+    /** A request's head, up to its length. */
+    public static String request(String method, String kind, String query, String txn) {
+        return method + " /" + kind + "/00000000000000a1/7f3a9c21e0b4d655" + query + " HTTP/1.1\r\nHost: b\r\nX-Txn: " + txn
+                + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 5000\r\nX-Placement: units=1,shard=0,hosts=1\r\n"
+                + (method.equals("PUT") ? "Idempotency-Key: k" + txn + "\r\n" : "");
+    }
+
+    /** A read on a connection: status and body. */
+    public static String read(Client client, String kind, String txn) throws IOException {
+        client.send(request("GET", kind, "", txn) + "\r\n");
+        return client.answer();
+    }
+
+    @Override
+    public void close() throws IOException {
+        started.forEach(Process::destroyForcibly);
+        node.stop(0);
+        discovery.close();
+    }
+}
