Large bodies and answers pass in pieces, one at a time, with the sender held until it was taken

Need: bodies and answers of up to 32 MB occur, together far over the memory, on slow connections.

Change: an answer over 64 KiB is passed on as it comes, once 64 KiB of it are here or 20 ms have gone; its request is over for the module then, and counts for the figures when its last byte is written. A body over 64 KiB has its request taken with its first 16 KiB; the rest is read as the node takes it, and its time begins with its last byte. Jetty's generator writes both (one HTTP library on all sides). A body has a least rate in place of 2.5 s for all of it; the head keeps its 2.5 s, from its first byte on. A request's target may be a whole address.

Ruled out: beginning with the first byte (a large answer that breaks at once could not be tried again); the end of the connection as the end of an answer without a length (a cut would look whole: the generator did so for a client that closes, until the head named the chunks).

--- a/src/main/java/petrelstand/core/Attempt.java
+++ b/src/main/java/petrelstand/core/Attempt.java
@@ -9,8 +9,8 @@
     private final Exchange exchange;
     private final Node node;
     private final int number;
-    private final long sentUs;
-    private final long untilUs;
+    private long sentUs;
+    private long untilUs;
     private Timers.Timer timeout;
     private boolean ended;
     private Outcome outcome;
@@ -82,6 +82,27 @@
         }
     }
 
+    /**
+     * The client's body goes to the node in pieces: no other attempt can follow, and its time, which begins with its last
+     * byte, does not run until {@link #poured}. May be told more than once.
+     */
+    public void pours() {
+        if (!ended && !exchange.begun()) {
+            broker.pours(this);
+        }
+    }
+
+    /** The last byte of a body in pieces has come from the client. */
+    void restart(long nowUs, long until, Timers.Timer timer) {
+        sentUs = nowUs;
+        untilUs = until;
+        timeout = timer;
+    }
+
+    void suspend() {
+        timeout.cancel();
+    }
+
     /** The answer has begun to reach the client, or the client's bytes the node: no other attempt can follow. */
     public void began() {
         if (!ended && !exchange.begun()) {
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -161,6 +161,12 @@
         return (int) exchanges.values().stream().filter(exchange -> !exchange.over()).count();
     }
 
+    /** Those of them that have come whole. */
+    public int inProgress() {
+        return (int) exchanges.values().stream()
+                .filter(exchange -> !exchange.over() && !exchange.client().incoming()).count();
+    }
+
     /** Nodes that are kept. */
     int knownNodes() {
         return nodes.size();
@@ -288,6 +294,31 @@
         event(() -> module.streamStarted(ms(clock.getAsLong()), exchange.id(), attempt.number()), exchange);
     }
 
+    void pours(Attempt attempt) {
+        attempt.exchange().pours();
+        attempt.suspend();
+        began(attempt);
+    }
+
+    /** The last byte of a body in pieces has come: from now on the client waits for its answer. */
+    public void poured(Exchange exchange) {
+        Attempt attempt = exchange.out();
+        if (exchange.over() || attempt == null) {
+            return;
+        }
+        long now = clock.getAsLong();
+        exchange.restart(now);
+        exchange.guard(timers.at(exchange.deadlineUs() + GUARD_US, () -> overdue(exchange)));
+        attempt.restart(now, exchange.deadlineUs(),
+                timers.at(exchange.deadlineUs(), () -> stop(attempt, Outcome.TIMED_OUT)));
+    }
+
+    /** An answer that passed in pieces after it was taken for served is over; it counts as what it came to be. */
+    public void passed(Exchange exchange, End how) {
+        figures.ended(exchange.kind().name(), how);
+        counters.add(how == End.SERVED ? "passed.whole" : how == End.GONE ? "passed.left" : "passed.cut");
+    }
+
     void ended(Attempt attempt, Object answer, Map<String, Double> load) {
         Exchange exchange = attempt.exchange();
         Outcome outcome = attempt.outcome();
@@ -296,12 +327,17 @@
             watcher.ended(exchange.id(), attempt.number(), outcome, clock.getAsLong());
         }
         if (outcome == Outcome.SERVED) {
-            if (finish(exchange, End.SERVED)) {
+            if (exchange.finish()) {
                 counters.add("answered.served");
-                exchange.client().served(answer);
+                watcher.answered(exchange.id(), true, clock.getAsLong());
+                if (exchange.client().served(answer)) {
+                    figures.ended(exchange.kind().name(), End.SERVED);
+                }
             } else {
                 counters.add("served_too_late");
             }
+        } else if (exchange.isPoured() && outcome.neverRan()) {
+            refuse(exchange, 0);
         } else if (exchange.begun() && finish(exchange, End.FAILED)) {
             counters.add("answered.cut");
             exchange.client().failed(attempt);
--- a/src/main/java/petrelstand/core/ClientSide.java
+++ b/src/main/java/petrelstand/core/ClientSide.java
@@ -2,8 +2,11 @@
 
 /** The front's half of an exchange: it is told the one final answer. */
 public interface ClientSide {
-    /** Served; the answer is whatever the server side of the same wire made of the node's. */
-    void served(Object answer);
+    /**
+     * Served; the answer is whatever the server side of the same wire made of the node's. False where it passes in pieces
+     * from here on: {@link Broker#passed} is told what came of it.
+     */
+    boolean served(Object answer);
 
     /** Refused: trying again is harmless, after a while (0: no advice). */
     void refused(long retryAfterUs);
@@ -11,6 +14,11 @@
     /** Failed: nothing is promised about the request's effect. */
     void failed(Attempt last);
 
+    /** True while the request's last bytes are still to come. */
+    default boolean incoming() {
+        return false;
+    }
+
     /** Nothing of the exchange is out any more: it was answered or given up, and so was its last attempt. */
     default void forgotten(Exchange exchange) {}
 }
--- a/src/main/java/petrelstand/core/Exchange.java
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -14,10 +14,11 @@
     private final RequestClass kind;
     private final Object message;
     private final ClientSide client;
-    private final long takenUs;
+    private long takenUs;
     private final List<Attempt> attempts = new ArrayList<>(1);
     private boolean over;
     private boolean begun;
+    private boolean pouring;
     private Timers.Timer guard;
 
     Exchange(long id, Demand demand, RequestClass kind, Object message, ClientSide client, long takenUs) {
@@ -85,6 +86,22 @@
         begun = true;
     }
 
+    /** True from the first piece of a body that passes in pieces. */
+    boolean isPoured() {
+        return pouring;
+    }
+
+    /** Its time does not run while its body comes. */
+    void pours() {
+        pouring = true;
+        guard.cancel();
+    }
+
+    /** Its time begins. */
+    void restart(long nowUs) {
+        takenUs = nowUs;
+    }
+
     void guard(Timers.Timer timer) {
         guard = timer;
     }
--- a/src/main/java/petrelstand/http/Call.java
+++ b/src/main/java/petrelstand/http/Call.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.MetaData;
 
 /** One request on an upstream connection, and who hears of its answer. */
 public interface Call {
@@ -15,9 +16,25 @@
         SPOILT
     }
 
-    /** The request's bytes: head and body. */
+    /** The request's bytes: head and body, or its beginning where it passes in pieces. */
     ByteBuffer[] bytes();
 
+    /** The rest of a body that passes in pieces, with the head that goes before it; null where the bytes are all. */
+    default Rest rest() {
+        return null;
+    }
+
+    /** A body in pieces: its head, its beginning and where the rest comes from. */
+    record Rest(MetaData.Request head, ByteBuffer beginning, Upload upload) {}
+
+    /** A large answer begins; true where it is taken in pieces, and then nothing else is told of it here. */
+    default boolean flows(Flow flow) {
+        return false;
+    }
+
+    /** The client's body is being written to the node from here on, and cannot be had again. */
+    default void pours() {}
+
     /** A whole answer came. */
     void answered(int status, HttpFields fields, ByteBuffer body);
 
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -15,15 +15,18 @@
 import petrelstand.core.ClientSide;
 import petrelstand.core.Demand;
 import petrelstand.core.Exchange;
+import petrelstand.core.Figures.End;
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.net.LoopConnection;
 
 /**
  * A client's connection. It reads one request at a time; bytes of the next wait in the buffer, and past the buffer's
- * size in the socket, until the answer is written.
+ * size in the socket, until the answer is written. A large body passes on in pieces as it comes, and a large answer too:
+ * of each, one piece is here at a time.
  */
-final class ClientConnection extends LoopConnection implements HttpParser.RequestHandler, ClientSide {
+final class ClientConnection extends LoopConnection
+        implements HttpParser.RequestHandler, ClientSide, Flow.Taker, Upload.Source {
     enum State { READING, TAKEN, ANSWERING, LINGERING, CLOSED }
 
     /** Ranks of those that may make room, the first to go first. */
@@ -34,7 +37,12 @@
     private final boolean unwanted;
     private final long openedUs;
     private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
-    private final ByteBuffer input = BufferUtil.allocate(4096);
+    private static final int INPUT = 4096;
+    private static final int INPUT_LARGE = 32 * 1024;
+    /** What is kept of a large body before its request is taken: enough to choose a node and to try it again. */
+    private static final int BEGINNING = 16 * 1024;
+
+    private ByteBuffer input = BufferUtil.allocate(INPUT);
     private State state = State.READING;
     private boolean parsing;
     private boolean inputFull;
@@ -55,6 +63,17 @@
     private HttpVersion version;
     private HttpFields.Mutable fields;
     private final Body body;
+    /** The body that passes on in pieces; null where it is kept until it is whole. */
+    private Upload upload;
+    /** The node's side has not asked for the next piece of the body. */
+    private boolean held;
+    private long bodyUs;
+    private long bodyBytes;
+    /** The answer that passes in pieces, the exchange that it belongs to, and what writes it. */
+    private Flow flow;
+    private Exchange flowing;
+    private PieceWriter writer;
+    private boolean lastAnswer;
     /** Bytes of an answer that are not wholly written. */
     private int writing;
     private boolean persistent;
@@ -63,7 +82,7 @@
     ClientConnection(EndPoint endPoint, Front front, boolean full, boolean unwanted) {
         super(endPoint);
         this.front = front;
-        this.body = new Body(Wire.MOST_BODY, front.requests());
+        this.body = new Body(Wire.MOST_BODY + INPUT_LARGE, front.requests());
         this.full = full;
         this.unwanted = unwanted;
         this.openedUs = front.broker().nowUs();
@@ -134,6 +153,9 @@
         front.broker().counters().add("connections.late");
         if (idle()) {
             close();
+        } else if (state == State.TAKEN) {
+            front.broker().clientGone(exchange);
+            answer(408, "text/plain", 0, BufferUtil.toBuffer("the body did not go on\n"), true);
         } else {
             malformed(408, "the request did not come whole in time");
         }
@@ -155,6 +177,14 @@
                     read += filled;
                     continue;
                 }
+                if (upload != null && held && state == State.TAKEN) {
+                    // The piece that is held lies in the buffer, and reading would write over it.
+                    inputFull = true;
+                    return;
+                }
+                if (upload != null && input.capacity() < INPUT_LARGE && BufferUtil.isEmpty(input)) {
+                    input = BufferUtil.allocate(INPUT_LARGE);
+                }
                 if (BufferUtil.space(input) == 0) {
                     BufferUtil.compact(input);
                 }
@@ -220,12 +250,17 @@
         }
         parsing = true;
         try {
-            while (state == State.READING && BufferUtil.hasContent(input)) {
+            // The parser tells of a body's end only when it is asked again, even where nothing is left to read.
+            boolean again = pours();
+            while (state == State.READING && BufferUtil.hasContent(input)
+                    || pours() && (again || BufferUtil.hasContent(input))) {
+                again = false;
                 if (!begun) {
                     begun = true;
                     begunUs = front.broker().nowUs();
+                    stopLimit();
                 }
-                if (limit == null) {
+                if (limit == null && !pours()) {
                     limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
                 }
                 boolean paused = parser.parseNext(input);
@@ -247,7 +282,8 @@
     public void startRequest(String newMethod, String uri, HttpVersion newVersion) {
         version = newVersion;
         method = newMethod;
-        target = uri;
+        target = Wire.pathOf(uri);
+        bodyBytes = 0;
         fields = HttpFields.build();
         body.take();
         persistent = version == HttpVersion.HTTP_1_1;
@@ -272,23 +308,91 @@
             malformed(400, wrong);
             return true;
         }
-        if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > Wire.MOST_BODY) {
-            malformed(413, "the body is over " + Wire.MOST_BODY + " bytes");
+        if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > Wire.MOST_PASSED) {
+            malformed(413, "the body is over " + Wire.MOST_PASSED + " bytes");
             return true;
         }
         if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
             getEndPoint().write(nonBlocking(() -> {}, cause -> close()), BufferUtil.toBuffer("HTTP/1.1 100 Continue\r\n\r\n"));
         }
+        stopLimit();
+        limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
         return false;
     }
 
     @Override
     public boolean content(ByteBuffer item) {
-        boolean fits = body.add(item);
-        if (!fits) {
-            malformed(413, "the body is over " + Wire.MOST_BODY + " bytes");
+        if (!goesOn(item.remaining())) {
+            return true;
+        }
+        if (upload != null) {
+            stopLimit();
+            held = true;
+            upload.piece(item);
+            return held;
+        }
+        if (!body.add(item)) {
+            front.turnedAway(target);
+            answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
+            return true;
+        }
+        long length = fields.getLongField(HttpHeader.CONTENT_LENGTH);
+        boolean large = length > Wire.MOST_BODY && body.size() >= BEGINNING || body.size() > Wire.MOST_BODY;
+        return large && pour(length);
+    }
+
+    /**
+     * Counts what came of a body; false where it comes too slowly. Each part of it has its own time, and all of them a
+     * least rate: guards against a client that holds a connection by a byte now and then.
+     */
+    private boolean goesOn(int bytes) {
+        long now = front.broker().nowUs();
+        bodyUs = bodyBytes == 0 ? now : bodyUs;
+        bodyBytes += bytes;
+        stopLimit();
+        if (bodyBytes < (now - bodyUs - Front.REQUEST_US) / 1_000_000.0 * Front.LEAST_RATE) {
+            late();
+            return false;
+        }
+        limit = front.timers().at(now + Front.REQUEST_US, this::late);
+        return true;
+    }
+
+    /** Takes the request of a body of which only the beginning has come; true where the rest has to wait. */
+    private boolean pour(long length) {
+        stopLimit();
+        upload = new Upload(length, this);
+        held = true;
+        if (full) {
+            refuseFull();
+            return true;
+        }
+        try {
+            take(BufferUtil.toArray(body.take()));
+        } catch (DemandReader.Malformed e) {
+            malformed(e);
+        }
+        return held;
+    }
+
+    private boolean pours() {
+        return upload != null && !held && state == State.TAKEN;
+    }
+
+    @Override
+    public void more() {
+        if (state != State.TAKEN || upload == null) {
+            return;
+        }
+        held = false;
+        // Its rate is counted anew: while it was held it could not come.
+        bodyBytes = 0;
+        stopLimit();
+        limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
+        if (!parsing) {
+            parse();
+            resume();
         }
-        return !fits;
     }
 
     @Override
@@ -298,6 +402,14 @@
 
     @Override
     public boolean messageComplete() {
+        if (upload != null && state == State.TAKEN) {
+            stopLimit();
+            Upload whole = upload;
+            upload = null;
+            front.broker().poured(exchange);
+            whole.whole();
+            return true;
+        }
         if (state != State.READING) {
             return true;
         }
@@ -306,9 +418,7 @@
         byte[] bytes = BufferUtil.toArray(body.take());
         try {
             if (full) {
-                front.broker().counters().add("connections.full");
-                front.turnedAway(target);
-                answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
+                refuseFull();
             } else if (target.equals("/ready")) {
                 local(front.life().saysYes() ? 200 : 503, front.life().saysYes() ? "ready\n" : "not ready\n");
             } else if (target.equals("/counters")) {
@@ -319,12 +429,22 @@
                 take(bytes);
             }
         } catch (DemandReader.Malformed e) {
-            front.broker().counters().add("malformed." + e.status());
-            answer(e.status(), "text/plain", 0, BufferUtil.toBuffer(e.getMessage() + "\n"), true);
+            malformed(e);
         }
         return true;
     }
 
+    private void refuseFull() {
+        front.broker().counters().add("connections.full");
+        front.turnedAway(target);
+        answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
+    }
+
+    private void malformed(DemandReader.Malformed e) {
+        front.broker().counters().add("malformed." + e.status());
+        answer(e.status(), "text/plain", 0, BufferUtil.toBuffer(e.getMessage() + "\n"), true);
+    }
+
     private void take(byte[] bytes) throws DemandReader.Malformed {
         Demand demand = front.reader().read(method, target, fields, bytes.length);
         long now = front.broker().nowUs();
@@ -342,7 +462,12 @@
         }
         state = State.TAKEN;
         front.broker().take(demand.within(leftUs), new Message.Ask(method, target, txn, fields.get(Wire.EFFECT_KEY),
-                fields.get(HttpHeader.CONTENT_TYPE), bytes), this, taken -> exchange = taken);
+                fields.get(HttpHeader.CONTENT_TYPE), bytes, upload), this, taken -> exchange = taken);
+    }
+
+    @Override
+    public boolean incoming() {
+        return upload != null;
     }
 
     @Override
@@ -376,18 +501,77 @@
     // ---- The final answer ----
 
     @Override
-    public void served(Object answer) {
+    public boolean served(Object answer) {
+        if (answer instanceof Flow pieces) {
+            flow(pieces);
+            return false;
+        }
         Message.Answer whole = (Message.Answer) answer;
         if (front.answers().take(whole.body().remaining())) {
             writing = whole.body().remaining();
             answer(200, whole.type(), 0, whole.body(), false);
-        } else {
-            // Guards the memory against clients that do not take large answers.
-            front.broker().counters().add("answers_no_room");
-            answer(502, null, 0, BufferUtil.EMPTY_BUFFER, false);
+            return true;
+        }
+        // Guards the memory against clients that do not take their answers.
+        front.broker().counters().add("answers_no_room");
+        front.broker().passed(exchange, End.FAILED);
+        answer(502, null, 0, BufferUtil.EMPTY_BUFFER, false);
+        return false;
+    }
+
+    /** Passes an answer on as it comes. */
+    private void flow(Flow pieces) {
+        stopLimit();
+        state = State.ANSWERING;
+        flowing = exchange;
+        exchange = null;
+        flow = pieces;
+        // Without a length, a client of HTTP/1.0 knows the end by the connection's.
+        lastAnswer = endsHere() || version == HttpVersion.HTTP_1_0 && pieces.length() < 0;
+        writer = PieceWriter.of(getEndPoint(), Wire.response(200, version, pieces.fields().get(HttpHeader.CONTENT_TYPE),
+                lastAnswer, pieces.length()));
+        pieces.take(this);
+    }
+
+    @Override
+    public void piece(ByteBuffer piece) {
+        stopLimit();
+        limit = front.timers().at(front.broker().nowUs() + Front.PIECE_US, this::close);
+        writer.write(piece, false, () -> {
+            if (flow != null) {
+                flow.next();
+            }
+        }, this::notWritten);
+    }
+
+    @Override
+    public void whole() {
+        flow = null;
+        writer.write(BufferUtil.EMPTY_BUFFER, true, () -> {
+            passed(End.SERVED);
+            written(lastAnswer);
+        }, this::notWritten);
+    }
+
+    @Override
+    public void cut() {
+        flow = null;
+        passed(End.FAILED);
+        close();
+    }
+
+    private void passed(End how) {
+        if (flowing != null) {
+            front.broker().passed(flowing, how);
+            flowing = null;
         }
     }
 
+    /** Whether the connection ends with the answer that is due: also where the request's rest is still to come. */
+    private boolean endsHere() {
+        return !persistent || upload != null || front.life().endsWithAnswer(front.broker().nowUs());
+    }
+
     @Override
     public void refused(long retryAfterUs) {
         answer(503, null, retryAfterUs, BufferUtil.EMPTY_BUFFER, false);
@@ -407,7 +591,7 @@
         stopLimit();
         state = State.ANSWERING;
         exchange = null;
-        boolean last = close || !persistent || front.life().endsWithAnswer(front.broker().nowUs());
+        boolean last = close || endsHere();
         limit = front.timers().at(front.broker().nowUs() + Front.ANSWER_US, this::close);
         ByteBuffer head = Wire.answer(status, type, retryAfterUs, last, content.remaining());
         getEndPoint().write(nonBlocking(() -> written(last), this::notWritten), head, content);
@@ -421,6 +605,10 @@
     private void next() {
         state = State.READING;
         begun = false;
+        writer = null;
+        if (input.capacity() > INPUT && BufferUtil.isEmpty(input)) {
+            input = BufferUtil.allocate(INPUT);
+        }
         method = null;
         target = null;
         fields = null;
@@ -441,7 +629,7 @@
     private void linger() {
         state = State.LINGERING;
         getEndPoint().shutdownOutput();
-        lingerUntilUs = front.broker().nowUs() + Front.LINGER_MOST_US;
+        lingerUntilUs = front.broker().nowUs() + (upload != null ? Front.LINGER_BODY_US : Front.LINGER_MOST_US);
         limit = front.timers().at(front.broker().nowUs() + Front.LINGER_US, this::lingered);
     }
 
@@ -500,6 +688,12 @@
             body.take();
             front.closed(this);
             getEndPoint().close();
+            if (flow != null) {
+                Flow left = flow;
+                flow = null;
+                left.stop();
+            }
+            passed(End.GONE);
             if (before == State.TAKEN && exchange != null) {
                 front.broker().clientGone(exchange);
             }
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -25,6 +25,12 @@
     static final long REQUEST_US = 2_500_000;
     /** A client that does not take its answer is cut after this time. */
     static final long ANSWER_US = 10_000_000;
+    /** One that takes nothing of an answer in pieces is: what the system has taken of a piece can fill its buffers. */
+    static final long PIECE_US = 30_000_000;
+    /** Bytes a second that a body has to come at in the mean, once it has had its first time. */
+    static final double LEAST_RATE = 8 * 1024;
+    /** How long the rest of a body is dropped whose request was answered before it came. */
+    static final long LINGER_BODY_US = 60_000_000;
 
     /** When a client that found no room may come back, and how long it may take to ask. */
     static final long FULL_US = 500_000;
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -35,13 +35,20 @@
     /** Part of the idle limit up to which a connection is used again: the node's clock and the way take the rest. */
     private static final double REUSE_PART = 0.8;
     /**
-     * The largest answer that is kept, and all that are being read together. The protocol's 64 KiB bound bodies, yet
-     * nodes have answered with up to 380 KB; an answer over the bound is worth nothing to its client.
+     * What is kept of an answer, and of all that are being read together. One over 64 KiB passes in pieces instead: with
+     * what came in one read, less than twice that is kept of it before it does.
      */
-    static final int MOST_ANSWER = 1024 * 1024;
+    static final int MOST_ANSWER = 128 * 1024;
     private static final long MOST_ANSWERS = 12L * 1024 * 1024;
     /** An answer that began goes on within this time: nodes write theirs in one go. */
     static final long STALL_US = 150_000;
+    /** An answer or a body that passes in pieces goes on within this time, where it is the node that is waited for. */
+    static final long PIECE_STALL_US = 10_000_000;
+    /**
+     * What comes of a large answer within this time is kept, up to 64 KiB: one that breaks meanwhile can be tried again. It is
+     * a small part of any aim.
+     */
+    static final long GATHER_US = 20_000;
     /** Rest of a connection after an answer, where another is at hand: what follows an answer has come by then. */
     private static final long SETTLE_US = 2_000;
 
@@ -294,6 +301,7 @@
         private String address;
         private Dial dial;
         private UpstreamConnection connection;
+        private boolean inPieces;
 
         void on(UpstreamConnection free) {
             connection = free;
@@ -307,16 +315,43 @@
         @Override
         public void partial() {
             watch(connection.received());
+            timers.at(clock.getAsLong() + GATHER_US, () -> connection.beginPieces(this));
         }
 
         private void watch(long received) {
             timers.at(clock.getAsLong() + STALL_US, () -> {
-                if (connection.goesOn(this, received)) {
+                if (!inPieces && connection.goesOn(this, received)) {
                     watch(connection.received());
                 }
             });
         }
 
+        /** Guards against a node that stops in the middle of an answer or a body that passes in pieces. */
+        void watchPieces() {
+            if (!inPieces) {
+                inPieces = true;
+                watchPieces(-1);
+            }
+        }
+
+        private void watchPieces(long before) {
+            long now = connection.received() + connection.poured();
+            if (connection.isHeld() || awaitsClient() || now != before) {
+                timers.at(clock.getAsLong() + PIECE_STALL_US, () -> {
+                    if (connection.has(this)) {
+                        watchPieces(now);
+                    }
+                });
+            } else {
+                connection.close();
+            }
+        }
+
+        /** Whether the next piece is the client's to give. */
+        boolean awaitsClient() {
+            return false;
+        }
+
         abstract void notConnected();
 
         void drop() {
@@ -330,9 +365,11 @@
 
     private final class Sending extends Leg {
         private final Attempt attempt;
+        private final Message.Ask ask;
 
         Sending(Attempt attempt) {
             this.attempt = attempt;
+            this.ask = (Message.Ask) attempt.exchange().message();
         }
 
         @Override
@@ -340,9 +377,37 @@
             attempt.written();
         }
 
+        @Override
+        public Rest rest() {
+            return ask.upload() == null ? null : new Rest(Wire.head(ask.method(), ask.target(), fields(),
+                    ask.upload().length()), ByteBuffer.wrap(ask.body()), ask.upload());
+        }
+
+        @Override
+        public void pours() {
+            attempt.pours();
+            watchPieces();
+        }
+
+        @Override
+        boolean awaitsClient() {
+            return ask.upload() != null && ask.upload().isAwaited();
+        }
+
+        @Override
+        public boolean flows(Flow flow) {
+            watchPieces();
+            attempt.ended(Outcome.SERVED, flow, Wire.load(flow.fields().get(Wire.PRESSURE)));
+            return true;
+        }
+
         @Override
         public ByteBuffer[] bytes() {
-            Message.Ask ask = (Message.Ask) attempt.exchange().message();
+            return new ByteBuffer[] {Wire.request(ask.method(), ask.target(), fields(), ask.body().length),
+                    ByteBuffer.wrap(ask.body())};
+        }
+
+        private HttpFields fields() {
             HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.HOST, host).put(Wire.TXN, ask.txn());
             if (ask.effectKey() != null) {
                 fields.put(Wire.EFFECT_KEY, ask.effectKey());
@@ -351,9 +416,7 @@
                 fields.put(HttpHeader.CONTENT_TYPE, ask.type());
             }
             long leftMs = Math.max(0, (attempt.untilUs() - clock.getAsLong()) / 1000);
-            fields.put(Wire.REMAINING, Long.toString(leftMs));
-            return new ByteBuffer[] {Wire.request(ask.method(), ask.target(), fields, ask.body().length),
-                    ByteBuffer.wrap(ask.body())};
+            return fields.put(Wire.REMAINING, Long.toString(leftMs));
         }
 
         @Override
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -22,6 +22,8 @@
     enum State { IDLE, SENDING, WAITING, CLOSED }
 
     private static final int READ = 4096;
+    /** An answer with a body over this passes in pieces, where its call takes them: it is timed by its first bytes. */
+    static final int PIECES_FROM = Wire.MOST_BODY;
     /** A body over this is read in larger pieces. */
     private static final int READ_LARGE = 32 * 1024;
     /** Interim answers (1xx) that may come ahead of the real one. */
@@ -45,6 +47,13 @@
     private boolean toldPartial;
     private long received;
     private long idleSinceUs;
+    /** The answer that passes in pieces; null where it is kept until it is whole. */
+    private Flow flow;
+    /** A piece is with its taker: nothing is read until it has been taken. */
+    private boolean held;
+    private boolean giving;
+    /** Bytes of a body in pieces that the node has taken. */
+    private long poured;
 
     /** A body over the bound, or for which the budget has no room, ends the connection. */
     public UpstreamConnection(EndPoint endPoint, int mostBody, Budget budget,
@@ -82,7 +91,62 @@
         call = next;
         toldPartial = false;
         interim = 0;
-        getEndPoint().write(nonBlocking(this::sent, cause -> end(false)), next.bytes());
+        Call.Rest rest = next.rest();
+        if (rest != null) {
+            new Pouring(rest).begin();
+        } else {
+            getEndPoint().write(nonBlocking(this::sent, cause -> end(false)), next.bytes());
+        }
+    }
+
+    /** A request whose body passes in pieces: what the client's side gives is written, and then more is asked for. */
+    private final class Pouring implements Upload.Sink {
+        private final Call of = call;
+        private final Call.Rest rest;
+        private final PieceWriter writer;
+        private boolean asking;
+        private boolean askAgain;
+
+        Pouring(Call.Rest rest) {
+            this.rest = rest;
+            this.writer = PieceWriter.of(getEndPoint(), rest.head());
+        }
+
+        void begin() {
+            poured = 0;
+            writer.write(rest.beginning(), false, this::ask, cause -> end(false));
+        }
+
+        /** One piece after another, without one call inside another where each is written at once. */
+        private void ask() {
+            askAgain = true;
+            if (asking) {
+                return;
+            }
+            asking = true;
+            try {
+                while (askAgain && call == of && state == State.SENDING) {
+                    askAgain = false;
+                    of.pours();
+                    if (call == of) {
+                        rest.upload().next(this);
+                    }
+                }
+            } finally {
+                asking = false;
+            }
+        }
+
+        @Override
+        public void piece(ByteBuffer piece) {
+            poured += piece.remaining();
+            writer.write(piece, false, this::ask, cause -> end(false));
+        }
+
+        @Override
+        public void whole() {
+            writer.write(BufferUtil.EMPTY_BUFFER, true, UpstreamConnection.this::sent, cause -> end(false));
+        }
     }
 
     private void sent() {
@@ -113,6 +177,35 @@
         return received;
     }
 
+    /** Bytes of the body in pieces that have been given to the node. */
+    long poured() {
+        return poured;
+    }
+
+    boolean has(Call which) {
+        return call == which && state != State.CLOSED;
+    }
+
+    /** True while a piece of the answer waits for its taker, and not for the node. */
+    boolean isHeld() {
+        return held;
+    }
+
+    /** The piece was taken: reads on. */
+    void resume() {
+        held = false;
+        if (!giving && state != State.CLOSED) {
+            // The parser tells of a body's end only when it is asked again, even where nothing is left to read.
+            if (!whole) {
+                parser.parseNext(input);
+            }
+            read();
+            if (!held && state != State.CLOSED) {
+                onFillable();
+            }
+        }
+    }
+
     /** Ends a call whose answer has stopped since so many bytes; false once it ended. What has come is read first. */
     boolean goesOn(Call of, long since) {
         if (call == of && readAll() && call == of && received == since) {
@@ -123,7 +216,8 @@
 
     @Override
     public void onFillable() {
-        if (readAll()) {
+        // A look between events may have read up to a piece, and the interest before it still stands.
+        if (!held && readAll() && !held && !isFillInterested()) {
             fillInterested();
         }
     }
@@ -131,7 +225,7 @@
     /** Reads all that has come; false once closed. An answer is given only when nothing more of it waits. */
     private boolean readAll() {
         try {
-            while (state != State.CLOSED) {
+            while (state != State.CLOSED && !held) {
                 BufferUtil.compact(input);
                 int filled = getEndPoint().fill(input);
                 if (filled < 0) {
@@ -158,7 +252,7 @@
         } catch (IOException e) {
             end(false);
         }
-        return false;
+        return held && state != State.CLOSED;
     }
 
     private void read() {
@@ -175,12 +269,12 @@
             }
             int before = input.remaining();
             parser.parseNext(input);
-            if (!whole && input.remaining() == before) {
+            if (held || !whole && input.remaining() == before) {
                 return;
             }
         }
         if (state != State.CLOSED && !whole && input.capacity() < READ_LARGE
-                && fields != null && fields.getLongField(HttpHeader.CONTENT_LENGTH) > READ_LARGE) {
+                && (flow != null || fields != null && fields.getLongField(HttpHeader.CONTENT_LENGTH) > READ_LARGE)) {
             input = BufferUtil.allocate(READ_LARGE);
         }
     }
@@ -198,6 +292,8 @@
         }
         Call done = call;
         call = null;
+        Flow flowed = flow;
+        flow = null;
         ByteBuffer content = body.take();
         HttpFields headers = fields;
         fields = null;
@@ -211,7 +307,11 @@
         } else {
             drop();
         }
-        done.answered(status, headers, content);
+        if (flowed != null) {
+            flowed.whole();
+        } else {
+            done.answered(status, headers, content);
+        }
     }
 
     @Override
@@ -239,21 +339,61 @@
     public boolean headerComplete() {
         boolean framed = fields.contains(HttpHeader.CONTENT_LENGTH) || fields.contains(HttpHeader.TRANSFER_ENCODING);
         if (!Wire.speaks(version) || status == 101 || status < 200 && (framed || ++interim > MOST_INTERIM) || status == 200 && !framed
-                || Wire.wrongFraming(fields) != null || fields.getLongField(HttpHeader.CONTENT_LENGTH) > mostBody) {
+                || Wire.wrongFraming(fields) != null || fields.getLongField(HttpHeader.CONTENT_LENGTH) > Wire.MOST_PASSED) {
             end(true);
             return true;
         }
-        body.announced(fields.getLongField(HttpHeader.CONTENT_LENGTH));
+        body.announced(Math.min(mostBody, fields.getLongField(HttpHeader.CONTENT_LENGTH)));
         return false;
     }
 
     @Override
     public boolean content(ByteBuffer item) {
-        boolean fits = body.add(item);
-        if (!fits) {
+        if (flow != null) {
+            return give(item);
+        }
+        if (!body.add(item)) {
             end(true);
+            return true;
+        }
+        long length = fields.getLongField(HttpHeader.CONTENT_LENGTH);
+        return status == 200 && body.size() > PIECES_FROM && begin(length);
+    }
+
+    /** Begins to pass on what is here of a large answer, if it has not begun by itself. */
+    void beginPieces(Call of) {
+        long length = fields == null ? -1 : fields.getLongField(HttpHeader.CONTENT_LENGTH);
+        boolean large = length > PIECES_FROM || fields != null && length < 0;
+        if (call == of && state == State.WAITING && flow == null && !whole && status == 200 && large && body.size() > 0
+                && !begin(length) && !isFillInterested()) {
+            fillInterested();
         }
-        return !fits;
+    }
+
+    /** From here on the answer passes in pieces, if its call takes them; true where reading has to wait. */
+    private boolean begin(long length) {
+        if (state != State.WAITING) {
+            end(true);
+            return true;
+        }
+        Flow begun = new Flow(fields, length, this);
+        if (!call.flows(begun)) {
+            return false;
+        }
+        if (!begun.isTaken()) {
+            drop();
+            return true;
+        }
+        flow = begun;
+        return give(body.take());
+    }
+
+    private boolean give(ByteBuffer piece) {
+        held = true;
+        giving = true;
+        flow.piece(piece);
+        giving = false;
+        return held || state == State.CLOSED;
     }
 
     @Override
@@ -294,8 +434,11 @@
             Call.Break how = state != State.WAITING ? Call.Break.UNWRITTEN
                     : spoilt ? Call.Break.SPOILT : Call.Break.ENDED;
             Call broken = call;
+            Flow cut = flow;
             drop();
-            if (broken != null) {
+            if (cut != null) {
+                cut.cut();
+            } else if (broken != null) {
                 broken.broke(how);
             }
         }
@@ -306,6 +449,7 @@
         if (state != State.CLOSED) {
             state = State.CLOSED;
             call = null;
+            flow = null;
             body.take();
             getEndPoint().close();
             owner.accept(this, false);
--- a/src/main/java/petrelstand/http/Wire.java
+++ b/src/main/java/petrelstand/http/Wire.java
@@ -27,6 +27,8 @@
     public static final String PRESSURE = "X-Pressure";
     /** The largest body, by the protocol. */
     public static final int MOST_BODY = 64 * 1024;
+    /** The largest body that passes in pieces: over twice the largest that is known to occur. */
+    static final long MOST_PASSED = 64L * 1024 * 1024;
     static final int MOST_HEADER = 8 * 1024;
     /** No figure of a load report can be larger. */
     private static final double MOST_LOAD = 1e6;
@@ -62,6 +64,31 @@
         return codings <= 1 && chunked ? null : "the Transfer-Encoding is not chunked";
     }
 
+    /** The path and query of a request's target, which may be a whole address. */
+    static String pathOf(String target) {
+        if (!target.startsWith("http://") && !target.startsWith("https://")) {
+            return target;
+        }
+        int path = target.indexOf('/', target.indexOf("//") + 2);
+        return path < 0 ? "/" : target.substring(path);
+    }
+
+    /** What the head of an answer in pieces says; a length of -1 is not known beforehand. */
+    static MetaData.Response response(int status, HttpVersion version, String type, boolean close, long length) {
+        HttpFields.Mutable fields = HttpFields.build();
+        if (type != null) {
+            fields.put(HttpHeader.CONTENT_TYPE, type);
+        }
+        if (close) {
+            fields.put(HttpHeader.CONNECTION, "close");
+        }
+        if (length < 0 && version == HttpVersion.HTTP_1_1) {
+            // Else the generator would let the end of a connection that closes be the answer's, and a cut be no cut.
+            fields.put(HttpHeader.TRANSFER_ENCODING, "chunked");
+        }
+        return new MetaData.Response(status, HttpStatus.getMessage(status), version, fields, length);
+    }
+
     /** The head of an answer with a body of a length. */
     public static ByteBuffer answer(int status, String type, long retryAfterUs, boolean close, int length) {
         HttpFields.Mutable fields = HttpFields.build();
@@ -92,10 +119,14 @@
                 : String.format(Locale.ROOT, "%d.%03d", ms / 1000, ms % 1000).replaceAll("0+$", "");
     }
 
+    /** What a request's head says; the target passes as the client wrote it, and a length of -1 is not known. */
+    static MetaData.Request head(String method, String target, HttpFields fields, long length) {
+        return new MetaData.Request(method, HttpURI.build().pathQuery(target), HttpVersion.HTTP_1_1, fields, length);
+    }
+
     /** The head of a request; the target passes as the client wrote it. */
     public static ByteBuffer request(String method, String target, HttpFields fields, int length) {
-        MetaData.Request info = new MetaData.Request(method, HttpURI.build().pathQuery(target), HttpVersion.HTTP_1_1,
-                fields, length);
+        MetaData.Request info = head(method, target, fields, length);
         ByteBuffer head = BufferUtil.allocate(MOST_HEADER + 1024);
         try {
             new HttpGenerator().generateRequest(info, head, null, BufferUtil.EMPTY_BUFFER, true);
--- a/src/main/java/petrelstand/lab/Day.java
+++ b/src/main/java/petrelstand/lab/Day.java
@@ -383,7 +383,7 @@
         }
 
         @Override
-        public void served(Object answer) {
+        public boolean served(Object answer) {
             double ms = (nowUs - firstUs) / 1000.0;
             double earned = take(ms > kind().aimMs());
             tally(tally -> {
@@ -392,6 +392,7 @@
                     tally.tileReads.recordValue(Math.min(9_999_999, nowUs - firstUs));
                 }
             });
+            return true;
         }
 
         @Override
--- a/src/main/java/petrelstand/lab/WaitTrial.java
+++ b/src/main/java/petrelstand/lab/WaitTrial.java
@@ -151,7 +151,9 @@
         broker.take(new Demand(kind, 1, random.nextLong(), volume, units, shard, 1, false, false,
                 (long) (WORLD.settings(0).classes().get(kind).deadlineMs() * 1000)), work, new ClientSide() {
                     @Override
-                    public void served(Object answer) {}
+                    public boolean served(Object answer) {
+                        return true;
+                    }
 
                     @Override
                     public void refused(long retryAfterUs) {}
--- a/src/main/java/petrelstand/operation/Telemetry.java
+++ b/src/main/java/petrelstand/operation/Telemetry.java
@@ -31,7 +31,7 @@
             count(text, "bad_gateway." + kind, figures.count(kind, End.FAILED));
         }
         count(text, "upstream_tries", figures.tries());
-        gauge(text, "in_progress", broker.open() + writing.getAsInt());
+        gauge(text, "in_progress", broker.inProgress() + writing.getAsInt());
         gauge(text, "known_storage_nodes", broker.listedNodes());
         gauge(text, "skipped_storage_nodes", broker.avoidedNodes());
         count(text, "loads", counters.get("reloads"));
--- a/src/main/java/petrelstand/rsync/ClientSession.java
+++ b/src/main/java/petrelstand/rsync/ClientSession.java
@@ -189,10 +189,11 @@
     // ---- The end ----
 
     @Override
-    public void served(Object answer) {
+    public boolean served(Object answer) {
         finish();
         getEndPoint().shutdownOutput();
         close();
+        return true;
     }
 
     @Override
