A request that its node knows to be over is refused at once, without further attempts

Why nodes say so is an open question, written in docs/OPERATING.md.

Change: the outcome OVER, for 504 with X-Turned-Away: it never ran, and the module makes no further attempt.

--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -647,7 +647,7 @@
     /** After an attempt without an answer: another, where class, time and budget allow it, or the end. */
     private void goOn(double nowMs, Item item, Outcome outcome) {
         int most = Math.min(item.mostAttempts, settings.may().maxAttempts());
-        boolean may = outcome != Outcome.TIMED_OUT && nowMs < item.aimMs && item.attempts.size() < most;
+        boolean may = outcome.mayBeRepeated() && nowMs < item.aimMs && item.attempts.size() < most;
         holdOrConclude(nowMs, item, may && mayTryFurther(nowMs) ? nodeFor(nowMs, item) : null, slotMs);
     }
 
@@ -959,7 +959,7 @@
                     halve(nowMs, node);
                 }
             }
-            case ERROR -> node.heardMs = nowMs;
+            case ERROR, OVER -> node.heardMs = nowMs;
         }
     }
 
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -21,10 +21,10 @@
     /** What a node-list event carries: changes, the whole list, the list kept from earlier, or a failed call. */
     public enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
 
-    /** How an attempt ended. */
+    /** How an attempt ended; OVER: the node turned it away because the request is over, so that no other can do better. */
     public enum Outcome {
         SERVED(false), ERROR(false), REJECTED(true), TIMED_OUT(false), NOT_CONNECTED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true);
+        CANCELLED(false), NOT_SENT(true), OVER(true);
 
         private final boolean neverRan;
 
@@ -32,6 +32,11 @@
             this.neverRan = neverRan;
         }
 
+        /** True where another attempt may do better: not where the time is up, or the node knows that the request is over. */
+        public boolean mayBeRepeated() {
+            return this != TIMED_OUT && this != OVER;
+        }
+
         /** True where the outcome proves that the node did none of the request's work. */
         public boolean neverRan() {
             return neverRan;
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -440,13 +440,18 @@
         }
     }
 
-    /** The protocol's table: a node proves that it ran nothing only by the header that says so. */
+    /**
+     * The protocol's table: a node proves that it ran nothing only by the header that says so. With it, 504 is what it says
+     * of a request that is over: of 283 that were turned away so, none was served by a later attempt (docs/OPERATING.md).
+     */
     static Outcome outcome(int status, HttpFields fields) {
         if (status == 200) {
             return Outcome.SERVED;
         }
-        boolean turnedAway = (status == 503 || status == 504) && "1".equals(fields.get(Wire.TURNED_AWAY));
-        return turnedAway ? Outcome.REJECTED : Outcome.ERROR;
+        if (!"1".equals(fields.get(Wire.TURNED_AWAY))) {
+            return Outcome.ERROR;
+        }
+        return status == 503 ? Outcome.REJECTED : status == 504 ? Outcome.OVER : Outcome.ERROR;
     }
 
     /** A spoilt answer is the node's failure; a node that sends one is there, which a reset would put in doubt. */
