--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -52,7 +52,7 @@
      * restarts is lost: on half a core 100 of them made a restart 2.5 s long, 25 of them 1.3 s.
      */
     private static final int REHEARSED = 25;
-    private static final int REHEARSALS_BESIDE = 16;
+    private static final int REHEARSALS_REPLACED = 16;
     private static final long REST_NS = 50_000_000;
 
     private final Clock clock = new Clock();
@@ -189,15 +189,17 @@
     }
 
     /**
-     * A process that takes another's place has time, and shares the core with it: it rehearses more, with rests in which the
-     * other one serves. Else what comes meanwhile is lost, so little is rehearsed.
+     * Where operators replace a process, one that starts is beside another or the first, and either has time: it rehearses
+     * more, beside another with rests in which that one serves. Elsewhere what comes while it starts is lost, so little is
+     * rehearsed.
      */
     private void rehearse() {
-        int times = operation != null && operation.takesOver() ? REHEARSALS_BESIDE : 1;
+        int times = operation != null ? REHEARSALS_REPLACED : 1;
+        boolean rests = operation != null && operation.takesOver();
         long served = 0;
         for (int i = 0; i < times; i++) {
             served += Rehearsal.play(config.settings(), REHEARSED);
-            LockSupport.parkNanos(times > 1 ? REST_NS : 0);
+            LockSupport.parkNanos(rests ? REST_NS : 0);
         }
         log.accept("rehearsed: " + served + " of " + times * REHEARSED + " requests in memory");
     }
