Second reading: one callback for writes, one allowance for what is to come, one copy of settings

Seen on reading the change again: PieceWriter wrote out the callback that LoopConnection has; the client's connection set its time limit in four places, and a request without a body set it twice on its way; Retuning copied the settings' 18 fields twice.

Change: PieceWriter calls LoopConnection.nonBlocking; allowMore sets the limit, after a head only where a body is to come; Retuning has one copy. Behaviour stays: the limit of a request without a body ended with its head in any case.

--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -262,7 +262,7 @@
                     stopLimit();
                 }
                 if (limit == null && !pours()) {
-                    limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
+                    allowMore();
                 }
                 boolean paused = parser.parseNext(input);
                 if (resetDue) {
@@ -316,9 +316,16 @@
         if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
             getEndPoint().write(nonBlocking(() -> {}, cause -> close()), BufferUtil.toBuffer("HTTP/1.1 100 Continue\r\n\r\n"));
         }
+        if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > 0 || fields.contains(HttpHeader.TRANSFER_ENCODING)) {
+            allowMore();
+        }
+        return false;
+    }
+
+    /** What is to come next has its time from now on. */
+    private void allowMore() {
         stopLimit();
         limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
-        return false;
     }
 
     @Override
@@ -350,12 +357,12 @@
         long now = front.broker().nowUs();
         bodyUs = bodyBytes == 0 ? now : bodyUs;
         bodyBytes += bytes;
-        stopLimit();
         if (bodyBytes < (now - bodyUs - Front.REQUEST_US) / 1_000_000.0 * Front.LEAST_RATE) {
+            stopLimit();
             late();
             return false;
         }
-        limit = front.timers().at(now + Front.REQUEST_US, this::late);
+        allowMore();
         return true;
     }
 
@@ -388,8 +395,7 @@
         held = false;
         // Its rate is counted anew: while it was held it could not come.
         bodyBytes = 0;
-        stopLimit();
-        limit = front.timers().at(front.broker().nowUs() + Front.REQUEST_US, this::late);
+        allowMore();
         if (!parsing) {
             parse();
             resume();
--- a/src/main/java/petrelstand/http/PieceWriter.java
+++ b/src/main/java/petrelstand/http/PieceWriter.java
@@ -9,7 +9,7 @@
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
-import org.eclipse.jetty.util.Callback;
+import petrelstand.net.LoopConnection;
 
 /**
  * Writes one message in pieces, by Jetty's generator: the head with the first, then each as it is given, framed as the
@@ -74,23 +74,10 @@
                 due.add(buffer);
             }
         }
-        to.write(new Callback() {
-            @Override
-            public void succeeded() {
-                // The head's room is not needed again; what follows may be more of this piece's frame.
-                head = generator.isCommitted() ? BufferUtil.EMPTY_BUFFER : head;
-                write(piece, last, written, failed);
-            }
-
-            @Override
-            public void failed(Throwable cause) {
-                failed.accept(cause);
-            }
-
-            @Override
-            public InvocationType getInvocationType() {
-                return InvocationType.NON_BLOCKING;
-            }
-        }, due.toArray(new ByteBuffer[0]));
+        to.write(LoopConnection.nonBlocking(() -> {
+            // The head's room is not needed again; what follows may be more of this piece's frame.
+            head = generator.isCommitted() ? BufferUtil.EMPTY_BUFFER : head;
+            write(piece, last, written, failed);
+        }, failed), due.toArray(new ByteBuffer[0]));
     }
 }
--- a/src/main/java/petrelstand/net/LoopConnection.java
+++ b/src/main/java/petrelstand/net/LoopConnection.java
@@ -28,7 +28,7 @@
     }
 
     /** A callback that the loop runs itself. */
-    protected static Callback nonBlocking(Runnable succeeded, java.util.function.Consumer<Throwable> failed) {
+    public static Callback nonBlocking(Runnable succeeded, java.util.function.Consumer<Throwable> failed) {
         return new Callback() {
             @Override
             public void succeeded() {
--- a/src/main/java/petrelstand/retuning/Retuning.java
+++ b/src/main/java/petrelstand/retuning/Retuning.java
@@ -7,7 +7,9 @@
 import petrelstand.decision.Scheduling.Capabilities;
 import petrelstand.decision.Scheduling.DedupGroup;
 import petrelstand.decision.Scheduling.Effect;
+import petrelstand.decision.Scheduling.Plan;
 import petrelstand.decision.Scheduling.RequestClass;
+import petrelstand.decision.Scheduling.Rules;
 import petrelstand.decision.Scheduling.Settings;
 
 /**
@@ -62,10 +64,7 @@
         List<String> names = new ArrayList<>();
         note(names, "plans", inUse.plans().equals(changed.plans()));
         note(names, "rules", inUse.rules().equals(changed.rules()));
-        Settings rest = new Settings(inUse.hosts(), inUse.index(), inUse.zone(), inUse.tickMs(), changed.classes(),
-                changed.plans(), inUse.discovery(), changed.may(), changed.rules(), inUse.coldUnits(), inUse.meanUnits(),
-                inUse.mostUnits(), inUse.shareWorth(), inUse.spareWorth(), inUse.meterMs(), inUse.tellsOthers(),
-                inUse.loadNames(), inUse.zones());
+        Settings rest = with(inUse, changed.classes(), changed.plans(), changed.may(), changed.rules());
         note(names, "balancers, index, zone, period_ms, discovery, extra, report or failure_domains", rest.equals(changed));
         return names;
     }
@@ -131,8 +130,12 @@
     }
 
     private static Settings with(Settings of, List<RequestClass> classes, Capabilities may) {
-        return new Settings(of.hosts(), of.index(), of.zone(), of.tickMs(), classes, of.plans(), of.discovery(), may,
-                of.rules(), of.coldUnits(), of.meanUnits(), of.mostUnits(), of.shareWorth(), of.spareWorth(), of.meterMs(),
+        return with(of, classes, of.plans(), may, of.rules());
+    }
+
+    private static Settings with(Settings of, List<RequestClass> classes, List<Plan> plans, Capabilities may, Rules rules) {
+        return new Settings(of.hosts(), of.index(), of.zone(), of.tickMs(), classes, plans, of.discovery(), may,
+                rules, of.coldUnits(), of.meanUnits(), of.mostUnits(), of.shareWorth(), of.spareWorth(), of.meterMs(),
                 of.tellsOthers(), of.loadNames(), of.zones());
     }
 }
