--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -1,6 +1,7 @@
 package petrelstand.decision; // The interface (types, events, actions) is in Scheduling.java.
 
 import java.util.*;
+import java.util.stream.Collectors;
 import petrelstand.decision.Scheduling.*;
 
 /** Every decision of a host: admission by deadline emulation, departure under a window, the rules' guards. */
@@ -85,15 +86,16 @@
     private double tickDueMs = Double.POSITIVE_INFINITY;
 
     /** A request taken by this host and not yet over, or with an attempt still out. */
-    private static final class Item {
+    private final class Item {
         final Request request;
         final RequestClass kind;
         final Volume volume;
-        final long order;
+        final KeyTurn turn;
+        final long order = sequence++;
         final double aimMs;
-        final int mostAttempts;
+        final int mostAttempts = settings.may().maxAttempts();
         final List<Attempt> attempts = new ArrayList<>();
-        final Set<Attempt> open = new HashSet<>();
+        final Set<Attempt> open = new LinkedHashSet<>();
         /** The store of its volume that it draws on, reserve or share; null where it is due neither. */
         TokenBucket charged;
         double worth;
@@ -101,13 +103,16 @@
         boolean closed, streaming;
         Attempt mayHaveRun;
 
-        Item(Request request, RequestClass kind, Volume volume, long order, double aimMs, int mostAttempts) {
+        Item(double nowMs, Request request) {
             this.request = request;
-            this.mostAttempts = mostAttempts;
-            this.kind = kind;
-            this.volume = volume;
-            this.order = order;
-            this.aimMs = aimMs;
+            kind = settings.classes().get(request.requestClass());
+            volume = volume(nowMs, request);
+            double left = request.timeLeftMs();
+            double waited = request.clientRepeat() ? Math.max(0, kind.deadlineMs() - left) : 0;
+            aimMs = nowMs + Math.min(kind.aimMs() - waited, left);
+            boolean ordered = kind.ordered() && request.key() != 0;
+            turn = ordered ? turns.computeIfAbsent(request.key(), k -> new KeyTurn()) : new KeyTurn();
+            turn.queue.addLast(this);
         }
 
         double units() {
@@ -121,7 +126,7 @@
             Comparator.<Item>comparingDouble(i -> i.aimMs).thenComparingLong(i -> i.order);
 
     /** A storage node as this host sees it. */
-    private static final class Node {
+    private final class Node {
         final long id;
         int zone, shard;
         NodeState state = NodeState.READY;
@@ -129,7 +134,7 @@
         final TreeSet<Item> held = new TreeSet<>(BY_DEADLINE);
         final List<Attempt> out = new ArrayList<>();
         final SlidingSum slots = new SlidingSum(RATE_SPAN_MS), served = new SlidingSum(RATE_SPAN_MS);
-        final SlidingSum coldSent;
+        final SlidingSum coldSent = new SlidingSum(rules.fallMs());
         /** Turn at the node while it is cold and this host's part there is less than a request. */
         final TokenBucket turn = new TokenBucket(0, 0, 1, 0);
         double slotUnits;
@@ -137,7 +142,7 @@
         double window = WINDOW_START;
         /** Weight of the next answer; after a recall 1, then 1/2, 1/3: the first one ends what was known. */
         double learning = LATENCY_WEIGHT;
-        double latencyMs, standingMs;
+        double latencyMs = latencyStartMs, standingMs;
         /** What a request of mean size took there, as if the node were warm, and over how many answers. */
         double warmMs;
         int heard;
@@ -146,14 +151,13 @@
         int unanswered;
         boolean suspect, late;
 
-        Node(long id, double fallMs, double latencyMs) {
+        Node(long id) {
             this.id = id;
-            this.latencyMs = latencyMs;
-            this.coldSent = new SlidingSum(fallMs);
         }
 
-        Node(double nowMs, LearnedNode old, double fallMs) {
-            this(old.node(), fallMs, old.latencyMs());
+        Node(double nowMs, LearnedNode old) {
+            this(old.node());
+            latencyMs = old.latencyMs();
             state = NodeState.GONE;
             upSinceMs = old.upSinceMs();
             slots.add(nowMs, old.slots());
@@ -182,6 +186,7 @@
         }
     }
 
+    /** The requests of a key in turn; a request that asks no order has a turn of its own. */
     private static final class KeyTurn {
         final ArrayDeque<Item> queue = new ArrayDeque<>();
         double quietUntilMs = NEVER;
@@ -226,27 +231,20 @@
             return;
         }
         failedCalls = 0;
-        Set<Long> listed = new HashSet<>();
-        entries.forEach(entry -> listed.add(entry.node()));
-        entries.forEach(entry -> enter(nowMs, entry));
-        for (Node node : List.copyOf(nodes.values())) {
-            if (kind != ListKind.CHANGES && !listed.contains(node.id)) {
-                node.state = NodeState.GONE;
-            }
-            if (node.state != NodeState.READY) {
-                moveHeld(nowMs, node);
-            }
-            // One that may come back cold keeps what it was sent, so that its budget is not spent twice.
-            if (node.state == NodeState.GONE && node.out.isEmpty() && !cold(nowMs, node)) {
-                nodes.remove(node.id);
-            }
+        if (kind != ListKind.CHANGES) {
+            Set<Long> listed = entries.stream().map(NodeEntry::node).collect(Collectors.toSet());
+            nodes.forEach((id, node) -> node.state = listed.contains(id) ? node.state : NodeState.GONE);
         }
+        entries.forEach(entry -> enter(nowMs, entry));
+        nodes.values().stream().filter(n -> n.state != NodeState.READY).forEach(n -> moveHeld(nowMs, n));
+        // One that may come back cold keeps what it was sent, so that its budget is not spent twice.
+        nodes.values().removeIf(n -> n.state == NodeState.GONE && n.out.isEmpty() && !cold(nowMs, n));
     }
 
     private void enter(double nowMs, NodeEntry entry) {
         Node node = nodes.get(entry.node());
         if (node == null || entry.upSinceMs() > node.upSinceMs) {
-            Node fresh = new Node(entry.node(), rules.fallMs(), latencyStartMs);
+            Node fresh = new Node(entry.node());
             fresh.upSinceMs = entry.upSinceMs();
             fresh.latencyMs = cold(nowMs, fresh) ? usualMs : latencyStartMs;
             fresh.learning = cold(nowMs, fresh) ? 1 : LATENCY_WEIGHT;
@@ -274,22 +272,17 @@
     }
 
     private Node nodeFor(double nowMs, Item item) {
-        Node best = null;
-        double bestFinish = Double.POSITIVE_INFINITY;
+        TreeMap<Double, Node> byFinish = new TreeMap<>();
         int wanted = item.request.shard();
         for (Node node : nodes.values()) {
             boolean holds = wanted < 0 ? node.shard < NodeEntry.PRIVATE : node.shard == wanted;
             if (node.state == NodeState.READY && holds && mayGoTo(nowMs, item, node)) {
                 double finish = (emulate(nowMs, node, item, Set.of()).endMs - nowMs + node.latencyMs)
                         * (1 + random.nextDouble());
-                finish = silent(nowMs, node) ? Double.MAX_VALUE : finish;
-                if (best == null || finish < bestFinish) {
-                    best = node;
-                    bestFinish = finish;
-                }
+                byFinish.putIfAbsent(silent(nowMs, node) ? Double.MAX_VALUE : finish, node);
             }
         }
-        return best;
+        return byFinish.isEmpty() ? null : byFinish.firstEntry().getValue();
     }
 
     // ---- Measured rate (minRead) ----
@@ -336,17 +329,10 @@
             tickDueMs = nowMs + slotMs;
             act.timer(tickDueMs, TICK);
         }
-        RequestClass kind = settings.classes().get(request.requestClass());
-        Volume volume = volume(nowMs, request);
-        double margin = Math.max(FINAL_MARGIN_MS, FINAL_MARGIN_TICKS * settings.tickMs());
-        double waited = request.clientRepeat() ? Math.max(0, kind.deadlineMs() - request.timeLeftMs()) : 0;
-        double aim = nowMs + Math.min(kind.aimMs() - waited, request.timeLeftMs());
-        Item item = new Item(request, kind, volume, sequence++, aim, settings.may().maxAttempts());
+        Item item = new Item(nowMs, request);
         items.put(request.id(), item);
+        double margin = Math.max(FINAL_MARGIN_MS, FINAL_MARGIN_TICKS * settings.tickMs());
         act.timer(nowMs + Math.max(0, request.timeLeftMs() - margin), request.id());
-        if (kind.ordered() && request.key() != 0) {
-            turns.computeIfAbsent(request.key(), k -> new KeyTurn()).queue.addLast(item);
-        }
         admit(nowMs, item);
     }
 
@@ -362,9 +348,8 @@
             return;
         }
         charge(nowMs, item);
-        Set<Item> gone = new HashSet<>();
-        Reading reading = emulate(nowMs, node, item, gone);
-        if (!reading.holds && !makeRoom(nowMs, node, item, gone)) {
+        Reading reading = emulate(nowMs, node, item, Set.of());
+        if (!reading.holds && !makeRoom(nowMs, node, item)) {
             conclude(nowMs, item, Math.max(slotMs, reading.endMs - item.aimMs));
             return;
         }
@@ -422,16 +407,15 @@
      * Departure from the design, in the spirit of buffer stealing: when the emulation fails, held requests of
      * lesser worth a unit that never ran give way, least first, until it holds.
      */
-    private boolean makeRoom(double nowMs, Node node, Item item, Set<Item> gone) {
+    private boolean makeRoom(double nowMs, Node node, Item item) {
+        Set<Item> gone = new LinkedHashSet<>();
         List<Item> lesser = node.held.stream()
                 .filter(other -> other.worth < item.worth && other.mayHaveRun == null && other.open.isEmpty())
                 .sorted(Comparator.comparingDouble((Item i) -> i.worth).thenComparing(BY_DEADLINE)).toList();
         for (Item other : lesser) {
             gone.add(other);
             if (emulate(nowMs, node, item, gone).holds) {
-                for (Item victim : lesser.subList(0, gone.size())) {
-                    conclude(nowMs, victim, slotMs);
-                }
+                gone.forEach(victim -> conclude(nowMs, victim, slotMs));
                 return true;
             }
         }
@@ -512,10 +496,8 @@
 
     /** Sends held requests, earliest deadline first, while the window has room. */
     private void depart(double nowMs, Node node) {
-        if (node.state != NodeState.READY || node.held.isEmpty()) {
-            return;
-        }
-        for (Item item : List.copyOf(node.held)) {
+        List<Item> held = node.state == NodeState.READY ? List.copyOf(node.held) : List.of();
+        for (Item item : held) {
             boolean first = node.out.isEmpty();
             double wait = standingMs(nowMs, node);
             if ((!first || cold(nowMs, node)) && nowMs + LEAST_LATENCY_PART * node.latencyMs > item.aimMs
@@ -586,7 +568,7 @@
             double patience = LOST_LATENCIES * node.latencyMs * work(item);
             if (attempt.sentMs() < Math.min(node.newestAnsweredMs, nowMs - patience)) {
                 node.out.remove(attempt);
-                item.mayHaveRun = item.mayHaveRun == null ? attempt : item.mayHaveRun;
+                item.mayHaveRun = Objects.requireNonNullElse(item.mayHaveRun, attempt);
             }
         }
     }
@@ -627,10 +609,12 @@
         Attempt attempt = item.attempts.get(end.attempt());
         Node node = nodes.getOrDefault(attempt.node().id, attempt.node());
         node.out.remove(attempt);
-        if (!end.outcome().neverRan() && item.mayHaveRun == null) {
-            item.mayHaveRun = attempt;
+        if (!end.outcome().neverRan()) {
+            item.mayHaveRun = Objects.requireNonNullElse(item.mayHaveRun, attempt);
+            boolean mayRunYet = end.outcome() != Outcome.SERVED && end.outcome() != Outcome.ERROR;
+            double quietMs = mayRunYet ? rules.keyQuietMs() + settings.tickMs() : 0;
+            item.turn.quietUntilMs = Math.max(item.turn.quietUntilMs, nowMs + quietMs);
         }
-        restKey(nowMs, item, end.outcome());
         judge(nowMs, node, attempt, end);
         noteUse(nowMs, item.volume, end.seenUse());
         if (end.over()) {
@@ -675,8 +659,7 @@
         item.closed = true;
         leave(item);
         if (settings.may().cancel() && !item.streaming) {
-            item.attempts.stream().filter(item.open::contains)
-                    .forEach(attempt -> act.cancel(item.request.id(), attempt.number));
+            item.open.forEach(attempt -> act.cancel(item.request.id(), attempt.number));
         }
     }
 
@@ -690,10 +673,7 @@
     private void forget(Item item) {
         if (item.closed && item.open.isEmpty()) {
             items.remove(item.request.id());
-            KeyTurn turn = turnOf(item);
-            if (turn != null) {
-                turn.queue.remove(item);
-            }
+            item.turn.queue.remove(item);
         }
     }
 
@@ -777,7 +757,7 @@
     public void recall(double nowMs, Learned learned) {
         slots.add(nowMs, learned.slots());
         served.add(nowMs, learned.served());
-        learned.nodes().forEach(old -> nodes.put(old.node(), new Node(nowMs, old, rules.fallMs())));
+        learned.nodes().forEach(old -> nodes.put(old.node(), new Node(nowMs, old)));
         for (LearnedVolume old : learned.volumes()) {
             Volume volume = new Volume(settings.plans().get(old.plan()), forgotMs, nowMs);
             shape(nowMs, volume, old.setSize(), old.ownPart());
@@ -881,20 +861,8 @@
 
     /** Rule on key order: the eldest of its key, and the key at rest. */
     private boolean myTurn(double nowMs, Item item) {
-        KeyTurn turn = turnOf(item);
-        return turn == null || (turn.queue.peekFirst() == item
-                && (nowMs >= turn.quietUntilMs || !item.attempts.isEmpty()));
-    }
-
-    private KeyTurn turnOf(Item item) {
-        return item.kind.ordered() ? turns.get(item.request.key()) : null;
-    }
-
-    private void restKey(double nowMs, Item item, Outcome outcome) {
-        KeyTurn turn = turnOf(item);
-        if (turn != null && !outcome.neverRan() && outcome != Outcome.SERVED && outcome != Outcome.ERROR) {
-            turn.quietUntilMs = nowMs + rules.keyQuietMs() + settings.tickMs();
-        }
+        boolean eldest = item.turn.queue.peekFirst() == item;
+        return eldest && (nowMs >= item.turn.quietUntilMs || !item.attempts.isEmpty());
     }
 
     // ---- Health ----
