A volume's limit has one owner for each part, by lease between processes

Read and shown by tests besides: a store that was met for the first time after a start had filled at the rate of all gateways, not at this one's part; units were taken at the send, while slow bodies and late connections bring them to the node together and the store fills meanwhile; a process whose look-out thread failed took its mark away and went on serving.

Change: ProcessShare (lifecycle) decides each process's share by a lease on what it last saw, the broker asks it before each event, and limits follow it as cold nodes do. Units on their way keep their room in the store, half of it at most.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -108,7 +108,7 @@
         this.front = new Front(broker, timers, parts.clients(), life);
         this.retuning = new RetunePart(broker, front, pool, life, timers, clock::nowUs, log);
         this.operation = config.operator() == null ? null : new OperationPart(config, transfers, life, broker, front, pool,
-                timers, clock::nowUs, loop::execute, counters, log, this::evacuate, this::rejoin);
+                timers, clock::nowUs, clock::readUs, loop::execute, counters, log, this::evacuate, this::rejoin);
         this.watch = new Watch(loop::connect, clock::nowUs, timers, config.discovery(), "backend.local",
                 config.settings().zones(), config.known().version(), this::heard, counters, log);
         this.keeper = operator == null || operator.state() == null ? null
--- a/src/main/java/petrelstand/HotRestartPart.java
+++ b/src/main/java/petrelstand/HotRestartPart.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import petrelstand.config.GatewayConfig;
 import petrelstand.core.Broker;
 import petrelstand.decision.Scheduling.Learned;
@@ -17,17 +18,20 @@
 import petrelstand.decision.Scheduling.Settings;
 import petrelstand.state.Snapshot;
 import petrelstand.state.Trust;
+import petrelstand.lifecycle.ProcessShare;
 import petrelstand.store.Marks;
+import petrelstand.store.Marks.Look;
 import petrelstand.store.Marks.Other;
 import petrelstand.store.SnapshotFormat;
 import petrelstand.store.StateFault;
 
 /**
  * Two processes of one gateway, of which the newer takes the older's place: each looks for the other by its mark, from a
- * thread of its own, and tells the loop what changed. While both live, each has half of what the gateway may spend; the
- * older hands on what it has learned, for as long as the newer does not yet listen.
+ * thread of its own, and tells the loop what it found. What each may spend of the gateway's due is decided by
+ * {@link ProcessShare}; the older hands on what it has learned, for as long as the newer does not yet listen.
  *
- * <p>The thread owns the marks and the file; the loop's thread owns what is told here, and takes each snapshot.
+ * <p>The thread owns the marks and the file; the loop's thread owns the share and what is told here, and takes each
+ * snapshot.
  */
 final class HotRestartPart {
     /** How often a process looks for another, and hands on what it knows while that one starts. */
@@ -39,6 +43,7 @@
      * process started, which takes most of the core, it held up the loop for 460 ms (67 ms of CPU).
      */
     private static final long WARM_MS = 2_000;
+
     /** Told on the loop's thread that another process has come, listens, or is gone. */
     interface Told {
         void other(Other what);
@@ -47,24 +52,27 @@
     private final GatewayConfig config;
     private final Path folder;
     private final Executor loop;
+    private final LongSupplier clock;
     private final Told told;
     private final Consumer<String> log;
     private final Thread thread = new Thread(this::run, "hot-restart");
     /** Of the thread alone, but for the start. */
     private Marks marks;
     private Other seen = Other.NONE;
-    /** Of the loop's thread. */
+    /** Of the loop's thread, but for the start. */
+    private final ProcessShare share = new ProcessShare();
     private Broker broker;
     private volatile long settingsPrint;
     /** Set by the loop, taken by the thread. */
     private final AtomicReference<Snapshot> handing = new AtomicReference<>();
     private volatile boolean ended;
 
-    /** Looks in a folder; what is told, and logged, is on the loop. */
-    HotRestartPart(GatewayConfig config, Path folder, Executor loop, Told told, Consumer<String> log) {
+    /** Looks in a folder; the clock is read from any thread, in µs; what is told, and logged, is on the loop. */
+    HotRestartPart(GatewayConfig config, Path folder, Executor loop, LongSupplier clock, Told told, Consumer<String> log) {
         this.config = config;
         this.folder = folder;
         this.loop = loop;
+        this.clock = clock;
         this.told = told;
         this.log = line -> log.accept("hot restart: " + line);
         thread.setDaemon(true);
@@ -83,7 +91,9 @@
     Other open() {
         try {
             marks = new Marks(folder, config.name() + " " + config.listen());
-            seen = marks.look();
+            Look look = marks.look();
+            seen = look.other();
+            share.marked(clock.getAsLong(), look.others());
         } catch (IOException | RuntimeException e) {
             log.accept("no second process of this gateway can be known: " + e);
             marks = null;
@@ -91,6 +101,11 @@
         return seen;
     }
 
+    /** The part of the gateway's due that is this process's own. */
+    ProcessShare share() {
+        return share;
+    }
+
     /** What the other process has learned, weighed for this one; null where it has handed on nothing that can be used. */
     Learned handed() {
         try {
@@ -143,13 +158,26 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (IOException | StateFault | RuntimeException e) {
+            // The mark stays: while this process lives, another has to know of it.
             loop.execute(() -> log.accept("a second process is no longer looked for: " + e));
         }
-        closeMarks();
+        if (ended) {
+            closeMarks();
+        }
     }
 
     private void look(boolean hand) throws IOException {
-        Other now = marks.look();
+        long beganUs = clock.getAsLong();
+        Look look = marks.look();
+        long endedUs = clock.getAsLong();
+        loop.execute(() -> {
+            if (look.marked()) {
+                share.looked(beganUs, look.others());
+            } else {
+                share.marked(endedUs, look.others());
+            }
+        });
+        Other now = look.other();
         if (now != seen) {
             seen = now;
             loop.execute(() -> told.other(now));
--- a/src/main/java/petrelstand/OperationPart.java
+++ b/src/main/java/petrelstand/OperationPart.java
@@ -29,9 +29,6 @@
  * change from one process to the next.
  */
 final class OperationPart {
-    /** Of the gateway's part at cold nodes, while two processes spend it. */
-    private static final double HALF = 0.5;
-
     private final int sockets;
     private final int transfers;
     private final OperatorDoor door;
@@ -47,7 +44,7 @@
 
     /** Before a gateway's parts, of which its rsync transfers take descriptors too; evacuate and rejoin say whether they could be done. */
     OperationPart(GatewayConfig config, int transfers, Lifecycle life, Broker broker, Front front, NodePool pool, Timers timers,
-            LongSupplier clock, Executor loop, Counters counters, Consumer<String> log, BooleanSupplier evacuate,
+            LongSupplier clock, LongSupplier anyThreadsClock, Executor loop, Counters counters, Consumer<String> log, BooleanSupplier evacuate,
             BooleanSupplier rejoin) {
         this.sockets = config.sockets();
         this.transfers = transfers;
@@ -60,7 +57,7 @@
         this.log = log;
         String shared = System.getenv("TMPDIR");
         this.hotRestart = new HotRestartPart(config, Path.of(shared == null ? System.getProperty("java.io.tmpdir") : shared), loop,
-                this::other, log);
+                anyThreadsClock, this::other, log);
         Telemetry telemetry = new Telemetry(broker, counters, () -> (int) front.answering());
         this.door = new OperatorDoor(timers, clock, counters, Map.of(
                 "/api/ready", new Call("GET", () -> life.canServe() ? new Answer(200, "ready")
@@ -86,13 +83,14 @@
     /** Looks for a process whose place this one takes; before the loop starts. */
     void look() {
         other = hotRestart.open();
+        broker.share(hotRestart.share()::part);
     }
 
     /** Takes over what that process has learned, before the first list. */
     void recall() {
         if (other != Other.NONE) {
             log.accept("hot restart: this process takes the place of another");
-            share();
+            bound();
             Learned learned = hotRestart.handed();
             if (learned != null) {
                 broker.recall(learned);
@@ -119,17 +117,16 @@
             case LISTENING -> "another process of this gateway listens too";
         });
         other = now;
-        share();
+        bound();
     }
 
     /**
-     * While two processes are one gateway, each has half of its part at cold nodes; and half of its descriptors, once the
-     * newer listens: until then connections that the older closed would only come back to it.
+     * While two processes are one gateway, each has half of its descriptors, once the newer listens: until then
+     * connections that the older closed would only come back to it.
      */
-    private void share() {
+    private void bound() {
         boolean both = other == Other.LISTENING;
         life.hotRestart(both);
-        broker.share(other == Other.NONE ? 1 : HALF);
         Descriptors parts = both ? Descriptors.half(sockets, transfers) : Descriptors.of(sockets, transfers);
         front.bound(parts.clients());
         pool.bound(parts.nodes());
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -51,6 +51,8 @@
     /** Null where nothing rules on requests beyond the module: a start links no code for it. */
     private Gate gate;
     private boolean busy;
+    private ShareSource shares = nowUs -> 1;
+    private double share = 1;
     private long nextId = 1;
 
     /** Makes the decision module for a host: settings and actions. */
@@ -161,7 +163,9 @@
 
     void written(Attempt attempt) {
         figures.tried();
-        watcher.written(attempt.exchange().id(), attempt.number(), clock.getAsLong());
+        long now = clock.getAsLong();
+        watcher.written(attempt.exchange().id(), attempt.number(), now);
+        event(() -> module.written(ms(now), attempt.exchange().id()), attempt.exchange());
     }
 
     /** Requests without their final answer. */
@@ -295,9 +299,28 @@
         return module.learned(ms(clock.getAsLong()));
     }
 
-    /** The part of this gateway's due at cold nodes that is this process's own from now on. */
-    public void share(double part) {
-        event(() -> module.share(ms(clock.getAsLong()), part), null);
+    /**
+     * Decides the part of this gateway's due at cold nodes and of volumes' limits that is this process's own. Asked
+     * before each event, so that a part that has lapsed is never spent, however long the loop stood still.
+     */
+    public void share(ShareSource by) {
+        shares = by;
+        event(() -> {}, null);
+    }
+
+    /** The part of the gateway's due that is this process's own. */
+    public interface ShareSource {
+        /** From 0 to 1, at a time in µs. */
+        double part(long nowUs);
+    }
+
+    /** Tells the module of another part, ahead of the event that is about to be handled. */
+    private void checkShare() {
+        double part = shares.part(clock.getAsLong());
+        if (part != share) {
+            share = part;
+            module.share(ms(clock.getAsLong()), part);
+        }
     }
 
     /** Gives the module what an earlier run learned, weighed and bounded; only before the first node list. */
@@ -388,6 +411,7 @@
     private void event(Runnable event, Exchange about) {
         waiting.add(() -> {
             try {
+                checkShare();
                 event.run();
             } catch (RuntimeException e) {
                 counters.add("module_faults");
--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -101,6 +101,8 @@
         double worth;
         Node heldAt;
         boolean closed, streaming;
+        /** Units held in its volume's limit: sent, and not known to have reached a node. */
+        double unitsHeld;
         Attempt mayHaveRun;
 
         Item(double nowMs, Request request) {
@@ -118,6 +120,12 @@
         double units() {
             return request.units();
         }
+
+        /** Its units have reached a node, or never will. */
+        void arrived(double nowMs) {
+            volume.limit.release(nowMs, unitsHeld);
+            unitsHeld = 0;
+        }
     }
 
     private record Attempt(Item item, Node node, double sentMs, int number) {}
@@ -136,7 +144,7 @@
         final SlidingSum slots = new SlidingSum(RATE_SPAN_MS), served = new SlidingSum(RATE_SPAN_MS);
         final SlidingSum coldSent = new SlidingSum(rules.fallMs());
         /** Turn at the node while it is cold and this host's part there is less than a request. */
-        final TokenBucket turn = new TokenBucket(0, 0, 1, 0);
+        final TokenBucket turn = new TokenBucket(0, 1, 0);
         double slotUnits;
         boolean slotHeld;
         double window = WINDOW_START;
@@ -177,12 +185,12 @@
         final SlidingSum ownServed = new SlidingSum(USE_SPAN_MS);
         double ownPart;
 
-        /** The limit is empty when the host last forgot what it spent: at its start, or for want of room. */
+        /** The limit is empty at a start, at a change of share, and when a volume was forgotten. */
         Volume(Plan plan, double forgotMs, double nowMs) {
             this.plan = plan;
-            this.limit = new TokenBucket(forgotMs, plan.limit(), plan.limitBurst(), 0);
-            this.reserve = new TokenBucket(nowMs, 0, plan.reserve(), plan.reserve());
-            this.share = new TokenBucket(nowMs, 0, plan.rate(), plan.rate());
+            this.limit = new TokenBucket(forgotMs, plan.limitBurst(), 0);
+            this.reserve = new TokenBucket(nowMs, plan.reserve(), plan.reserve());
+            this.share = new TokenBucket(nowMs, plan.rate(), plan.rate());
         }
     }
 
@@ -219,6 +227,8 @@
     @Override
     public void share(double nowMs, double part) {
         share = part;
+        forgotMs = nowMs;
+        volumes.values().forEach(volume -> shape(nowMs, volume, volume.setSize, volume.ownPart));
     }
 
     // ---- Node list ----
@@ -440,9 +450,10 @@
 
     private void shape(double nowMs, Volume volume, int setSize, double part) {
         Plan plan = volume.plan;
+        double fromMs = volume.setSize == 0 ? forgotMs : nowMs;
         volume.setSize = setSize;
         volume.ownPart = part;
-        volume.limit.reshape(nowMs, plan.limit() / setSize, plan.limitBurst() / setSize);
+        volume.limit.reshape(fromMs, plan.limit() * share / setSize, plan.limitBurst() * share / setSize);
         volume.reserve.reshape(nowMs, plan.reserve() * part, (plan.reserve() + settings.mostUnits()) * part);
         volume.share.reshape(nowMs, plan.rate() * part, (plan.rate() + settings.mostUnits()) * part);
     }
@@ -580,7 +591,8 @@
     private void send(double nowMs, Node node, Item item) {
         leave(item);
         if (item.attempts.isEmpty()) {
-            item.volume.limit.take(nowMs, item.units());
+            item.unitsHeld = item.volume.plan.limit() > 0 ? item.units() : 0;
+            item.volume.limit.hold(nowMs, item.unitsHeld);
         } else {
             further.add(nowMs, 1);
         }
@@ -598,6 +610,15 @@
 
     // ---- Outcomes, further attempts, final answers ----
 
+    /** A body in pieces is waited for until its answer: the system may hold its end for seconds. */
+    @Override
+    public void written(double nowMs, long request) {
+        Item item = items.get(request);
+        if (item != null && !item.streaming) {
+            item.arrived(nowMs);
+        }
+    }
+
     @Override
     public void attemptEnded(double nowMs, AttemptEnd end) {
         notePause(nowMs);
@@ -623,7 +644,7 @@
         if (!item.closed && item.open.isEmpty()) {
             goOn(nowMs, item, end.outcome());
         }
-        forget(item);
+        forget(nowMs, item);
         depart(nowMs, node);
     }
 
@@ -645,7 +666,7 @@
         }
         item.closed = true;
         leave(item);
-        forget(item);
+        forget(nowMs, item);
     }
 
     private static boolean refusable(Item item) {
@@ -670,8 +691,9 @@
         }
     }
 
-    private void forget(Item item) {
+    private void forget(double nowMs, Item item) {
         if (item.closed && item.open.isEmpty()) {
+            item.arrived(nowMs);
             items.remove(item.request.id());
             item.turn.queue.remove(item);
         }
@@ -683,7 +705,7 @@
         if (item != null && !item.closed) {
             giveBack(nowMs, item);
             close(item);
-            forget(item);
+            forget(nowMs, item);
         }
     }
 
@@ -771,8 +793,9 @@
     // ---- Guards for the rules ----
 
     private boolean maySend(double nowMs, Node node, Item item) {
+        boolean mayHold = item.volume.limit.mayHold(item.units());
         return mayGoTo(nowMs, item, node) && myTurn(nowMs, item) && withinCold(nowMs, node, item)
-                && (item.attempts.isEmpty() ? withinLimit(nowMs, item) : mayTryFurther(nowMs));
+                && (item.attempts.isEmpty() ? withinLimit(nowMs, item) && mayHold : mayTryFurther(nowMs));
     }
 
     /** Rule on effects: what may have run stays with the nodes, and in the time, that drop its repeats. */
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -168,6 +168,9 @@
          */
         void streamStarted(double nowMs, long request, int attempt);
 
+        /** An attempt's last byte was written to its node. */
+        default void written(double nowMs, long request) {}
+
         /** An attempt ended. */
         void attemptEnded(double nowMs, AttemptEnd end);
 
@@ -190,8 +193,8 @@
         default void retune(double nowMs, Settings changed) {}
 
         /**
-         * The part of this host's due at cold nodes that is its own from now on: below 1 where a second process spends
-         * in its name too.
+         * The part of this host's due at cold nodes and of volumes' limits that this process may spend: below 1 where
+         * a second process spends in the host's name too, 0 while another may not know of this one yet.
          */
         default void share(double nowMs, double part) {}
 
--- a/src/main/java/petrelstand/decision/TokenBucket.java
+++ b/src/main/java/petrelstand/decision/TokenBucket.java
@@ -1,22 +1,18 @@
 package petrelstand.decision;
 
-/** A store of units that fills at a rate up to a size. */
+/** A store of units that fills at a rate up to a size, less the units that were taken and are still held. */
 final class TokenBucket {
-    private double rate;
-    private double size;
-    private double level;
-    private double atMs;
-
-    /** Rate in units a second. */
-    TokenBucket(double nowMs, double rate, double size, double level) {
-        this.rate = rate;
+    private double rate, size, level, held, atMs;
+
+    /** Fills from its first {@link #reshape} on. */
+    TokenBucket(double nowMs, double size, double level) {
         this.size = size;
         this.level = level;
         this.atMs = nowMs;
     }
 
     double level(double nowMs) {
-        level = Math.min(size, level + rate * Math.max(0, nowMs - atMs) / 1000);
+        level = Math.min(size - held, level + rate * Math.max(0, nowMs - atMs) / 1000);
         atMs = Math.max(atMs, nowMs);
         return level;
     }
@@ -26,11 +22,27 @@
         level -= units;
     }
 
-    /** Changes rate and size from now on; what is in the store beyond the new size is lost. */
+    /** Whether so many units may be held: half of the size at most, or any number by itself. */
+    boolean mayHold(double units) {
+        return held <= 0 || held + units <= size / 2;
+    }
+
+    /** Takes units, whose room stays taken until they are released. */
+    void hold(double nowMs, double units) {
+        take(nowMs, units);
+        held += units;
+    }
+
+    void release(double nowMs, double units) {
+        level(nowMs);
+        held = Math.max(0, held - units);
+    }
+
+    /** Changes rate (units a second) and size from now on; what is beyond the new size is lost. */
     void reshape(double nowMs, double newRate, double newSize) {
         level(nowMs);
         rate = newRate;
         size = newSize;
-        level = Math.min(level, newSize);
+        level(nowMs);
     }
 }
--- a/src/main/java/petrelstand/net/Clock.java
+++ b/src/main/java/petrelstand/net/Clock.java
@@ -20,8 +20,8 @@
         return nowUs;
     }
 
-    /** The time right now, for how long to wait. */
-    long readUs() {
+    /** The time right now, from any thread. */
+    public long readUs() {
         return System.nanoTime() / 1000 + offsetUs;
     }
 
--- a/src/main/java/petrelstand/sim/InstanceLoop.java
+++ b/src/main/java/petrelstand/sim/InstanceLoop.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,8 @@
     private final Codec codec = new Codec();
     private final Map<Long, Events> instances = new HashMap<>();
     private double nowMs;
+    /** Requests sent by the event that is being handled. */
+    private final List<Long> sent = new ArrayList<>();
 
     /** Runs until the input ends. */
     public void run(InputStream input, OutputStream output) throws IOException {
@@ -94,6 +97,7 @@
         }
         try {
             event.accept(policy);
+            tellWritten(policy);
         } catch (LinkException | UncheckedIOException e) {
             throw e;
         } catch (RuntimeException e) {
@@ -103,6 +107,13 @@
         }
     }
 
+    /** On this wire what is sent is at its node at once. */
+    private void tellWritten(Events policy) {
+        List<Long> written = List.copyOf(sent);
+        sent.clear();
+        written.forEach(request -> policy.written(nowMs, request));
+    }
+
     private interface Write {
         void run() throws IOException;
     }
@@ -125,6 +136,7 @@
 
         @Override
         public void send(long request, long node, double timeoutMs) {
+            sent.add(request);
             write(() -> codec.send(instance, request, node, timeoutMs));
         }
 
--- a/src/main/java/petrelstand/store/Marks.java
+++ b/src/main/java/petrelstand/store/Marks.java
@@ -21,13 +21,20 @@
     /** What else there is: no other process, one that starts, or one that listens at the clients' address. */
     public enum Other { NONE, STARTING, LISTENING }
 
+    /**
+     * What a look found: the furthest of the other processes, how many there are, and whether this process's own mark
+     * was there all the time; where it had vanished, it was left anew before the look.
+     */
+    public record Look(Other other, int others, boolean marked) {}
+
     private static final byte STARTING = 's';
     private static final byte LISTENING = 'l';
 
     private final Path folder;
     private final String prefix;
     private final Path own;
-    private final FileChannel channel;
+    private FileChannel channel;
+    private byte state = STARTING;
 
     /** Leaves a mark of a gateway, known by its name and address, that starts. */
     public Marks(Path folder, String gateway) throws IOException {
@@ -35,14 +42,18 @@
         this.prefix = String.format(Locale.ROOT, "petrelstand-%08x-", gateway.hashCode());
         this.own = folder.resolve(prefix + Long.toHexString(ProcessHandle.current().pid()) + "-"
                 + Long.toHexString(System.nanoTime()) + ".mark");
-        this.channel = FileChannel.open(own, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
+        leave();
+    }
+
+    private void leave() throws IOException {
+        channel = FileChannel.open(own, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
                 StandardOpenOption.WRITE);
         FileLock lock = channel.tryLock();
         if (lock == null) {
             channel.close();
             throw new IOException("the new mark " + own.getFileName() + " is locked by another process");
         }
-        say(STARTING);
+        say(state);
     }
 
     /** The file that one process hands its knowledge to the other in. */
@@ -56,19 +67,27 @@
     }
 
     private void say(byte what) throws IOException {
+        state = what;
         channel.write(ByteBuffer.wrap(new byte[] {what}), 0);
     }
 
-    /** Looks for another process of this gateway; marks without one are taken away. */
-    public Other look() throws IOException {
+    /** Looks for other processes of this gateway; marks without one are taken away. */
+    public Look look() throws IOException {
+        boolean marked = Files.exists(own);
+        if (!marked) {
+            channel.close();
+            leave();
+        }
         Other found = Other.NONE;
+        int others = 0;
         try (DirectoryStream<Path> marks = Files.newDirectoryStream(folder, prefix + "*.mark")) {
             for (Path mark : marks) {
                 Other other = mark.equals(own) ? Other.NONE : look(mark);
                 found = other.compareTo(found) > 0 ? other : found;
+                others += other == Other.NONE ? 0 : 1;
             }
         }
-        return found;
+        return new Look(found, others, marked);
     }
 
     private Other look(Path mark) throws IOException {
