Hold what the memory allows: nothing at rest, bounds by heap and descriptors

The HTTP parser makes a cache of header fields for each client's connection at its second request and keeps it while the connection rests; its buffer of 4 KB and what a long head grew stayed too, on both sides. The bounds on bodies were fixed numbers beside that, and bodies of requests in work had none.

Change: parsers have no field cache (the library's own setting), and parser and buffer are made at a message's first byte and given back when the connection rests, lingers or closes. lifecycle.MemoryPlan derives the bounds at the start from the heap, limits.memory_mb and the shares of limits.sockets: connections, volumes and nodes are set aside by measured sizes, bodies share the rest, at most 8, 12 and 16 MiB by kind as before and 36 MiB in all, now with the bodies of requests in work and the larger room of bodies in pieces. The bounds are one line of the log; a start with too little of one is refused by its name. A request that finds no room gets 503 (requests_no_room).

A process with a heap of 32 MB serves an ordinary client beside and after 1, 2 and 10 times its 351 connections that rest, sent half a head, half a body, a whole body or requests ahead.

Ruled out: a smaller cache, since a hostile head fills any.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -18,12 +18,15 @@
 import petrelstand.core.Counters;
 import petrelstand.core.Node;
 import petrelstand.core.Timers;
+import petrelstand.decision.Policy;
 import petrelstand.decision.Scheduling.ListKind;
 import petrelstand.discovery.Watch;
+import petrelstand.http.Budgets;
 import petrelstand.http.Front;
 import petrelstand.http.NodePool;
 import petrelstand.http.Rehearsal;
 import petrelstand.lifecycle.Lifecycle;
+import petrelstand.lifecycle.MemoryPlan;
 import petrelstand.net.Addresses;
 import petrelstand.net.Clock;
 import petrelstand.net.EventLoop;
@@ -98,14 +101,18 @@
         this.loop = new EventLoop(clock, timers);
         int transfers = rsync == null ? 0 : RSYNC_DESCRIPTORS * rsync.mostTransfers();
         Descriptors parts = Descriptors.of(config.sockets(), transfers);
+        MemoryPlan plan = MemoryPlan.of(Runtime.getRuntime().maxMemory(), config.memoryBytes(), config.sockets(),
+                parts.clients(), parts.nodes(), config.known().nodes().size(), Policy.MOST_VOLUMES);
+        log.accept(plan.line());
+        Budgets budgets = Budgets.of(plan);
         NodePool pool = new NodePool(loop::connect, clock::nowUs, timers, counters, config.settings(),
-                "backend.local", parts.nodes());
+                "backend.local", plan.nodes(), budgets);
         this.broker = new Broker(config.settings(), config.seed(), clock::nowUs, timers,
                 rsync == null ? pool : new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers,
                         config.settings().may().connectTimeoutMs())), counters, log);
         this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
         this.life = new Lifecycle(Lifecycle.Times.of(config.settings()));
-        this.front = new Front(broker, timers, parts.clients(), life);
+        this.front = new Front(broker, timers, plan.clients(), life, budgets);
         this.retuning = new RetunePart(broker, front, pool, life, timers, clock::nowUs, log);
         this.operation = config.operator() == null ? null : new OperationPart(config, transfers, life, broker, front, pool,
                 timers, clock::nowUs, loop::execute, counters, log, this::evacuate, this::rejoin);
--- a/src/main/java/petrelstand/config/GatewayConfig.java
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -121,6 +121,7 @@
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("settings: " + e.getMessage());
         }
+        whole(limits, "memory_mb", 0);
         NodeList known = json.has("known") && json.get("known").isJsonObject()
                 ? NodeList.of(json.getAsJsonObject("known"), settings.zones()) : NodeList.empty();
         return new GatewayConfig(word(json, "name", env.get("RELAY_NAME")),
@@ -139,6 +140,12 @@
         return text.isEmpty() ? null : address("operator", text);
     }
 
+    /** The memory that the file grants, bytes; 0 where it says nothing. */
+    public long memoryBytes() {
+        return file.has("limits") && file.get("limits").isJsonObject()
+                ? whole(file.getAsJsonObject("limits"), "memory_mb", 0) * 1024L * 1024 : 0;
+    }
+
     /** What differs in another file that a running gateway cannot take, by the names the file has for it. */
     public List<String> fixedChanges(GatewayConfig other) {
         List<String> names = new ArrayList<>();
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -37,7 +37,6 @@
     private final boolean full;
     private final boolean unwanted;
     private final long openedUs;
-    private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
     private static final int INPUT = 4096;
     private static final int INPUT_LARGE = 32 * 1024;
     /** What may wait here before it can be used: requests behind the one in work, a body that no node is chosen for yet. */
@@ -45,7 +44,10 @@
     /** What is kept of a large body before its request is taken: enough to choose a node and to try it again. */
     private static final int BEGINNING = 16 * 1024;
 
-    private ByteBuffer input = BufferUtil.allocate(INPUT);
+    /** Reads the request at hand; null while the connection rests, so that what it has grown to is not kept. */
+    private HttpParser parser;
+    /** Without room while the connection rests or only drops what comes. */
+    private ByteBuffer input = BufferUtil.EMPTY_BUFFER;
     private State state = State.READING;
     private boolean parsing;
     /** Bytes of the input's room that count against the budget of requests being read. */
@@ -141,7 +143,7 @@
             return false;
         }
         try {
-            int filled = getEndPoint().fill(input);
+            int filled = getEndPoint().fill(room());
             if (filled > 0) {
                 parse();
             } else if (filled < 0) {
@@ -220,9 +222,9 @@
                     return;
                 }
                 if (upload != null && input.capacity() < INPUT_LARGE && BufferUtil.isEmpty(input)) {
-                    resize(INPUT_LARGE);
+                    enlarge();
                 }
-                if (BufferUtil.space(input) == 0) {
+                if (BufferUtil.space(room()) == 0) {
                     BufferUtil.compact(input);
                 }
                 if (BufferUtil.space(input) == 0 && !growAhead()) {
@@ -251,6 +253,9 @@
     }
 
     private void readOn() {
+        if (idle()) {
+            giveBack();
+        }
         if (!isFillInterested()) {
             fillInterested();
         }
@@ -269,16 +274,42 @@
         return true;
     }
 
-    /** Another room, while there is nothing in it. */
-    private void resize(int capacity) {
-        input = BufferUtil.allocate(capacity);
+    /** The room for what comes next, made where there is none. */
+    private ByteBuffer room() {
+        if (input.capacity() == 0) {
+            input = BufferUtil.allocate(INPUT);
+        }
+        return input;
+    }
+
+    /** Larger room for a large body's pieces, while there is nothing in it and where the budget has it. */
+    private void enlarge() {
+        int more = INPUT_LARGE - input.capacity();
+        if (front.requests().take(more)) {
+            input = BufferUtil.allocate(INPUT_LARGE);
+            ahead += more;
+        }
+    }
+
+    /** Gives back what only a request that is being read needs. */
+    private void giveBack() {
+        parser = null;
+        input = BufferUtil.EMPTY_BUFFER;
         front.requests().give(ahead);
         ahead = 0;
     }
 
+    private HttpParser parser() {
+        if (parser == null) {
+            parser = new HttpParser(this, Wire.MOST_HEADER);
+            parser.setHeaderCacheSize(Wire.NO_FIELD_CACHE);
+        }
+        return parser;
+    }
+
     /** Reads what is not to be used, and drops it: what follows the last answer, and what came beyond the bound. */
     private int drop() throws IOException {
-        BufferUtil.clear(input);
+        giveBack();
         BufferUtil.clear(front.dropped());
         int filled = getEndPoint().fill(front.dropped());
         if (filled < 0) {
@@ -331,10 +362,10 @@
                 if (limit == null && !streams()) {
                     allowMore();
                 }
-                boolean paused = parser.parseNext(input);
+                boolean paused = parser().parseNext(input);
                 if (resetDue) {
                     resetDue = false;
-                    parser.reset();
+                    parser = null;
                 } else if (!paused) {
                     break;
                 }
@@ -342,6 +373,9 @@
         } finally {
             parsing = false;
         }
+        if (idle()) {
+            giveBack();
+        }
     }
 
     // ---- What the parser tells ----
@@ -407,8 +441,7 @@
             return held;
         }
         if (!body.add(item)) {
-            front.rejected(target);
-            answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
+            refuseNoRoom();
             return true;
         }
         long length = fields.getLongField(HttpHeader.CONTENT_LENGTH);
@@ -514,6 +547,13 @@
         answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
     }
 
+    /** All connections together keep as much of bodies as they may. */
+    private void refuseNoRoom() {
+        front.broker().counters().add("requests_no_room");
+        front.rejected(target);
+        answer(503, null, Front.FULL_US, BufferUtil.EMPTY_BUFFER, true);
+    }
+
     private void malformed(DemandReader.Malformed e) {
         front.broker().counters().add("malformed." + e.status());
         answer(e.status(), "text/plain", 0, BufferUtil.toBuffer(e.getMessage() + "\n"), true);
@@ -534,6 +574,11 @@
         if (!front.claim(txn)) {
             throw new DemandReader.Malformed(409, Wire.TXN + " is that of an open request");
         }
+        if (!front.inWork().take(bytes.length)) {
+            front.release(txn);
+            refuseNoRoom();
+            return;
+        }
         state = State.TAKEN;
         front.broker().take(demand.within(leftUs), new Message.Ask(method, target, txn, fields.get(Wire.EFFECT_KEY),
                 fields.get(HttpHeader.CONTENT_TYPE), bytes, upload), this, taken -> exchange = taken);
@@ -546,7 +591,9 @@
 
     @Override
     public void forgotten(Exchange done) {
-        front.release(((Message.Ask) done.message()).txn());
+        Message.Ask ask = (Message.Ask) done.message();
+        front.release(ask.txn());
+        front.inWork().give(ask.body().length);
     }
 
     private void local(int status, String text) {
@@ -680,9 +727,6 @@
         state = State.READING;
         begun = false;
         writer = null;
-        if (input.capacity() > INPUT && BufferUtil.isEmpty(input)) {
-            resize(INPUT);
-        }
         method = null;
         target = null;
         fields = null;
@@ -691,7 +735,7 @@
         if (parsing) {
             resetDue = true;
         } else {
-            parser.reset();
+            parser = null;
             parse();
         }
     }
@@ -702,6 +746,7 @@
      */
     private void linger() {
         state = State.LINGERING;
+        giveBack();
         getEndPoint().shutdownOutput();
         lingerHeard = false;
         lingerUntilUs = front.broker().nowUs() + (upload != null ? Front.LINGER_BODY_US : Front.LINGER_MOST_US);
@@ -761,8 +806,7 @@
             stopLimit();
             releaseAnswer();
             body.take();
-            front.requests().give(ahead);
-            ahead = 0;
+            giveBack();
             front.closed(this);
             getEndPoint().close();
             if (flow != null) {
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -15,6 +15,7 @@
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.Settings;
 import petrelstand.lifecycle.Lifecycle;
+import petrelstand.lifecycle.MemoryPlan;
 
 /** The platform's front: its client connections, and what they share. */
 public final class Front {
@@ -46,12 +47,8 @@
     /** Connections beyond the bound that are told so; more than these are closed at once. */
     public static final int MOST_TOLD = 16;
 
-    /** Bytes of requests being read, and of answers not yet written, over all connections. */
-    private static final long MOST_REQUESTS = 8L * 1024 * 1024;
-    private static final long MOST_ANSWERS = 16L * 1024 * 1024;
-
-    private final Budget requests = new Budget(MOST_REQUESTS);
-    private final Budget answers = new Budget(MOST_ANSWERS);
+    private final Budgets budgets;
+    private final int mostByMemory;
     private final Broker broker;
     private final Timers timers;
     private DemandReader reader;
@@ -80,8 +77,15 @@
         return pages.get(path);
     }
 
-    /** A front that does with connections what the process's life says. */
+    /** A front whose memory is not short. */
     public Front(Broker broker, Timers timers, int mostConnections, Lifecycle life) {
+        this(broker, timers, mostConnections, life, Budgets.of(MemoryPlan.AMPLE));
+    }
+
+    /** A front that does what the process's life says, with so many connections and the budgets' bytes at most. */
+    public Front(Broker broker, Timers timers, int mostConnections, Lifecycle life, Budgets budgets) {
+        this.budgets = budgets;
+        this.mostByMemory = mostConnections;
         this.life = life;
         this.broker = broker;
         this.timers = timers;
@@ -140,10 +144,13 @@
         return dropped;
     }
 
-    /** At most so many connections from now on; what is between requests beyond it closes, the longest unused first. */
+    /**
+     * At most so many connections from now on, and never more than at the start: memory bounds those. What is
+     * between requests beyond it closes, the longest unused first.
+     */
     public void bound(int most) {
-        mostConnections = most;
-        for (int i = connections.size(); i > most; i--) {
+        mostConnections = Math.min(most, mostByMemory);
+        for (int i = connections.size(); i > mostConnections; i--) {
             makeRoom();
         }
     }
@@ -189,11 +196,16 @@
     }
 
     Budget requests() {
-        return requests;
+        return budgets.requests();
+    }
+
+    /** Bodies of requests that were taken and are not forgotten yet. */
+    Budget inWork() {
+        return budgets.inWork();
     }
 
     Budget answers() {
-        return answers;
+        return budgets.answersWritten();
     }
 
     Broker broker() {
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -22,6 +22,7 @@
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.decision.Scheduling.Settings;
+import petrelstand.lifecycle.MemoryPlan;
 import petrelstand.net.Addresses;
 import petrelstand.net.EventLoop;
 
@@ -35,11 +36,10 @@
     /** Part of the idle limit up to which a connection is used again: the node's clock and the way take the rest. */
     private static final double REUSE_PART = 0.8;
     /**
-     * What is kept of an answer, and of all that are being read together. One over 64 KiB passes in pieces instead: with
+     * What is kept of an answer. One over 64 KiB passes in pieces instead: with
      * what came in one read, less than twice that is kept of it before it does.
      */
     static final int MOST_ANSWER = 128 * 1024;
-    private static final long MOST_ANSWERS = 12L * 1024 * 1024;
     /** An answer that began goes on within this time: nodes write theirs in one go. */
     static final long STALL_US = 150_000;
     /** An answer or a body that passes in pieces goes on within this time, where it is the node that is waited for. */
@@ -60,13 +60,23 @@
     private long connectUs;
     private long reuseUs;
     private int mostOpen;
-    private final Budget answers = new Budget(MOST_ANSWERS);
+    private final int mostByMemory;
+    private final Budget answers;
     private final Map<String, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private int open;
     private boolean sweeping;
 
+    /** A pool whose memory is not short. */
     public NodePool(Dialer dialer, LongSupplier clock, Timers timers, Counters counters, Settings settings,
             String host, int mostOpen) {
+        this(dialer, clock, timers, counters, settings, host, mostOpen, Budgets.of(MemoryPlan.AMPLE));
+    }
+
+    /** A pool of so many connections at most, and the budgets' bytes of answers. */
+    public NodePool(Dialer dialer, LongSupplier clock, Timers timers, Counters counters, Settings settings,
+            String host, int mostOpen, Budgets budgets) {
+        this.answers = budgets.answersRead();
+        this.mostByMemory = mostOpen;
         this.dialer = dialer;
         this.clock = clock;
         this.timers = timers;
@@ -82,9 +92,9 @@
         reuseUs = (long) (settings.may().idleCloseMs() * 1000 * REUSE_PART);
     }
 
-    /** At most so many connections from now on; idle ones beyond it close. */
+    /** At most so many connections from now on, and never more than at the start; idle ones beyond it close. */
     public void bound(int most) {
-        mostOpen = most;
+        mostOpen = Math.min(most, mostByMemory);
         while (open > mostOpen && dropOldestIdle()) {
             counters.add("connections.gave_way");
         }
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -31,8 +31,12 @@
 
     /** Told when the connection is free again (true) or closed (false). */
     private final BiConsumer<UpstreamConnection, Boolean> owner;
-    private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
-    private ByteBuffer input = BufferUtil.allocate(READ);
+    /** Reads the answer at hand; null while the connection rests, so that what it has grown to is not kept. */
+    private HttpParser parser;
+    /** Without room while the connection rests. */
+    private ByteBuffer input = BufferUtil.EMPTY_BUFFER;
+    /** Bytes of the input's room that count against the budget of answers being read. */
+    private int enlarged;
     private State state = State.IDLE;
     private Call call;
     private int status;
@@ -40,6 +44,7 @@
     private HttpFields.Mutable fields;
     private final int mostBody;
     private final Body body;
+    private final Budget budget;
     private HttpVersion version;
     private boolean sawEnd;
     private boolean persistent;
@@ -61,6 +66,7 @@
         super(endPoint);
         this.mostBody = mostBody;
         this.body = new Body(mostBody, budget);
+        this.budget = budget;
         this.owner = owner;
     }
 
@@ -162,7 +168,7 @@
      */
     boolean quiet() {
         try {
-            if (state == State.IDLE && getEndPoint().fill(input) == 0) {
+            if (state == State.IDLE && getEndPoint().fill(room()) == 0) {
                 return true;
             }
         } catch (IOException e) {
@@ -197,7 +203,7 @@
         if (!giving && state != State.CLOSED) {
             // The parser tells of a body's end only when it is asked again, even where nothing is left to read.
             if (!whole) {
-                parser.parseNext(input);
+                parser().parseNext(input);
             }
             read();
             if (!held && state != State.CLOSED) {
@@ -226,23 +232,26 @@
     private boolean readAll() {
         try {
             while (state != State.CLOSED && !held) {
-                BufferUtil.compact(input);
+                BufferUtil.compact(room());
                 int filled = getEndPoint().fill(input);
                 if (filled < 0) {
                     sawEnd = true;
                     if (!whole) {
-                        parser.atEOF();
-                        parser.parseNext(BufferUtil.EMPTY_BUFFER);
+                        parser().atEOF();
+                        parser().parseNext(BufferUtil.EMPTY_BUFFER);
                     }
                     persistent = false;
                     finish();
                     end(false);
                 } else if (filled == 0) {
-                    if (call != null && !whole && !toldPartial && !parser.isStart()) {
+                    if (call != null && !whole && !toldPartial && !parser().isStart()) {
                         toldPartial = true;
                         call.partial();
                     }
                     finish();
+                    if (state == State.IDLE) {
+                        giveBack();
+                    }
                     return state != State.CLOSED;
                 } else {
                     received += filled;
@@ -271,17 +280,49 @@
                 return;
             }
             int before = input.remaining();
-            parser.parseNext(input);
+            parser().parseNext(input);
             if (held || !whole && input.remaining() == before) {
                 return;
             }
         }
         if (state != State.CLOSED && !whole && input.capacity() < READ_LARGE
                 && (flow != null || fields != null && fields.getLongField(HttpHeader.CONTENT_LENGTH) > READ_LARGE)) {
+            enlarge();
+        }
+    }
+
+    /** The room for what comes next, made where there is none. */
+    private ByteBuffer room() {
+        if (input.capacity() == 0) {
+            input = BufferUtil.allocate(READ);
+        }
+        return input;
+    }
+
+    /** Larger room for a large body's pieces, where the budget has it. */
+    private void enlarge() {
+        if (budget.take(READ_LARGE - READ)) {
             input = BufferUtil.allocate(READ_LARGE);
+            enlarged = READ_LARGE - READ;
         }
     }
 
+    /** Gives back what only an answer that is being read needs. */
+    private void giveBack() {
+        parser = null;
+        input = BufferUtil.EMPTY_BUFFER;
+        budget.give(enlarged);
+        enlarged = 0;
+    }
+
+    private HttpParser parser() {
+        if (parser == null) {
+            parser = new HttpParser(this, Wire.MOST_HEADER);
+            parser.setHeaderCacheSize(Wire.NO_FIELD_CACHE);
+        }
+        return parser;
+    }
+
     /** Gives a whole answer to its call, and the connection back or up. */
     private void finish() {
         if (!whole || call == null) {
@@ -302,10 +343,7 @@
         fields = null;
         if (persistent && state == State.WAITING) {
             state = State.IDLE;
-            parser.reset();
-            if (input.capacity() > READ) {
-                input = BufferUtil.allocate(READ);
-            }
+            giveBack();
             owner.accept(this, true);
         } else {
             drop();
@@ -409,7 +447,7 @@
     public boolean messageComplete() {
         if (status < 200) {
             // An interim answer: the real one follows.
-            parser.reset();
+            parser().reset();
             return false;
         }
         whole = state != State.CLOSED;
@@ -455,6 +493,7 @@
             call = null;
             flow = null;
             body.take();
+            giveBack();
             getEndPoint().close();
             owner.accept(this, false);
         }
--- a/src/main/java/petrelstand/http/Wire.java
+++ b/src/main/java/petrelstand/http/Wire.java
@@ -30,6 +30,11 @@
     /** The largest body that passes in pieces: over twice the largest that is known to occur. */
     static final long MOST_PASSED = 64L * 1024 * 1024;
     static final int MOST_HEADER = 8 * 1024;
+    /**
+     * For parsers: none of the library's caches of header fields, 40 KB for each connection from its second message
+     * on. The fields that all messages share are found without.
+     */
+    public static final int NO_FIELD_CACHE = 0;
     /** No figure of a load report can be larger. */
     private static final double MOST_LOAD = 1e6;
 
--- a/src/main/java/petrelstand/operation/OperatorConnection.java
+++ b/src/main/java/petrelstand/operation/OperatorConnection.java
@@ -37,6 +37,7 @@
     OperatorConnection(EndPoint endPoint, OperatorDoor door) {
         super(endPoint);
         this.door = door;
+        parser.setHeaderCacheSize(Wire.NO_FIELD_CACHE);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/petrelstand/MemoryBoundsProcessTest.java
@@ -0,0 +1,159 @@
+package petrelstand;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import petrelstand.testing.ServedGateway;
+import petrelstand.testing.StandIns.Client;
+
+/** A started gateway with a small heap, and clients that bring 1, 2 and 10 times what it may hold. */
+class MemoryBoundsProcessTest {
+    private static final int SOCKETS = 1024;
+    private static final String HEAP = "-Xmx32m";
+    private static final int[] FACTORS = {1, 2, 10};
+    private static final long PATIENCE_NS = TimeUnit.SECONDS.toNanos(15);
+
+    @TempDir
+    Path folder;
+    private ServedGateway gateway;
+    private ServedGateway.Run run;
+    private int mostClients;
+    private int asked;
+
+    @BeforeEach
+    void start() throws Exception {
+        gateway = new ServedGateway(folder, 5);
+        JsonObject config = gateway.config();
+        config.getAsJsonObject("limits").addProperty("sockets", SOCKETS);
+        gateway.config(config);
+        run = gateway.start(HEAP);
+        String line = run.await("memory: at most ");
+        mostClients = Integer.parseInt(line.replaceAll(".*at most ([0-9]+) connections of clients.*", "$1"));
+        run.await("ready: ");
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        gateway.close();
+    }
+
+    @Test
+    void aStartWithTooFewSocketsOrTooLittleMemoryIsRefusedByTheFieldsName() throws Exception {
+        assertRefused("sockets", 40, "petrelstand: limits.sockets: 40 leave 0 connections for clients");
+        assertRefused("memory_mb", 12, "petrelstand: limits.memory_mb: 12 MiB leave 0 MiB");
+    }
+
+    private void assertRefused(String field, int value, String line) throws Exception {
+        JsonObject config = gateway.config();
+        JsonObject changed = config.deepCopy();
+        changed.getAsJsonObject("limits").addProperty(field, value);
+        gateway.config(changed);
+        ServedGateway.Run refused = gateway.start();
+        refused.await(line);
+        assertEquals(1, refused.process().waitFor());
+        gateway.config(config);
+    }
+
+    @Test
+    void manyConnectionsThatHaveSpokenAndRest() throws Exception {
+        String field = "X-Long: " + "x".repeat(7000) + "\r\n";
+        String head = "GET /ready HTTP/1.1\r\nHost: b\r\n" + field + "\r\n";
+        withstands(number -> head + head);
+    }
+
+    @Test
+    void manyHalfSentHeads() throws Exception {
+        withstands(number -> "GET /tile-read/1/2 HTTP/1.1\r\nHost: b\r\nX-Long: " + "x".repeat(8000));
+    }
+
+    @Test
+    void manyHalfSentBodies() throws Exception {
+        withstands(number -> ServedGateway.request("PUT", "survey-write", "", "h" + number)
+                + "Content-Length: 65536\r\n\r\n" + "x".repeat(60_000));
+    }
+
+    @Test
+    void manyWholeRequestsWithLargestBodies() throws Exception {
+        withstands(number -> ServedGateway.request("PUT", "survey-write", "", "w" + number)
+                + "Content-Length: 65536\r\n\r\n" + "x".repeat(65_536));
+    }
+
+    @Test
+    void manyRequestsSentAheadOfTheirAnswers() throws Exception {
+        String ahead = ServedGateway.request("GET", "tile-read", "", "a") + "X-Long: " + "x".repeat(7000) + "\r\n\r\n";
+        withstands(number -> ahead.repeat(30));
+    }
+
+    /** Opens connections that all send the same and stay; an ordinary client is served beside and after them. */
+    private void withstands(IntFunction<String> sends) throws Exception {
+        for (int factor : FACTORS) {
+            List<SocketChannel> held = new ArrayList<>();
+            try {
+                for (int i = 0; i < factor * mostClients; i++) {
+                    held.add(sending(sends.apply(asked++)));
+                }
+                assertServed(factor);
+            } finally {
+                for (SocketChannel one : held) {
+                    one.close();
+                }
+            }
+            assertServed(factor);
+        }
+        List<String> lines = new ArrayList<>(run.seen());
+        run.lines().drainTo(lines);
+        assertEquals(List.of(), lines.stream()
+                .filter(line -> line.contains("OutOfMemory") || line.contains("fault")).toList());
+    }
+
+    /** A connection that has sent as much as the system takes at once; the gateway may have closed it. */
+    private SocketChannel sending(String text) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        try {
+            channel.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), gateway.port()));
+            channel.configureBlocking(false);
+            channel.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII)));
+        } catch (IOException e) {
+            channel.close();
+        }
+        return channel;
+    }
+
+    /** An ordinary client, which comes again where it is refused, is served within a time. */
+    private void assertServed(int factor) throws Exception {
+        long until = System.nanoTime() + PATIENCE_NS;
+        List<String> answers = new ArrayList<>();
+        while (System.nanoTime() < until && run.process().isAlive()) {
+            try (Client client = new Client(gateway.port())) {
+                String answer = ServedGateway.read(client, "tile-read", "o" + asked++);
+                if (answer.startsWith("200")) {
+                    return;
+                }
+                answers.add(answer);
+            } catch (IOException | UncheckedIOException e) {
+                answers.add(e.toString());
+            }
+            Thread.sleep(50);
+        }
+        List<String> lines = new ArrayList<>();
+        run.lines().drainTo(lines);
+        throw new AssertionError("not served at " + factor + " times " + mostClients + " connections: " + answers
+                + lines);
+    }
+}
--- /dev/null
+++ b/src/test/java/petrelstand/core/ModuleMemoryTest.java
@@ -0,0 +1,97 @@
+package petrelstand.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import petrelstand.decision.Policy;
+import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.lifecycle.MemoryPlan;
+import petrelstand.testing.Harness;
+
+/** What volumes, nodes and pairs of the two keep on the heap: no more than the plan sets aside for them. */
+class ModuleMemoryTest {
+    private static final int NODES = 100;
+    private static final int[] FACTORS = {1, 2, 10};
+    private static final long STEP_US = 500;
+
+    private final Harness world = new Harness();
+    private final Broker broker = world.broker(new ServerSide() {
+        @Override
+        public void start(Attempt attempt) {
+            attempt.ended(Outcome.SERVED, "answer", null);
+        }
+
+        @Override
+        public void abandon(Attempt attempt) {}
+
+        @Override
+        public void probe(Node node, long timeoutUs, ProbeResult result) {
+            result.ended(Outcome.SERVED, Map.of());
+        }
+
+        @Override
+        public void forget(Node node) {}
+    });
+    private int served;
+    private final ClientSide client = new ClientSide() {
+        @Override
+        public boolean served(Object answer) {
+            served++;
+            return true;
+        }
+
+        @Override
+        public void refused(long retryAfterUs) {}
+
+        @Override
+        public void failed(Attempt last) {}
+    };
+
+    /** Bytes in use once what nobody holds has been collected. */
+    private static long used() {
+        Runtime runtime = Runtime.getRuntime();
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+            least = Math.min(least, runtime.totalMemory() - runtime.freeMemory());
+        }
+        return least;
+    }
+
+    private void list() {
+        List<Node> nodes = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(Harness.node("s-" + String.format("%08x", i + 1), i, NodeState.READY, 0));
+        }
+        world.list(nodes.toArray(new Node[0]));
+        world.log.clear();
+    }
+
+    /** Each volume asks once, of one node after another. */
+    private void ask(int volumes) {
+        for (int i = 0; i < volumes; i++) {
+            broker.take(new Demand(0, 0, i, i, 1, i % NODES, 1, false, false, 1_000_000), "ask", client, taken -> { });
+            world.run(STEP_US);
+        }
+        world.run(5_000_000);
+        assertEquals(0, broker.open());
+    }
+
+    @Test
+    void volumesAndNodesKeepNoMoreThanIsSetAsideHoweverManyAsk() {
+        long before = used();
+        list();
+        long most = NODES * MemoryPlan.NODE_BYTES + Policy.MOST_VOLUMES * MemoryPlan.VOLUME_BYTES;
+        for (int factor : FACTORS) {
+            ask(factor * Policy.MOST_VOLUMES);
+            long held = used() - before;
+            assertTrue(held <= most, held + " bytes at " + factor + " times the volumes, of " + most);
+        }
+        assertTrue(served > Policy.MOST_VOLUMES, served + " were served");
+    }
+}
--- a/src/test/java/petrelstand/http/FrontSearchTest.java
+++ b/src/test/java/petrelstand/http/FrontSearchTest.java
@@ -115,6 +115,7 @@
             assertEquals(0, front.connections(), "connections");
             assertEquals(8L * 1024 * 1024, front.requests().left(), "room for requests");
             assertEquals(16L * 1024 * 1024, front.answers().left(), "room for answers");
+            assertEquals(36L * 1024 * 1024, front.inWork().left(), "room for requests in work");
             assertEquals(0, pool.open(), "connections to the node");
             for (Client client : clients) {
                 client.look();
