A watch that moves hears first what the old agent has written

Need: a list counts as told when discovery has written it. Cause: Watch.move dropped the call that was out with its unread answer; where the new agent fails two calls, a drain told just before SIGHUP was heard up to 1.8 s later, over the drain's 0.5 s. Now move reads what has come, ends the round without a call after it, and goes on from that version. The former test held that the old answer is not heard, which was wrong by that sentence; it is replaced by one that asks for both lists, in order, one dial and nothing more asked of the old agent. WatchTest: the new test was seen to fail on the program before, and passes. Also new: silence from 13 s on at 17 moments x 9 faults (held before), indented lists in pieces (held before).

--- a/src/main/java/petrelstand/discovery/Watch.java
+++ b/src/main/java/petrelstand/discovery/Watch.java
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Goes on at another address, at once and from the version reached. The call that is out ends unheard: what it
-     * would have told is newer than that version, so the next call tells it. Guards against two loops side by side,
+     * Goes on at another address, at once and from the version reached. What the old agent has written by now counts as
+     * told and is heard first, whatever becomes of the new one; then the call that is out ends. Guards against two loops side by side,
      * where a failed call was resting, and against a connection to the old address that comes up late.
      */
     public void move(String newAddress) {
@@ -88,12 +88,14 @@
             return;
         }
         address = newAddress;
+        if (round != null) {
+            round.endHere();
+        }
         failures = 0;
         soon = SOON_CALLS;
         if (round == null) {
             return;
         }
-        round.finish();
         if (rest != null) {
             rest.cancel();
         }
@@ -131,6 +133,8 @@
         private Timers.Timer timeout;
         private SocketChannel dialed;
         private boolean over;
+        /** No call follows this one by itself. */
+        private boolean last;
 
         Round(long waitMs) {
             this.waitMs = waitMs;
@@ -150,6 +154,15 @@
             open.send(this);
         }
 
+        /** Hears what has come, and ends. */
+        private void endHere() {
+            last = true;
+            if (connection != null) {
+                connection.onFillable();
+            }
+            finish();
+        }
+
         private boolean finish() {
             boolean first = !over;
             over = true;
@@ -216,7 +229,9 @@
                 failures = 0;
                 version = list.version();
                 heard.accept(list);
-                next();
+                if (!last) {
+                    next();
+                }
             } catch (IllegalArgumentException e) {
                 over = false;
                 failed(e.getMessage());
@@ -248,7 +263,7 @@
                     soon = SOON_CALLS;
                     log.accept("discovery: " + why + "; asking again");
                 }
-                rest = timers.at(clock.getAsLong() + REST_US, Watch.this::next);
+                rest = last ? null : timers.at(clock.getAsLong() + REST_US, Watch.this::next);
             }
         }
     }
