A request's time counts from its own last byte, also where it waited here

Cause: ClientConnection.take counted a request sent ahead from the end of the answer before it, so its answer could come by more than 0.5 s after its time; a large body that waited here whole was given its time anew in Broker.bodyComplete; and one that was whole only after SIGTERM could be answered later than the process's last moment.

--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -52,6 +52,8 @@
     private Gate gate;
     private boolean busy;
     private long nextId = 1;
+    /** No answer is given later, µs. */
+    private long lastAnswerUs = Long.MAX_VALUE;
 
     /** Makes the decision module for a host: settings and actions. */
     public interface ModuleMaker {
@@ -233,6 +235,7 @@
 
     /** No answer is given later than this: what would wait longer is failed then. */
     public void answerBy(long us) {
+        lastAnswerUs = us;
         exchanges.values().stream().filter(exchange -> !exchange.over() && exchange.deadlineUs() > us)
                 .forEach(exchange -> timers.at(us, () -> overdue(exchange)));
     }
@@ -319,15 +322,15 @@
         began(attempt);
     }
 
-    /** The last byte of a body in pieces has come: from now on the client waits for its answer. */
-    public void bodyComplete(Exchange exchange) {
+    /** A body in pieces is whole; its last byte came at a time, µs, from which on the client waits for its answer. */
+    public void bodyComplete(Exchange exchange, long cameUs) {
         Attempt attempt = exchange.out();
         if (exchange.over() || attempt == null) {
             return;
         }
         long now = clock.getAsLong();
-        exchange.restart(now);
-        exchange.guard(timers.at(exchange.deadlineUs() + guardUs(), () -> overdue(exchange)));
+        exchange.restart(cameUs);
+        exchange.guard(timers.at(Math.min(lastAnswerUs, exchange.deadlineUs() + guardUs()), () -> overdue(exchange)));
         attempt.restart(now, exchange.deadlineUs(),
                 timers.at(exchange.deadlineUs(), () -> stop(attempt, Outcome.TIMED_OUT)));
     }
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -46,6 +46,7 @@
     private static final int BEGINNING = 16 * 1024;
 
     private ByteBuffer input = BufferUtil.allocate(INPUT);
+    private final Arrivals arrivals = new Arrivals();
     private State state = State.READING;
     private boolean parsing;
     /** Bytes of the input's room that count against the budget of requests being read. */
@@ -143,6 +144,7 @@
         try {
             int filled = getEndPoint().fill(input);
             if (filled > 0) {
+                arrivals.came(filled, front.broker().nowUs());
                 parse();
             } else if (filled < 0) {
                 close();
@@ -243,6 +245,7 @@
                     return;
                 }
                 read += filled;
+                arrivals.came(filled, front.broker().nowUs());
                 parse();
             }
         } catch (IOException e) {
@@ -480,7 +483,7 @@
             stopLimit();
             Upload whole = upload;
             upload = null;
-            front.broker().bodyComplete(exchange);
+            front.broker().bodyComplete(exchange, arrivals.lastUsed(input.remaining()));
             whole.whole();
             return true;
         }
@@ -522,8 +525,16 @@
     private void take(byte[] bytes) throws DemandReader.Malformed {
         Demand demand = front.reader().read(method, target, fields, bytes.length);
         long now = front.broker().nowUs();
-        long leftUs = front.life().grantsUs(now, demand.leftUs());
-        if (leftUs < demand.leftUs() && leftUs == 0) {
+        long waitedUs = upload != null ? 0 : now - arrivals.lastUsed(input.remaining());
+        if (waitedUs > 0 && waitedUs >= demand.leftUs()) {
+            front.broker().counters().add("refused.waited");
+            front.rejected(target);
+            refused(0);
+            return;
+        }
+        long wantedUs = demand.leftUs() - waitedUs;
+        long leftUs = front.life().grantsUs(now, wantedUs);
+        if (leftUs < wantedUs && leftUs == 0) {
             front.broker().counters().add("refused.ending");
             front.rejected(target);
             refused(front.life().retryAfterUs(now));
--- a/src/test/java/petrelstand/core/BrokerTest.java
+++ b/src/test/java/petrelstand/core/BrokerTest.java
@@ -96,6 +96,22 @@
         assertEquals(0, broker.open());
     }
 
+    /** Guards against a body whose last byte comes after SIGTERM: its time begins then, and ends with the process's. */
+    @Test
+    void aBodyThatIsWholeOnlyAfterTheEndWasToldIsAnsweredByTheLastMomentToo() {
+        listOne();
+        Client writes = take(1, 3, 2_000_000);
+        started.get(0).streams();
+        broker.answerBy(world.nowUs + 3_000_000);
+        world.run(2_500_000);
+        broker.bodyComplete(writes.exchange, world.nowUs);
+        world.run(499_999);
+        assertEquals(List.of(), writes.answers);
+        world.run(1);
+        assertEquals(List.of("failed"), writes.answers);
+        assertEquals(0, broker.open());
+    }
+
     @Test
     void aServedAttemptIsTheAnswer() {
         listOne();
--- a/src/test/java/petrelstand/http/FrontTest.java
+++ b/src/test/java/petrelstand/http/FrontTest.java
@@ -6,6 +6,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -102,6 +104,114 @@
         assertEquals(0, world.dialed.size());
     }
 
+    /** Guards against a time that begins when the answer before is written: it counts from the request's own last byte. */
+    @Test
+    void theTimeOfARequestSentAheadCountsFromItsOwnLastByte() {
+        listOne();
+        client.put(read(1, "") + read(2, ""));
+        MemoryEnd node = world.up();
+        node.taken();
+        world.run(600_000);
+        client.put(read(3, "").substring(0, 100));
+        world.run(300_000);
+        client.put(read(3, "").substring(100) + read(4, ""));
+        world.run(100_000);
+        node.put(ok("one"));
+        assertTrue(node.taken().contains("X-Remaining-Ms: 400\r\n"), "the second came a second ago");
+        world.run(100_000);
+        node.put(ok("two"));
+        assertTrue(node.taken().contains("X-Remaining-Ms: 1200\r\n"), "the third came whole 200 ms ago");
+        node.put(ok("three"));
+        assertTrue(node.taken().contains("X-Txn: t4\r\n"));
+        node.put(ok("four"));
+        assertEquals(List.of("200", "200", "200", "200"), statuses(client.taken()));
+        client.put(read(5, ""));
+        assertTrue(node.taken().contains("X-Remaining-Ms: 1400\r\n"));
+    }
+
+    @Test
+    void aRequestSentAheadWhoseTimeIsUpIsAnsweredAtOnceAndNotSentOn() {
+        listOne();
+        client.put(read(1, "") + read(2, "") + read(3, ""));
+        MemoryEnd node = world.up();
+        node.taken();
+        world.run(1_402_000);
+        assertEquals(3, statuses(client.taken()).size());
+        assertEquals(1, world.counters.get("sent"));
+        assertEquals(0, world.broker.open());
+    }
+
+    /** The same request, cut in two at each of its bytes with time between: it passes whole, and its time is that of its end. */
+    @Test
+    void aRequestCutAtAnyByteIsTheSameRequestAndItsTimeBeginsWithItsLastByte() {
+        listOne();
+        String chunked = write("").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                + "3\r\ndep\r\n5;x=y\r\nth=17\r\n0\r\n\r\n";
+        MemoryEnd node = null;
+        for (String request : List.of(write("depth=17"), chunked)) {
+            for (int cut = 1; cut < request.length(); cut++) {
+                client.put(request.substring(0, cut));
+                world.run(1_000_000);
+                assertEquals("", node == null ? "" : node.taken(), "cut at " + cut);
+                client.put(request.substring(cut));
+                node = world.dialed.isEmpty() ? node : world.up();
+                String sent = node.taken();
+                assertTrue(sent.contains("X-Remaining-Ms: 2000\r\n") && sent.endsWith("\r\n\r\ndepth=17"), "cut at " + cut);
+                node.put(ok("stored"));
+                assertTrue(client.taken().endsWith("stored"), "cut at " + cut);
+            }
+        }
+    }
+
+    /** What an attempt tells its node is what is left to the client then, less what was taken by the attempts before. */
+    @Test
+    void aFurtherAttemptTellsItsNodeWhatIsLeftToTheClient() {
+        world.list(Harness.node("s-00000001", 3, NodeState.READY, 0), Harness.node("s-00000002", 3, NodeState.READY, 0));
+        client.put(read(1, ""));
+        MemoryEnd first = world.up();
+        assertTrue(first.taken().contains("X-Remaining-Ms: 1400\r\n"));
+        world.run(100_000);
+        first.put("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        for (int i = 0; i < 600 && world.dialed.isEmpty(); i++) {
+            world.run(1_000);
+        }
+        world.run(200_000);
+        long begunUs = world.nowUs;
+        Matcher told = Pattern.compile("X-Remaining-Ms: (\\d+)\r\n").matcher(world.up().taken());
+        assertTrue(told.find());
+        long leftMs = (1_000_000_000L + 1_400_000 - begunUs) / 1000;
+        assertTrue(leftMs <= 1_100 && Long.parseLong(told.group(1)) <= leftMs, told.group(1) + " of " + leftMs);
+    }
+
+    /** SIGHUP and a drain in one turn, either first: nothing begins at the node whose connection was coming up. */
+    @Test
+    void aReloadAndADrainInOneTurnLeaveTheNodeAlone() {
+        for (boolean drainFirst : new boolean[] {true, false}) {
+            Harness other = new Harness();
+            NodePool its = new NodePool(other::dial, () -> other.nowUs, other.timers, other.counters, other.settings,
+                    "backend.local", 40);
+            Front front = new Front(other.broker(its), other.timers, 50, life);
+            other.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
+            HeldEnd end = HeldEnd.open(front::accept);
+            end.put(read(1, ""));
+            Harness.Dialed before = other.dialed.remove(0);
+            List<Node> drains = List.of(Harness.node("s-00000001", 3, NodeState.DRAINING, 0));
+            if (drainFirst) {
+                other.broker.nodes(ListKind.CHANGES, drains);
+            }
+            other.broker.retune(new Harness(Harness.SETTINGS.replace("caps.most_tries=3", "caps.most_tries=2")).settings);
+            if (!drainFirst) {
+                other.broker.nodes(ListKind.CHANGES, drains);
+            }
+            assertEquals("", HeldEnd.open(before.connector()::connected).taken());
+            end.put(read(2, ""));
+            other.run(2_000_000);
+            assertEquals(0, other.dialed.size());
+            assertEquals(0, other.broker.figures().tries());
+            assertEquals(2, statuses(end.taken()).size());
+        }
+    }
+
     // ---- Ends that cross with bytes ----
 
     /** Guards against a close over unread bytes: it resets the connection, and what was written last goes with it. */
@@ -601,6 +711,21 @@
         assertEquals(1, world.broker.figures().tries());
     }
 
+    /** Guards against a body that came whole while its node's connection came up, and is then given its whole time anew. */
+    @Test
+    void theTimeOfALargeBodyThatWaitedHereWholeCountsFromItsLastByte() {
+        listOne();
+        client.put(write("").replace("Content-Length: 0", "Content-Length: 200000") + "z".repeat(20_000));
+        client.put("z".repeat(180_000));
+        world.run(240_000);
+        MemoryEnd node = world.up();
+        assertTrue(node.taken().endsWith("z"));
+        world.run(1_759_999);
+        assertEquals("", client.taken());
+        world.run(1);
+        assertEquals(List.of("504"), statuses(client.taken()));
+    }
+
     @Test
     void aLargeBodyThatStopsOrTricklesIsToldAndReachesNoNodeWhole() {
         listOne();
