--- a/src/test/java/petrelstand/core/LimitBoundTest.java
+++ b/src/test/java/petrelstand/core/LimitBoundTest.java
@@ -256,7 +256,7 @@
             long endUs = (nowUs / 3_000_000 + 1) * 3_000_000;
             timers.at(endUs, () -> {
                 if (!attempt.isEnded()) {
-                    broker.bodyComplete(attempt.exchange());
+                    broker.bodyComplete(attempt.exchange(), nowUs);
                     attempt.written();
                     long inBuffersUs = world.random.nextInt(1_000_000);
                     world.arrive(attempt.exchange(), inBuffersUs);
