A process that can serve nobody ends, with a line and a status of its own

Change: Terminator is the uncaught-exception handler of main, loop, watchdog and the shutdown hook: a line made in preallocated memory, then Runtime.halt with status 70; the watchdog thread halts 50 ms later if the line does not go out. EventLoop, LoopConnection and MessageParser hand it errors that Jetty catches. StallDetector decides, in time in which the watchdog ran, that a loop stands still for 15 s (71). The shutdown hook ends a drain that is overdue (72) at the longest deadline (3 s at least) and 0.65 s, as the settings in use then say.

Ruled out: ExitOnOutOfMemoryError, which also ends a serving process for a file too large to read off the loop.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -159,6 +159,15 @@
         return ports;
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
+    /** From SIGTERM until the process ends whatever the loop does, µs; a reload may change it. From any thread. */
+    long forcedEndUs() {
+        return life.forcedEndUs();
+    }
+
     /** Runs a task on the loop's thread. */
     void execute(Runnable task) {
         loop.execute(task);
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -13,10 +13,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import petrelstand.cli.Cli;
 import petrelstand.config.GatewayConfig;
 import petrelstand.config.OperatorConfig;
+import petrelstand.lifecycle.ExitStatus;
 import petrelstand.logging.JsonLog;
 import petrelstand.sim.InstanceLoop;
 import petrelstand.sim.LinkException;
@@ -58,47 +60,73 @@
             Path file = OperatorConfig.file(System.getenv());
             serve(config, file == null ? null : OperatorConfig.load(file, config.settings()), serving);
         } catch (ExecutionException e) {
-            System.err.println("petrelstand: " + e.getCause().getMessage());
-            Runtime.getRuntime().halt(1);
-        } catch (IllegalArgumentException e) {
-            System.err.println("petrelstand: " + e.getMessage());
-            System.exit(1);
-        } catch (IOException e) {
-            System.err.println("petrelstand: " + e.getMessage());
-            Runtime.getRuntime().halt(1);
+            startFailed(e.getCause().getMessage());
+        } catch (IllegalArgumentException | IOException e) {
+            startFailed(e.getMessage());
         } catch (Exception e) {
-            System.err.println("petrelstand: internal fault: " + e);
-            System.exit(1);
+            startFailed("internal fault: " + e);
         }
     }
 
+    /** Ends without the shutdown hook, which would wait for a gateway that does not serve. */
+    private static void startFailed(String why) {
+        System.err.println("petrelstand: " + why);
+        Runtime.getRuntime().halt(ExitStatus.START_FAILED);
+    }
+
     /** Serves until SIGTERM, and ends the process. */
-    private static void serve(GatewayConfig config, OperatorConfig operator, CompletableFuture<Gateway> serving)
+    static void serve(GatewayConfig config, OperatorConfig operator, CompletableFuture<Gateway> serving)
             throws Exception {
         Consumer<String> log = log(operator);
-        CountDownLatch ended = new CountDownLatch(1);
         Gateway gateway = new Gateway(config, operator, log, () -> {
             System.out.flush();
-            Runtime.getRuntime().halt(0);
+            Runtime.getRuntime().halt(ExitStatus.ENDED);
         });
+        Terminator terminator = guard(gateway);
         Future<?> ready = gateway.start();
-        // SIGTERM: the hook holds the process until the gateway has answered all and ended it. One that comes before
-        // it serves waits for that, on the loop.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            gateway.execute(gateway::drain);
-            try {
-                ended.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "terminate"));
+        // SIGTERM: the hook holds the process until the gateway has ended it. The loop takes tasks from here on.
+        Thread hook = new Thread(() -> terminate(gateway, terminator), "terminate");
+        hook.setUncaughtExceptionHandler(terminator);
+        Runtime.getRuntime().addShutdownHook(hook);
         ready.get();
         serving.complete(gateway);
         if (operator != null) {
             operator.follow(config.settings(), changed -> gateway.execute(() -> gateway.reload(changed)),
                     why -> log.accept("the former operator's file stays in use: " + why));
         }
-        ended.await();
+        new CountDownLatch(1).await();
+    }
+
+    /**
+     * Before the start: sees to it that the process ends where this thread or the loop's can't go on, and where the
+     * loop stands still.
+     */
+    private static Terminator guard(Gateway gateway) {
+        Terminator terminator = new Terminator();
+        Thread.currentThread().setUncaughtExceptionHandler(terminator);
+        gateway.loop().whenBroken(terminator);
+        Watchdog.start(gateway.loop(), terminator);
+        return terminator;
+    }
+
+    /**
+     * SIGTERM or SIGINT: holds the process until the gateway has answered all and ended it, or until that is overdue. A
+     * signal that comes before the gateway serves waits for that, on the loop.
+     */
+    private static void terminate(Gateway gateway, Terminator terminator) {
+        long begun = System.nanoTime();
+        gateway.execute(gateway::drain);
+        long leftUs = gateway.forcedEndUs();
+        while (leftUs > 0) {
+            try {
+                TimeUnit.MICROSECONDS.sleep(leftUs);
+            } catch (InterruptedException e) {
+                // Nobody means to interrupt it, and the process must not end sooner.
+            }
+            // The drain may have followed a reload with longer deadlines.
+            leftUs = gateway.forcedEndUs() - (System.nanoTime() - begun) / 1000;
+        }
+        terminator.end(ExitStatus.SHUTDOWN_OVERDUE, "not ended by itself in time after SIGTERM");
     }
 
     /** Where log lines go: text on standard output, or JSON where the operator asks for it. */
@@ -117,7 +145,8 @@
         try {
             GatewayConfig changed = GatewayConfig.reload(System.getenv(), gateway.config());
             gateway.execute(() -> gateway.reload(changed));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError e) {
+            // A file for which there is no room is one that can't be read.
             gateway.execute(() -> gateway.reloadFailed(e.getMessage()));
         }
     }
@@ -128,6 +157,7 @@
             GatewayConfig config = GatewayConfig.parse(new String(file.readAllBytes(), StandardCharsets.UTF_8), Map.of());
             CountDownLatch ended = new CountDownLatch(1);
             Gateway gateway = new Gateway(config, null, TEXT, ended::countDown);
+            guard(gateway);
             int port = gateway.start().get().get(0);
             try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
                 client.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n".getBytes(StandardCharsets.UTF_8));
@@ -136,7 +166,7 @@
             HotRestartPart.rehearse(config);
             gateway.execute(gateway::drain);
             ended.await();
-            System.exit(0);
+            System.exit(ExitStatus.ENDED);
         } catch (Exception e) {
             System.err.println("petrelstand: the rehearsal failed: " + e);
             System.exit(1);
--- a/src/main/java/petrelstand/config/GatewayConfig.java
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -184,6 +184,9 @@
             }
             return element.getAsJsonObject();
         } catch (JsonParseException e) {
+            if (e.getCause() instanceof OutOfMemoryError error) {
+                throw error;
+            }
             String[] lines = String.valueOf(e.getMessage()).split("\n");
             throw new IllegalArgumentException("the text is not JSON: " + lines[0]);
         }
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -19,6 +19,7 @@
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.net.LoopConnection;
+import petrelstand.net.MessageParser;
 
 /**
  * A client's connection. It reads one request at a time; bytes of the next wait in the buffer until the answer is written.
@@ -37,7 +38,7 @@
     private final boolean full;
     private final boolean unwanted;
     private final long openedUs;
-    private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
+    private final HttpParser parser = new MessageParser(this, Wire.MOST_HEADER);
     private static final int INPUT = 4096;
     private static final int INPUT_LARGE = 32 * 1024;
     /** What may wait here before it can be used: requests behind the one in work, a body that no node is chosen for yet. */
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.net.LoopConnection;
+import petrelstand.net.MessageParser;
 
 /**
  * An HTTP/1.1 connection to a node or to discovery, one call at a time. Only a whole, well-formed answer that ends
@@ -31,7 +32,7 @@
 
     /** Told when the connection is free again (true) or closed (false). */
     private final BiConsumer<UpstreamConnection, Boolean> owner;
-    private final HttpParser parser = new HttpParser(this, Wire.MOST_HEADER);
+    private final HttpParser parser = new MessageParser(this, Wire.MOST_HEADER);
     private ByteBuffer input = BufferUtil.allocate(READ);
     private State state = State.IDLE;
     private Call call;
--- a/src/main/java/petrelstand/lifecycle/Lifecycle.java
+++ b/src/main/java/petrelstand/lifecycle/Lifecycle.java
@@ -8,7 +8,7 @@
  * a function of what was asked of it, and when, and of the time. No timer belongs to it, so nothing of a former phase
  * is left behind where phases cross: whoever carries it out asks at the turn's time, and again at {@link #nextUs}.
  *
- * <p>Times are microseconds of the loop's clock. Not for several threads.
+ * <p>Times are microseconds of the loop's clock. Not for several threads, but for {@link #forcedEndUs}.
  */
 public final class Lifecycle {
     /** The parts of a process's life; {@link #DRAINED} alone can be left for an earlier one. */
@@ -40,6 +40,8 @@
         static final long LAST_OPEN_US = 550_000;
         static final long LEAST_DEADLINE_US = 3_000_000;
         static final long KILL_AFTER_US = 700_000;
+        /** Before the kill: what has not ended by itself is ended then, so that it says so. */
+        static final long FORCED_BEFORE_KILL_US = 50_000;
 
         public Times {
             if (notedUs < 0 || drainedUs < notedUs || lastOpenUs < 0 || killUs < lastOpenUs) {
@@ -48,6 +50,11 @@
             }
         }
 
+        /** From SIGTERM until the process ends in any case: the longest deadline (3 s at least) and 0.65 s. */
+        public long forcedEndUs() {
+            return killUs - FORCED_BEFORE_KILL_US;
+        }
+
         /** The platform's, under settings. */
         public static Times of(Settings settings) {
             return of((long) (1000 * settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElseThrow()));
@@ -67,7 +74,8 @@
     static final long LEAST_GRANT_US = 100_000;
     private static final long AGAIN_US = 500_000;
 
-    private Times times;
+    /** Replaced on the loop's thread alone. */
+    private volatile Times times;
     private Phase phase = Phase.STARTING;
     /** When the phase began. */
     private long sinceUs;
@@ -89,6 +97,11 @@
         }
     }
 
+    /** From SIGTERM until the process ends whatever its loop does, under the settings in use; from any thread. */
+    public long forcedEndUs() {
+        return times.forcedEndUs();
+    }
+
     // ---- What happens to it ----
 
     /** Its listeners are open. */
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -61,6 +61,8 @@
     private final Set<SelectableChannel> accepting = ConcurrentHashMap.newKeySet();
     /** Listeners that are being closed. */
     private int unlistening;
+    /** Written by the loop's thread alone. */
+    private volatile long turns;
 
     public EventLoop(Clock clock, Timers timers) {
         this(clock, timers, new LoopExecutor());
@@ -80,6 +82,37 @@
         executor.wake();
     }
 
+    /**
+     * Who hears of an exception or error that has ended the loop's thread, of errors that Jetty would swallow, and of an
+     * end of the thread that nobody asked for. Before the start.
+     */
+    public void whenBroken(Thread.UncaughtExceptionHandler handler) {
+        executor.whenBroken = handler;
+    }
+
+    /** How often the loop has turned; from any thread. */
+    public long turns() {
+        return turns;
+    }
+
+    /** Makes a loop that waits turn; from any thread. */
+    public void wake() {
+        executor.wake();
+    }
+
+    /** The place in the code where the loop's thread is, for people; from any thread. */
+    public String place() {
+        Thread thread = executor.thread;
+        StackTraceElement[] trace = thread == null ? new StackTraceElement[0] : thread.getStackTrace();
+        return trace.length == 0 ? "no place" : trace[0].toString();
+    }
+
+    @Override
+    protected void doStop() throws Exception {
+        executor.stopping = true;
+        super.doStop();
+    }
+
     /** Waits until the loop has ended. */
     public void join() throws InterruptedException {
         executor.thread.join();
@@ -147,6 +180,7 @@
 
     @Override
     protected void onAcceptFailed(SelectableChannel channel, Throwable cause) {
+        Errors.rethrow(cause);
         accepting.remove(channel);
     }
 
@@ -199,13 +233,16 @@
 
     /**
      * Runs what must not end the loop: Jetty would take an exception here for a broken selector and close it, and
-     * with it every connection.
+     * with it every connection. An error is another matter, see {@link Errors}.
      */
     private static void guarded(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
             fault(e);
+        } catch (Error e) {
+            Errors.tell(e);
+            throw e;
         }
     }
 
@@ -214,8 +251,27 @@
         System.err.println("petrelstand: loop: fault in a task: " + e + (trace.length == 0 ? "" : " at " + trace[0]));
     }
 
+    @Override
+    protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
+        try {
+            return super.doAccept(server);
+        } catch (Error e) {
+            Errors.tell(e);
+            throw e;
+        }
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
+        try {
+            take(channel);
+        } catch (Error e) {
+            Errors.tell(e);
+            throw e;
+        }
+    }
+
+    private void take(SelectableChannel channel) throws IOException {
         SocketChannel socket = (SocketChannel) channel;
         InetSocketAddress at = (InetSocketAddress) socket.getLocalAddress();
         Function<EndPoint, Connection> front = fronts.get(at);
@@ -245,6 +301,16 @@
             super(channel, selector, key, scheduler);
         }
 
+        @Override
+        public Runnable onSelected() {
+            try {
+                return super.onSelected();
+            } catch (Error e) {
+                Errors.tell(e);
+                throw e;
+            }
+        }
+
         @Override
         public int fill(ByteBuffer buffer) throws IOException {
             if (reset != null) {
@@ -280,8 +346,19 @@
         return front.apply(endPoint);
     }
 
+    @Override
+    public void connectionOpened(Connection connection, Object context) {
+        guarded(connection::onOpen);
+    }
+
+    @Override
+    public void connectionClosed(Connection connection, Throwable cause) {
+        guarded(() -> connection.onClose(cause));
+    }
+
     @Override
     protected void connectionFailed(SelectableChannel channel, Throwable cause, Object attachment) {
+        Errors.rethrow(cause);
         if (attachment instanceof Connector connector) {
             connector.connectFailed(cause);
         }
@@ -302,6 +379,16 @@
             if (now) {
                 return selector.selectNow();
             }
+            try {
+                return turn(selector);
+            } catch (Error e) {
+                Errors.tell(e);
+                throw e;
+            }
+        }
+
+        private int turn(Selector selector) throws IOException {
+            turns++;
             executor.selector = selector;
             guarded(() -> timers.run(clock.nowUs()));
             executor.runAll();
@@ -312,6 +399,11 @@
             executor.runAll();
             return selected;
         }
+
+        @Override
+        protected void onSelectFailed(Throwable cause) {
+            Errors.rethrow(cause);
+        }
     }
 
     /** The first task is the selector's own and gets the thread; what comes later waits for a turn on it. */
@@ -319,11 +411,16 @@
         private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
         private volatile Thread thread;
         private volatile Selector selector;
+        private volatile Thread.UncaughtExceptionHandler whenBroken;
+        private volatile boolean stopping;
 
         @Override
         public void execute(Runnable task) {
             if (thread == null) {
-                thread = new Thread(task, "loop");
+                thread = new Thread(() -> select(task), "loop");
+                if (whenBroken != null) {
+                    thread.setUncaughtExceptionHandler(whenBroken);
+                }
                 thread.start();
             } else {
                 tasks.add(task);
@@ -331,6 +428,13 @@
             }
         }
 
+        private void select(Runnable selecting) {
+            selecting.run();
+            if (!stopping) {
+                throw new IllegalStateException("the selector was given up");
+            }
+        }
+
         void wake() {
             Selector open = selector;
             if (open != null && Thread.currentThread() != thread) {
--- a/src/main/java/petrelstand/net/LoopConnection.java
+++ b/src/main/java/petrelstand/net/LoopConnection.java
@@ -19,6 +19,9 @@
         } catch (RuntimeException e) {
             EventLoop.fault(e);
             close();
+        } catch (Error e) {
+            Errors.tell(e);
+            throw e;
         }
     }
 
@@ -32,11 +35,17 @@
         return new Callback() {
             @Override
             public void succeeded() {
-                succeeded.run();
+                try {
+                    succeeded.run();
+                } catch (Error e) {
+                    Errors.tell(e);
+                    throw e;
+                }
             }
 
             @Override
             public void failed(Throwable cause) {
+                Errors.rethrow(cause);
                 failed.accept(cause);
             }
 
--- a/src/main/java/petrelstand/operation/OperatorConnection.java
+++ b/src/main/java/petrelstand/operation/OperatorConnection.java
@@ -15,6 +15,7 @@
 import petrelstand.core.Timers;
 import petrelstand.http.Wire;
 import petrelstand.net.LoopConnection;
+import petrelstand.net.MessageParser;
 
 /** An operator's connection: one call, one answer, and the end. */
 final class OperatorConnection extends LoopConnection implements HttpParser.RequestHandler {
@@ -24,7 +25,7 @@
     private static final int MOST_BODY = 4096;
 
     private final OperatorDoor door;
-    private final HttpParser parser = new HttpParser(this, MOST_HEAD);
+    private final HttpParser parser = new MessageParser(this, MOST_HEAD);
     private final ByteBuffer input = BufferUtil.allocate(1024);
     private State state = State.READING;
     private Timers.Timer limit;
--- /dev/null
+++ b/src/test/java/petrelstand/EndingProcessTest.java
@@ -0,0 +1,122 @@
+package petrelstand;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import petrelstand.lifecycle.ExitStatus;
+import petrelstand.testing.ServedGateway;
+import petrelstand.testing.ServedGateway.Run;
+import petrelstand.testing.StandIns.Client;
+
+/** A started process that can serve nobody any more ends, says so, and leaves its port free. */
+@Timeout(120)
+class EndingProcessTest {
+    /** In which a process ends that is told to at once. The program takes less; the rest is the machine. */
+    private static final long SOON_MS = 2_000;
+    @TempDir
+    Path folder;
+    private ServedGateway gateway;
+
+    @BeforeEach
+    void open() throws IOException {
+        gateway = new ServedGateway(folder, 2);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        gateway.close();
+    }
+
+    private Run faulty(String fault) throws Exception {
+        Run run = gateway.start(List.of("petrelstand.FaultyGateway", fault));
+        run.await("fault: " + fault);
+        return run;
+    }
+
+    private void assertPortFree() throws IOException {
+        new ServerSocket(gateway.port(), 1, InetAddress.getLoopbackAddress()).close();
+    }
+
+    /** Waits for the end; gives how long it took, ms. */
+    private static long ended(Run run, int status, long withinMs) throws InterruptedException {
+        long begun = System.nanoTime();
+        assertTrue(run.process().waitFor(withinMs, TimeUnit.MILLISECONDS), "still there: " + run.seen());
+        long tookMs = (System.nanoTime() - begun) / 1_000_000;
+        assertEquals(status, run.process().exitValue());
+        return tookMs;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"stack, java.lang.StackOverflowError",
+        "linkage, java.lang.NoClassDefFoundError: meant/by/the/Test at petrelstand",
+        "memory, java.lang.OutOfMemoryError: Java heap space"})
+    void anErrorOnTheLoopEndsTheProcess(String fault, String told) throws Exception {
+        Run run = faulty(fault);
+        // Filling the heap takes collections of garbage; the line comes when the error does.
+        String line = run.await("petrelstand: fatal: ");
+        long tookMs = ended(run, ExitStatus.FATAL_ERROR, SOON_MS);
+        System.out.println("an error on the loop, " + fault + ": ended " + tookMs + " ms after its line");
+        // Where memory is out, another thread's last words may stand before it.
+        line = line.substring(line.indexOf("petrelstand: fatal: "));
+        assertTrue(line.startsWith("petrelstand: fatal: thread loop has ended by " + told), line);
+        assertTrue(line.endsWith("; the process ends with status 70"), line);
+        assertPortFree();
+    }
+
+    @Test
+    void aLoopThatStandsStillEndsTheProcess() throws Exception {
+        Run run = faulty("stand");
+        long begun = System.nanoTime();
+        String line = run.await("petrelstand: fatal: ");
+        assertTrue(System.nanoTime() - begun >= TimeUnit.SECONDS.toNanos(13));
+        ended(run, ExitStatus.LOOP_STALLED, SOON_MS);
+        assertTrue(line.matches("petrelstand: fatal: the loop has not turned for 15 s; it is at .*sleep.*"
+                + "; the process ends with status 71"), line);
+        assertPortFree();
+    }
+
+    /** SIGINT takes the same way; a process started from a shell's background has it ignored, so it is not sent here. */
+    @Test
+    void aSignalEndsAProcessWhoseLoopStandsStill() throws Exception {
+        Run run = faulty("stand");
+        run.signal("TERM");
+        // The longest deadline of the settings is 5 s; the process may be killed after 5.7 s.
+        long tookMs = ended(run, ExitStatus.SHUTDOWN_OVERDUE, 5_700 + SOON_MS);
+        assertTrue(tookMs >= 5_000, tookMs + " ms");
+        run.await("petrelstand: fatal: not ended by itself in time after SIGTERM; the process ends with status 72");
+        assertPortFree();
+    }
+
+    @Test
+    void aProcessThatWasStoppedForLongGoesOnServing() throws Exception {
+        Run run = gateway.start();
+        run.await("ready: ");
+        run.signal("STOP");
+        TimeUnit.SECONDS.sleep(17);
+        run.signal("CONT");
+        for (int i = 0; i < 30; i++) {
+            try (Client client = new Client(gateway.port())) {
+                assertTrue(ServedGateway.read(client, "tile-read", "c" + i).startsWith("200"));
+            }
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        assertTrue(run.process().isAlive());
+        assertThrows(IOException.class, this::assertPortFree);
+        run.signal("TERM");
+        ended(run, ExitStatus.ENDED, 20_000);
+    }
+}
--- a/src/test/java/petrelstand/net/EventLoopTest.java
+++ b/src/test/java/petrelstand/net/EventLoopTest.java
@@ -1,6 +1,7 @@
 package petrelstand.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -19,6 +20,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import petrelstand.core.Timers;
 
 /** The loop on real sockets of its own. */
@@ -94,6 +97,84 @@
         after.get(20, TimeUnit.SECONDS);
     }
 
+    /** A place where Jetty calls this program's code, and catches what comes out of it. */
+    private enum Place { TASK, TIMER, NEW_CONNECTION, OPEN, FILLABLE }
+
+    /** Jetty's own handling goes on in this test, where the handler does not end the process. */
+    @ParameterizedTest
+    @EnumSource(Place.class)
+    void anErrorThatJettyWouldSwallowIsTold(Place place) throws Exception {
+        Error meant = new LinkageError("meant by the test");
+        CompletableFuture<Throwable> told = new CompletableFuture<>();
+        EventLoop watched = new EventLoop(clock, new Timers());
+        watched.whenBroken((thread, thrown) -> told.complete(thrown));
+        watched.start();
+        ServerSocketChannel server = watched.listen(new InetSocketAddress("127.0.0.1", 0), endPoint -> {
+            throwAt(place == Place.NEW_CONNECTION, meant);
+            return new Quiet(endPoint) {
+                @Override
+                public void onOpen() {
+                    super.onOpen();
+                    throwAt(place == Place.OPEN, meant);
+                    fillInterested();
+                }
+
+                @Override
+                public void onFillable() {
+                    throwAt(place == Place.FILLABLE, meant);
+                }
+            };
+        });
+        if (place == Place.TASK) {
+            watched.execute(() -> throwAt(true, meant));
+        } else if (place == Place.TIMER) {
+            watched.execute(() -> watched.getScheduler().schedule(() -> throwAt(true, meant), 1,
+                    TimeUnit.MILLISECONDS));
+        }
+        try (Socket client = new Socket("127.0.0.1", ((InetSocketAddress) server.getLocalAddress()).getPort())) {
+            client.getOutputStream().write('x');
+            assertSame(meant, told.get(20, TimeUnit.SECONDS));
+        } finally {
+            watched.stop();
+        }
+    }
+
+    private static void throwAt(boolean here, Error meant) {
+        if (here) {
+            throw meant;
+        }
+    }
+
+    /** What Jetty catches and hands on as a failure is an error all the same; other failures are not. */
+    @Test
+    void anErrorThatIsHandedOnAsAFailureIsThrown() {
+        Error meant = new LinkageError("meant by the test");
+        List<Throwable> failed = new ArrayList<>();
+        var callback = LoopConnection.nonBlocking(() -> {}, failed::add);
+        assertSame(meant, assertThrows(LinkageError.class, () -> callback.failed(new RuntimeException(meant))));
+        assertEquals(List.of(), failed);
+        java.io.IOException reset = new java.io.IOException("reset");
+        callback.failed(reset);
+        assertEquals(List.of(reset), failed);
+    }
+
+    /** Guards against a selector that Jetty has given up: its thread ends as if all were well. */
+    @Test
+    void anEndOfTheThreadThatNobodyAskedForIsTold() throws Exception {
+        CompletableFuture<Throwable> told = new CompletableFuture<>();
+        EventLoop watched = new EventLoop(clock, new Timers());
+        watched.whenBroken((thread, thrown) -> told.complete(thrown));
+        watched.start();
+        watched.execute(() -> {
+            try {
+                watched.getBean(org.eclipse.jetty.io.ManagedSelector.class).getSelector().close();
+            } catch (java.io.IOException e) {
+                told.completeExceptionally(e);
+            }
+        });
+        assertEquals("the selector was given up", told.get(20, TimeUnit.SECONDS).getMessage());
+    }
+
     /** Guards against a loop that stood still and takes its own stillness for others' silence. */
     @Test
     void whatCameWhileTheLoopStoodStillIsReadBeforeTheTimersThatAreDue() throws Exception {
--- a/src/test/java/petrelstand/testing/ServedGateway.java
+++ b/src/test/java/petrelstand/testing/ServedGateway.java
@@ -163,11 +163,17 @@
 
     /** Starts a process of the gateway, which shares folder and address with those before. */
     public Run start(String... options) throws IOException {
+        return start(List.of("petrelstand.Main", "serve"), options);
+    }
+
+    /** Starts a process with another main class, and its arguments. */
+    public Run start(List<String> main, String... options) throws IOException {
         int operator = free();
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx64m", "-XX:+UseSerialGC", "-XX:MaxDirectMemorySize=16m"));
         command.addAll(List.of(options));
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "petrelstand.Main", "serve"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(main);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().putAll(Map.of("RELAY_CONFIG", folder.resolve("config.json").toString(),
                 "RELAY_OPERATOR", "127.0.0.1:" + operator, "TMPDIR", folder.toString()));
