--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -19,6 +19,7 @@
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.net.LoopConnection;
+import petrelstand.net.MessageParser;
 
 /**
  * A client's connection. It reads one request at a time; bytes of the next wait in the buffer until the answer is written.
@@ -304,7 +305,7 @@
 
     private HttpParser parser() {
         if (parser == null) {
-            parser = new HttpParser(this, Wire.MOST_HEADER);
+            parser = new MessageParser(this, Wire.MOST_HEADER);
             parser.setHeaderCacheSize(Wire.NO_FIELD_CACHE);
         }
         return parser;
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.net.LoopConnection;
+import petrelstand.net.MessageParser;
 
 /**
  * An HTTP/1.1 connection to a node or to discovery, one call at a time. Only a whole, well-formed answer that ends
@@ -317,7 +318,7 @@
 
     private HttpParser parser() {
         if (parser == null) {
-            parser = new HttpParser(this, Wire.MOST_HEADER);
+            parser = new MessageParser(this, Wire.MOST_HEADER);
             parser.setHeaderCacheSize(Wire.NO_FIELD_CACHE);
         }
         return parser;
