What an answer tells of its volume reaches the module

Change: Wire.use, VolumeUse, Attempt.reports. FrontTest.whatAnAnswerTellsOfItsVolumeReachesTheModule fails without it (tried). Also LimitTest's change of share is asked by a volume that was not met before (forgetting on a change of share was not caught; tried, it is now).

--- a/src/main/java/petrelstand/core/Attempt.java
+++ b/src/main/java/petrelstand/core/Attempt.java
@@ -14,6 +14,7 @@
     private Timers.Timer timeout;
     private boolean ended;
     private Outcome outcome;
+    private VolumeUse use = VolumeUse.NONE;
     /** What the server side keeps with the attempt. */
     private Object handle;
 
@@ -56,6 +57,15 @@
         return outcome;
     }
 
+    /** What the node's answer tells of the volume; before the end is told. */
+    public void reports(VolumeUse told) {
+        use = told;
+    }
+
+    VolumeUse use() {
+        return use;
+    }
+
     public Object handle() {
         return handle;
     }
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -389,7 +389,8 @@
         }
         long now = clock.getAsLong();
         AttemptEnd end = new AttemptEnd(exchange.id(), attempt.number(), outcome, ms(now - attempt.sentUs()),
-                attempt.node() == null ? 0 : attempt.node().number(), 0, 0, exchange.over(), ordered(load));
+                attempt.node() == null ? 0 : attempt.node().number(), 1 + attempt.use().percent(),
+                attempt.use().fromOthers(), exchange.over(), ordered(load));
         event(() -> module.attemptEnded(ms(now), end), exchange);
     }
 
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -417,6 +417,7 @@
         @Override
         public boolean flows(Flow flow) {
             watchPieces();
+            attempt.reports(Wire.use(flow.fields()));
             attempt.ended(Outcome.SERVED, flow, Wire.load(flow.fields().get(Wire.PRESSURE)));
             return true;
         }
@@ -442,6 +443,7 @@
         @Override
         public void answered(int status, HttpFields fields, ByteBuffer body) {
             Map<String, Double> load = Wire.load(fields.get(Wire.PRESSURE));
+            attempt.reports(Wire.use(fields));
             Outcome outcome = outcome(status, fields);
             Object answer = outcome == Outcome.SERVED
                     ? new Message.Answer(fields.get(HttpHeader.CONTENT_TYPE), body) : null;
--- a/src/main/java/petrelstand/http/Wire.java
+++ b/src/main/java/petrelstand/http/Wire.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.util.BufferUtil;
+import petrelstand.core.VolumeUse;
 
 /** Names of the platform's headers, and messages as bytes. */
 public final class Wire {
@@ -25,6 +26,10 @@
     public static final String EFFECT_KEY = "Idempotency-Key";
     public static final String TURNED_AWAY = "X-Turned-Away";
     public static final String PRESSURE = "X-Pressure";
+    /** A volume's use, in percent of its plan's rate. */
+    public static final String VOLUME_USE = "X-Iops-Used";
+    /** Units that the node served the volume through other gateways. */
+    public static final String FROM_OTHERS = "X-Rho";
     /** The largest body, by the protocol. */
     public static final int MOST_BODY = 64 * 1024;
     /** The largest body that passes in pieces: over twice the largest that is known to occur. */
@@ -141,6 +146,23 @@
         return head;
     }
 
+    /** What an answer tells of its volume: a figure that cannot be read, or cannot be, is not told. */
+    static VolumeUse use(HttpFields fields) {
+        return new VolumeUse(count(fields.get(VOLUME_USE), VolumeUse.UNTOLD), count(fields.get(FROM_OTHERS), 0));
+    }
+
+    private static int count(String text, int without) {
+        if (text == null) {
+            return without;
+        }
+        try {
+            long value = Math.round(Double.parseDouble(text));
+            return value >= 0 && value <= VolumeUse.MOST ? (int) value : without;
+        } catch (NumberFormatException e) {
+            return without;
+        }
+    }
+
     /** A load report, "TEXT inflight=7, queue=2, util=0.61": what cannot be read, or cannot be, is left out. */
     static Map<String, Double> load(String text) {
         Map<String, Double> load = new LinkedHashMap<>();
--- a/src/test/java/petrelstand/decision/LimitTest.java
+++ b/src/test/java/petrelstand/decision/LimitTest.java
@@ -107,8 +107,9 @@
     @Test
     void aVolumeMetAfterAChangeOfShareBeginsEmpty() {
         host.policy.share(host.now, 0);
+        long refused = host.request(new Ask().units(UNITS).volume(2));
+        assertEquals("refuse", host.answer(refused));
         host.runTo(START_MS + 4_000);
-        assertEquals(0, sendAll(false));
         host.policy.share(host.now, 1);
         host.runTo(START_MS + 4_250);
         assertEquals(UNITS, sendAll(false));
--- a/src/test/java/petrelstand/http/FrontTest.java
+++ b/src/test/java/petrelstand/http/FrontTest.java
@@ -80,6 +80,33 @@
         assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n\r\nstored 17"));
     }
 
+    /** Guards against a meter that is not read: what an answer tells of its volume moves this gateway's part of its use. */
+    @Test
+    void whatAnAnswerTellsOfItsVolumeReachesTheModule() {
+        Harness four = new Harness(Harness.SETTINGS.replace("balancers=1", "balancers=4"));
+        NodePool its = new NodePool(four::dial, () -> four.nowUs, four.timers, four.counters, four.settings, "backend.local",
+                40);
+        Front front = new Front(four.broker(its), four.timers, 50, life);
+        four.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
+        HeldEnd end = HeldEnd.open(front::accept);
+        end.put(read(1, "").replace("hosts=1", "hosts=4"));
+        MemoryEnd node = four.up();
+        double before = partOfUse(four);
+        node.put("HTTP/1.1 200 OK\r\nX-Iops-Used: 6400\r\nX-Rho: 12\r\nContent-Length: 0\r\n\r\n");
+        double told = partOfUse(four);
+        assertTrue(told < before, told + " after " + before);
+        for (String untold : List.of("X-Iops-Used: many", "X-Iops-Used: -3", "X-Iops-Used: 1e9", "X-Rho: 7")) {
+            end.put(read(2, "").replace("hosts=1", "hosts=4"));
+            node.put("HTTP/1.1 200 OK\r\n" + untold + "\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(told, partOfUse(four), untold);
+        }
+        assertEquals(5, statuses(end.taken()).size());
+    }
+
+    private static double partOfUse(Harness world) {
+        return world.broker.learned().volumes().get(0).ownPart();
+    }
+
     @Test
     void theQueryPassesAsItWasWritten() {
         listOne();
