A node may usually take 0.3 of the tightest aim before its window halves

Which branch of admission refuses was not traced.

Change: AIM_PART_AT_NODE 0.15 -> 0.3, a ratio to the aim of the settings.

AdmissionTest's new case fails with 0.15 (tried).

--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -27,7 +27,7 @@
      */
     public static final double LEAST_OUT_TOGETHER = 4;
     /** Part of the tightest aim that a node may usually take; the rest is for waiting where order acts. */
-    static final double AIM_PART_AT_NODE = 0.15;
+    static final double AIM_PART_AT_NODE = 0.3;
     /** Windows' worth of requests that may be out while they are within their volumes' shares. */
     static final double DUE_WINDOWS = 2;
     /** Weight of the newest answer in a node's usual latency: about ten answers back. */
--- a/src/test/java/petrelstand/decision/AdmissionTest.java
+++ b/src/test/java/petrelstand/decision/AdmissionTest.java
@@ -43,6 +43,24 @@
         }
     }
 
+    /** Guards against windows that halve at nodes whose work alone takes a fifth of an aim. */
+    @Test
+    void aWindowGrowsWhileANodeAnswersInAQuarterOfTheAimAndHalvesWhereItTakesLonger() {
+        for (double part : new double[] {0.25, 0.4}) {
+            Site site = new Site();
+            site.hosts = 8;
+            Host host = host(site);
+            for (int round = 0; round < 30; round++) {
+                for (int i = 0; i < 12; i++) {
+                    host.request(new Ask().units(2).volume(i));
+                }
+                serve(host, 1, part * site.aimMs);
+            }
+            double window = host.policy.learned(host.now).nodes().get(0).window();
+            assertEquals(part < 0.3, window > Policy.WINDOW_START, "part " + part + ", window " + window);
+        }
+    }
+
     @Test
     void anUnheardNodeIsTakenToServeAFewAndTheRestIsRefusedAtOnce() {
         Host host = host(new Site());
