lab capacity: what members and rules cost, by the size of the fleet

Wrong arguments: one line that names the field, exit 2, nothing played. Members' messages go through the sealed wire form where a probe is there; without one the two simulations play as before.

--- a/src/main/java/petrelstand/lab/faults/FleetSim.java
+++ b/src/main/java/petrelstand/lab/faults/FleetSim.java
@@ -1,5 +1,7 @@
 package petrelstand.lab.faults;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -9,6 +11,8 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import petrelstand.fleet.SealedForm;
+import petrelstand.lab.Probe;
 import petrelstand.lab.VirtualTime;
 import petrelstand.members.Change;
 import petrelstand.members.Member;
@@ -54,7 +58,9 @@
             long boot = random.nextLong();
             Member self = new Member(name(number), boot, 1_000_000 + time.nowUs(), address(number), MemberState.JOINING, "",
                     time.nowUs() / 1000, "lab", List.of());
+            probe.entered(number);
             module = maker.make(time.nowUs(), self, seeds, random.nextLong(), this);
+            probe.left(number);
             at(time.nowUs() + random.nextLong(Timing.TICK_US), () -> tick(of));
         }
 
@@ -64,7 +70,9 @@
             }
             if (!stopped) {
                 drain();
+                probe.entered(number);
                 module.tick(time.nowUs());
+                probe.left(number);
                 if (module.ended()) {
                     up = false;
                     return;
@@ -75,14 +83,24 @@
 
         private void drain() {
             while (!waiting.isEmpty()) {
-                module.receive(time.nowUs(), waiting.poll());
+                take(waiting.poll());
             }
         }
 
+        private void take(Envelope message) {
+            probe.entered(number);
+            module.receive(time.nowUs(), message);
+            probe.left(number);
+        }
+
         @Override
         public void send(String address, Envelope message) {
             sent++;
-            carry(number, addresses.getOrDefault(address, -1), message);
+            byte[] datagram = form == null ? NO_DATAGRAM : form.close(message);
+            probe.left(number);
+            probe.sent(number, datagram.length);
+            carry(number, addresses.getOrDefault(address, -1), message, datagram);
+            probe.entered(number);
         }
 
         @Override
@@ -105,7 +123,12 @@
         public void say(String line) {}
     }
 
+    private static final byte[] NO_DATAGRAM = {};
+
     private final Maker maker;
+    private final Probe probe;
+    /** Makes datagrams of messages, or null where the messages themselves are handed over. */
+    private final SealedForm form;
     private final SplittableRandom random;
     private final List<String> seeds = new ArrayList<>();
     private final Map<String, Integer> addresses = new HashMap<>();
@@ -119,7 +142,18 @@
 
     /** A fleet whose processes all start within the first half second. */
     public FleetSim(int size, long seed, Maker maker) {
+        this(size, seed, maker, Probe.NONE, null);
+    }
+
+    /** The same, observed; every message goes through its wire form, as between real processes. */
+    public FleetSim(int size, long seed, Maker maker, Probe probe) {
+        this(size, seed, maker, probe, new SealedForm());
+    }
+
+    private FleetSim(int size, long seed, Maker maker, Probe probe, SealedForm form) {
         this.maker = maker;
+        this.probe = probe;
+        this.form = form;
         this.random = new SplittableRandom(seed);
         this.links = new Links(size, seed + 1);
         for (int i = 0; i < size; i++) {
@@ -173,6 +207,11 @@
         return Collections.unmodifiableList(seen);
     }
 
+    /** Forgets what was seen so far, which grows with the square of the fleet. */
+    public void forgetSeen() {
+        seen.clear();
+    }
+
     /** The module of a process that runs, else null. */
     public Membership module(int number) {
         Process process = processes.get(number);
@@ -184,27 +223,40 @@
         loss = part;
     }
 
-    private void carry(int from, int to, Envelope message) {
+    private void carry(int from, int to, Envelope message, byte[] datagram) {
         if (to < 0 || loss > 0 && random.nextDouble() < loss) {
             return;
         }
         for (long later : links.delays(from, to, time.nowUs())) {
             double queued = -Math.log(1 - random.nextDouble()) * 200;
-            at(time.nowUs() + later + LEAST_DELAY_US + (long) queued, () -> deliver(from, to, message));
+            at(time.nowUs() + later + LEAST_DELAY_US + (long) queued, () -> deliver(to, message, datagram));
         }
     }
 
-    private void deliver(int from, int to, Envelope message) {
+    private void deliver(int to, Envelope message, byte[] datagram) {
         Process process = processes.get(to);
         if (!process.up) {
             return;
         }
+        probe.received(to, datagram.length);
+        Envelope arrival = form == null ? message : opened(to, datagram);
         if (process.stopped) {
             if (process.waiting.size() < 200) {
-                process.waiting.add(message);
+                process.waiting.add(arrival);
             }
         } else {
-            process.module.receive(time.nowUs(), message);
+            process.take(arrival);
+        }
+    }
+
+    private Envelope opened(int process, byte[] datagram) {
+        probe.entered(process);
+        try {
+            return form.open(datagram);
+        } catch (IOException e) {
+            throw new UncheckedIOException("a datagram that this fleet made can't be read", e);
+        } finally {
+            probe.left(process);
         }
     }
 
@@ -225,7 +277,9 @@
             }
             case TERM -> {
                 if (process.up && !process.stopped) {
+                    probe.entered(process.number);
                     process.module.leave(time.nowUs());
+                    probe.left(process.number);
                     again(process, fault);
                 }
             }
--- a/src/main/java/petrelstand/lab/rules/RulesSim.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -23,6 +23,7 @@
 import petrelstand.consensus.Recovery;
 import petrelstand.consensus.Voter;
 import petrelstand.consensus.Wire;
+import petrelstand.lab.Probe;
 import petrelstand.lab.VirtualTime;
 import petrelstand.lab.faults.FleetPlan;
 import petrelstand.lab.faults.Links;
@@ -99,6 +100,7 @@
             long of = ++life;
             waiting.clear();
             offsetUs = random.nextLong(1_000_000_000_000L);
+            probe.entered(number);
             holder = maker.holder(clock(), random.nextLong(), voters, promise, random.nextLong(), this);
             if (kept != null) {
                 holder.recall(clock(), keptVersion, kept);
@@ -114,6 +116,7 @@
                     breaks(name + " could not read its own folder: " + e.getMessage());
                 }
             }
+            probe.left(number);
             at(time.nowUs() + random.nextLong(TICK_US), () -> tick(of));
         }
 
@@ -135,10 +138,12 @@
                 return;
             }
             if (!stopped) {
+                probe.entered(number);
                 holder.tick(clock());
                 if (voter != null) {
                     voter.tick();
                 }
+                probe.left(number);
                 look(this);
             }
             at(time.nowUs() + TICK_US, () -> tick(of));
@@ -154,7 +159,9 @@
                     waiting.add(task);
                 }
             } else {
+                probe.entered(number);
                 task.run();
+                probe.left(number);
                 look(this);
             }
         }
@@ -164,7 +171,9 @@
             // Who goes on has its clock before it has anything else: first it decides something.
             look(this);
             while (!waiting.isEmpty() && !stopped) {
+                probe.entered(number);
                 waiting.poll().run();
+                probe.left(number);
             }
             look(this);
         }
@@ -242,6 +251,7 @@
     }
 
     private final Maker maker;
+    private final Probe probe;
     private final Promise promise;
     private final SplittableRandom random;
     private final List<String> voters = new ArrayList<>();
@@ -274,7 +284,13 @@
 
     /** The same, and some after the first may be made voters by an order. */
     public RulesSim(int size, int voting, int mayVote, Promise promise, long seed, Maker maker) {
+        this(size, voting, mayVote, promise, seed, maker, Probe.NONE);
+    }
+
+    /** The same, observed. */
+    public RulesSim(int size, int voting, int mayVote, Promise promise, long seed, Maker maker, Probe probe) {
         this.maker = maker;
+        this.probe = probe;
         this.mayVote = mayVote;
         this.promise = promise;
         this.random = new SplittableRandom(seed);
@@ -319,6 +335,13 @@
             return;
         }
         byte[] bytes = Wire.encode(parcel);
+        probe.left(from.number);
+        transport(from, there, parcel, bytes);
+        probe.entered(from.number);
+    }
+
+    private void transport(Process from, Process there, Parcel parcel, byte[] bytes) {
+        probe.sent(from.number, bytes.length);
         counts.merge("messages", 1L, Long::sum);
         counts.merge("bytes", (long) bytes.length, Long::sum);
         counts.merge("longest", (long) bytes.length, Math::max);
@@ -330,16 +353,30 @@
         for (long later : links.delays(from.number, there.number, time.nowUs())) {
             long queued = (long) (-Math.log(1 - random.nextDouble()) * 200);
             at(time.nowUs() + later + LEAST_DELAY_US + queued, () -> {
-                try {
-                    Parcel come = Wire.decode(bytes);
+                if (there.up) {
+                    probe.received(there.number, bytes.length);
+                }
+                Parcel come = opened(there, bytes);
+                if (come != null) {
                     there.run(there.life, () -> there.receive(from.name, come));
-                } catch (IOException e) {
-                    breaks("a parcel could not be read back: " + e.getMessage());
                 }
             });
         }
     }
 
+    /** The parcel of some bytes that reached a process; null where they can't be read, which breaks the day. */
+    private Parcel opened(Process there, byte[] bytes) {
+        probe.entered(there.number);
+        try {
+            return Wire.decode(bytes);
+        } catch (IOException e) {
+            breaks("a parcel could not be read back: " + e.getMessage());
+            return null;
+        } finally {
+            probe.left(there.number);
+        }
+    }
+
     // ---- Faults ----
 
     /** Sets a plan's faults up, each at its time. */
@@ -356,7 +393,9 @@
                 if (fault.kind() == FleetPlan.Kind.TERM && process.up && !process.stopped && process.voter != null) {
                     Voter leaving = process.voter;
                     long of = process.life;
+                    probe.entered(process.number);
                     leaving.leave();
+                    probe.left(process.number);
                     at(time.nowUs() + ENDS_US, () -> {
                         if (process.life == of) {
                             process.end();
--- a/src/test/java/petrelstand/LayersTest.java
+++ b/src/test/java/petrelstand/LayersTest.java
@@ -76,6 +76,15 @@
         }
     }
 
+    /** Curves through measured costs are fitted from the points alone; only the package's own name has the lab in it. */
+    @Test
+    void fittingIsFreeOfTheWorld() throws IOException {
+        Pattern otherThanItself = Pattern.compile("import petrelstand\\.(?!lab\\.capacity\\.fit)");
+        assertEquals(List.of(), found("lab/capacity/fit", otherThanItself));
+        assertEquals(List.of(), found("lab/capacity/fit", FORBIDDEN).stream()
+                .filter(line -> !line.contains("petrelstand.lab.capacity.fit")).toList());
+    }
+
     /** Only the command line and the gateway's own wiring know the store, and nothing that serves knows the lab. */
     @Test
     void theLaboratoryAndTheCommandLineAreKnownToNobodyThatServes() throws IOException {
--- a/src/test/java/petrelstand/cli/CliTest.java
+++ b/src/test/java/petrelstand/cli/CliTest.java
@@ -60,6 +60,20 @@
         assertTrue(err.toString().startsWith("--seeds must be A-B, not 'all'"), err.toString());
     }
 
+    @Test
+    void aWrongArgumentOfTheCapacityCommandIsOneLineAndNothingIsPlayed() {
+        Path json = folder.resolve("capacity.json");
+        for (String sizes : List.of("5,50", "50,2000", "50,50", "fifty")) {
+            assertEquals(2, run("lab", "capacity", "members", "--sizes", sizes, "--json", json.toString()));
+            assertTrue(err.toString().startsWith("--sizes "), err.toString());
+            assertEquals(1, err.toString().lines().count(), err.toString());
+        }
+        assertEquals(2, run("lab", "capacity", "nodes", "--sizes", "50", "--json", json.toString()));
+        assertTrue(err.toString().startsWith("ROLE "), err.toString());
+        assertEquals(1, err.toString().lines().count(), err.toString());
+        assertTrue(Files.notExists(json));
+    }
+
     @Test
     void inspectPrintsTheNewestAndItsJsonIsRead() throws Exception {
         write(2);
