--- a/src/main/java/petrelstand/cli/LabCapacity.java
+++ b/src/main/java/petrelstand/cli/LabCapacity.java
@@ -4,11 +4,13 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import petrelstand.lab.capacity.CapacityPage;
 import petrelstand.lab.capacity.CapacityPlan;
 import petrelstand.lab.capacity.CapacityReport;
 import petrelstand.lab.capacity.Experiment;
+import petrelstand.lab.capacity.Sample;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -54,7 +56,8 @@
             return WRONG_ARGUMENT;
         }
         long began = System.nanoTime();
-        CapacityReport report = new CapacityReport(plan, new Experiment(plan).play(), (System.nanoTime() - began) / 1e9);
+        List<Sample> samples = new Experiment(plan).play();
+        CapacityReport report = new CapacityReport(plan, samples, (System.nanoTime() - began) / 1e9);
         PrintWriter out = spec.commandLine().getOut();
         out.print(report.table());
         out.flush();
--- a/src/main/java/petrelstand/cli/LabCommand.java
+++ b/src/main/java/petrelstand/cli/LabCommand.java
@@ -28,7 +28,8 @@
 /** {@code petrelstand lab}: the laboratory. */
 @Command(name = "lab", description = "The laboratory: days in virtual time, killed writers.",
         subcommands = {LabCommand.Run.class, LabCommand.Kill.class, LabCommand.Serve.class, LabCommand.Capture.class,
-            LabCommand.Waits.class, LabCommand.Cost.class, LabFaults.class, LabCapacity.class}, mixinStandardHelpOptions = true)
+            LabCommand.Waits.class, LabCommand.Cost.class, LabFaults.class, LabCapacity.class},
+        mixinStandardHelpOptions = true)
 final class LabCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/petrelstand/fleet/SealedForm.java
+++ b/src/main/java/petrelstand/fleet/SealedForm.java
@@ -5,10 +5,11 @@
 import java.util.List;
 import petrelstand.members.Message.Envelope;
 
-/** Members' messages as the datagrams that a gateway sends: encoded and sealed. For measurements; one thread at a time. */
+/**
+ * Members' messages as the datagrams that a gateway sends: encoded and sealed. For measurements; one
+ * thread at a time.
+ */
 public final class SealedForm {
-    /** Bytes that the seal adds to the content of a datagram. */
-    public static final int SEAL_BYTES = Seal.HEAD + Seal.MARK;
     private static final int KEY_BYTES = 32;
 
     private final Seal seal = new Seal(List.of(new byte[KEY_BYTES]));
--- a/src/main/java/petrelstand/lab/capacity/CapacityPage.java
+++ b/src/main/java/petrelstand/lab/capacity/CapacityPage.java
@@ -30,7 +30,8 @@
 
     private static String plot(Curve curve) {
         Frame frame = new Frame(curve.points());
-        StringBuilder svg = new StringBuilder("<figure><svg viewBox=\"0 0 " + WIDTH + " " + HEIGHT + "\" role=\"img\">");
+        String box = "0 0 " + WIDTH + " " + HEIGHT;
+        StringBuilder svg = new StringBuilder("<figure><svg viewBox=\"" + box + "\" role=\"img\">");
         svg.append(line(MARGIN, HEIGHT - MARGIN, WIDTH - MARGIN, HEIGHT - MARGIN, "#888"));
         svg.append(line(MARGIN, MARGIN, MARGIN, HEIGHT - MARGIN, "#888"));
         svg.append(label(MARGIN, HEIGHT - MARGIN + 16, frame.leastX));
@@ -49,8 +50,8 @@
     }
 
     private static String line(double x1, double y1, double x2, double y2, String colour) {
-        return String.format(Locale.ROOT, "<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>", x1, y1,
-                x2, y2, colour);
+        return String.format(Locale.ROOT, "<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>",
+                x1, y1, x2, y2, colour);
     }
 
     private static String label(int x, int y, double value) {
--- a/src/test/java/petrelstand/LayersTest.java
+++ b/src/test/java/petrelstand/LayersTest.java
@@ -76,7 +76,7 @@
         }
     }
 
-    /** Curves through measured costs are fitted from the points alone; only the package's own name has the lab in it. */
+    /** Curves through measured costs are fitted from the points alone; the package's own name has the lab in it. */
     @Test
     void fittingIsFreeOfTheWorld() throws IOException {
         Pattern otherThanItself = Pattern.compile("import petrelstand\\.(?!lab\\.capacity\\.fit)");
