--- a/src/main/java/petrelstand/lifecycle/MemoryPlan.java
+++ b/src/main/java/petrelstand/lifecycle/MemoryPlan.java
@@ -2,7 +2,7 @@
 
 /**
  * What a gateway may hold at once, derived at its start from its heap and its descriptors. Each kind of thing has a
- * measured size; what is of a bounded number (connections, volumes, nodes) is set aside whole, and the bytes of bodies
+ * size, measured or estimated; what is of a bounded number (connections, volumes, nodes) is set aside whole, and the bytes of bodies
  * share what is left. Bodies of all kinds together never hold more than {@link #bodyBytes}, and no kind that is read or
  * written more than half of it.
  *
