--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,15 @@
-# build: jar and class-data archive; test: all tests; lint: the compiler's warnings as errors, and the size limits;
+# build: jar and class-data archive; test: all tests; format: lays the Java files out;
+# lint: layout, Checkstyle's list, the compiler's warnings as errors, and the size limits;
 # run: one gateway, as RELAY_CONFIG says; without it, one to try by hand before stand-in nodes.
-.PHONY: build test lint run
+.PHONY: build test format lint run
 build:
 	sh deploy/build
 test:
 	sh deploy/test
+format:
+	mvn -q -B spotless:apply
 lint:
-	mvn -q -B test-compile
+	mvn -q -B spotless:check checkstyle:check test-compile
 	sh deploy/limits
 run: build
 	@if [ -n "$$RELAY_CONFIG" ]; then $$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml); \
