--- a/src/test/java/petrelstand/core/LimitBoundTest.java
+++ b/src/test/java/petrelstand/core/LimitBoundTest.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -16,6 +15,8 @@
 import petrelstand.decision.Scheduling.Settings;
 import petrelstand.lifecycle.ProcessShare;
 import petrelstand.testing.Harness;
+import petrelstand.testing.InertNodes;
+import petrelstand.testing.SilentClient;
 
 /**
  * The rule on limits in virtual time (docs/design/limits.md): gateways whose processes are replaced, stopped and killed
@@ -133,7 +134,7 @@
     }
 
     /** One process of a gateway: a loop that turns each millisecond unless it is stopped, and a thread that looks. */
-    private static final class Process implements ServerSide {
+    private static final class Process extends InertNodes {
         private final World world;
         private final List<Process> ofGateway;
         private final Timers timers = new Timers();
@@ -268,30 +269,6 @@
         private void answer(Attempt attempt, long us) {
             timers.at(nowUs + us, () -> attempt.ended(Outcome.SERVED, "body", null));
         }
-
-        @Override
-        public void abandon(Attempt attempt) {}
-
-        @Override
-        public void probe(Node node, long timeoutUs, ProbeResult result) {
-            result.ended(Outcome.SERVED, Map.of());
-        }
-
-        @Override
-        public void forget(Node node) {}
-    }
-
-    private static final class SilentClient implements ClientSide {
-        @Override
-        public boolean served(Object answer) {
-            return true;
-        }
-
-        @Override
-        public void refused(long retryAfterUs) {}
-
-        @Override
-        public void failed(Attempt last) {}
     }
 
     @Test
--- a/src/test/java/petrelstand/core/ModuleMemoryTest.java
+++ b/src/test/java/petrelstand/core/ModuleMemoryTest.java
@@ -12,6 +12,8 @@
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.lifecycle.MemoryPlan;
 import petrelstand.testing.Harness;
+import petrelstand.testing.InertNodes;
+import petrelstand.testing.SilentClient;
 
 /** What volumes, nodes and pairs of the two keep on the heap: no more than the plan sets aside for them. */
 class ModuleMemoryTest {
@@ -20,36 +22,19 @@
     private static final long STEP_US = 500;
 
     private final Harness world = new Harness();
-    private final Broker broker = world.broker(new ServerSide() {
+    private final Broker broker = world.broker(new InertNodes() {
         @Override
         public void start(Attempt attempt) {
             attempt.ended(Outcome.SERVED, "answer", null);
         }
-
-        @Override
-        public void abandon(Attempt attempt) {}
-
-        @Override
-        public void probe(Node node, long timeoutUs, ProbeResult result) {
-            result.ended(Outcome.SERVED, Map.of());
-        }
-
-        @Override
-        public void forget(Node node) {}
     });
     private int served;
-    private final ClientSide client = new ClientSide() {
+    private final SilentClient client = new SilentClient() {
         @Override
         public boolean served(Object answer) {
             served++;
             return true;
         }
-
-        @Override
-        public void refused(long retryAfterUs) {}
-
-        @Override
-        public void failed(Attempt last) {}
     };
 
     /** Bytes in use once what nobody holds has been collected. */
--- a/src/test/java/petrelstand/store/StateKeeperTest.java
+++ b/src/test/java/petrelstand/store/StateKeeperTest.java
@@ -22,6 +22,7 @@
 import petrelstand.decision.Scheduling.Outcome;
 import petrelstand.state.WritePlan;
 import petrelstand.testing.Harness;
+import petrelstand.testing.SilentClient;
 
 /** The keeper between a broker in virtual time and a folder that fails: service goes on, and one line tells. */
 class StateKeeperTest {
@@ -70,18 +71,8 @@
 
     private void serve(Broker broker, int requests) {
         for (int i = 0; i < requests; i++) {
-            broker.take(new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1_500_000), "ask", new ClientSide() {
-                @Override
-                public boolean served(Object answer) {
-                        return true;
-                    }
-
-                @Override
-                public void refused(long retryAfterUs) {}
-
-                @Override
-                public void failed(Attempt last) {}
-            }, exchange -> {});
+            broker.take(new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1_500_000), "ask", new SilentClient(),
+                    exchange -> {});
             world.run(10_000);
         }
     }
--- /dev/null
+++ b/src/test/java/petrelstand/testing/InertNodes.java
@@ -0,0 +1,21 @@
+package petrelstand.testing;
+
+import java.util.Map;
+import petrelstand.core.Attempt;
+import petrelstand.core.Node;
+import petrelstand.core.ServerSide;
+import petrelstand.decision.Scheduling.Outcome;
+
+/** A server side that carries out nothing but probes; tests override what they play. */
+public abstract class InertNodes implements ServerSide {
+    @Override
+    public void abandon(Attempt attempt) {}
+
+    @Override
+    public void probe(Node node, long timeoutUs, ProbeResult result) {
+        result.ended(Outcome.SERVED, Map.of());
+    }
+
+    @Override
+    public void forget(Node node) {}
+}
