--- a/src/main/java/petrelstand/Descriptors.java
+++ b/src/main/java/petrelstand/Descriptors.java
@@ -10,12 +10,14 @@
 record Descriptors(int clients, int nodes) {
     private static final int KEPT = 64;
 
-    /** Kept back by each of two processes: for the jars, listeners and selector some 25, the rest for operators' calls. */
+    /**
+     * Kept back by each of two processes: for the jars, listeners and selector some 25, the rest for operators' calls.
+     */
     private static final int KEPT_HALF = 40;
 
     /**
-     * What each of two processes has of one gateway's. Clients' connections pass from one to the other and are at both for a
-     * while, those to nodes are fewer than a quarter in use: so four fifths are for clients.
+     * What each of two processes has of one gateway's. Clients' connections pass from one to the other and are at both
+     * for a while, those to nodes are fewer than a quarter in use: so four fifths are for clients.
      */
     static Descriptors half(int sockets, int rsync) {
         int rest = Math.max(sockets / 4, sockets / 2 - KEPT_HALF - rsync);
--- a/src/main/java/petrelstand/FleetPart.java
+++ b/src/main/java/petrelstand/FleetPart.java
@@ -18,8 +18,14 @@
     private final FleetConfig config;
     private final Fleet fleet;
 
-    FleetPart(FleetConfig config, GatewayConfig gateway, Timers timers, LongSupplier nowUs, Executor loop,
-            Counters counters, Consumer<String> log) {
+    FleetPart(
+            FleetConfig config,
+            GatewayConfig gateway,
+            Timers timers,
+            LongSupplier nowUs,
+            Executor loop,
+            Counters counters,
+            Consumer<String> log) {
         this.config = config;
         this.fleet = new Fleet(config, gateway.name(), gateway.seed(), timers, nowUs, loop, counters, log);
         if (log instanceof JsonLog json) {
--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -42,10 +42,12 @@
     private static final long DRAIN_CHECK_US = 50_000;
     /** Of the connections that close in a spread way, the part at each check, and the least number. */
     private static final int SPREAD = 16;
+
     private static final int LEAST_CLOSED = 2;
     /**
      * Lingering connections are not waited for longer than this once all is answered. Counted from the last answer, not
-     * from the end of listening: the end of the process resets its connections, and an answer under way is lost with it.
+     * from the end of listening: the end of the process resets its connections, and an answer under way is lost with
+     * it.
      */
     private static final long LAST_LINGER_US = 600_000;
     /** For each transfer a client's and a node's, and a client's that is refused. */
@@ -55,6 +57,7 @@
      * restarts is lost: on half a core 100 of them made a restart 2.5 s long, 25 of them 1.3 s.
      */
     private static final int REHEARSED = 25;
+
     private static final int REHEARSALS_REPLACED = 16;
     private static final long REST_NS = 50_000_000;
     /** How long the start waits for the first list. */
@@ -68,6 +71,7 @@
     private final Consumer<String> log;
     /** As the file in use says. */
     private volatile GatewayConfig config;
+
     private final EventLoop loop;
     private final Broker broker;
     private final Front front;
@@ -84,6 +88,7 @@
     private final Lifecycle life;
     /** Null where no address for operators is given: nothing of it is loaded then. */
     private final OperationPart operation;
+
     private final RetunePart retuning;
     private Timers.Timer turn;
     /** When all that was taken was answered, as of now; 0 while something is not. */
@@ -101,35 +106,105 @@
         this.loop = new EventLoop(clock, timers);
         int transfers = rsync == null ? 0 : RSYNC_DESCRIPTORS * rsync.mostTransfers();
         Descriptors parts = Descriptors.of(config.sockets(), transfers);
-        MemoryPlan plan = MemoryPlan.of(Runtime.getRuntime().maxMemory(), config.memoryBytes(), config.sockets(),
-                parts.clients(), parts.nodes(), config.known().nodes().size(), Policy.MOST_VOLUMES);
+        MemoryPlan plan = MemoryPlan.of(
+                Runtime.getRuntime().maxMemory(),
+                config.memoryBytes(),
+                config.sockets(),
+                parts.clients(),
+                parts.nodes(),
+                config.known().nodes().size(),
+                Policy.MOST_VOLUMES);
         log.accept(plan.line());
         Budgets budgets = Budgets.of(plan);
-        NodePool pool = new NodePool(loop::connect, clock::nowUs, timers, counters, config.settings(),
-                "backend.local", plan.nodes(), budgets);
-        this.broker = new Broker(config.settings(), config.seed(), clock::nowUs, timers,
-                rsync == null ? pool : new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers,
-                        config.settings().may().connectTimeoutMs())), counters, log);
+        NodePool pool = new NodePool(
+                loop::connect,
+                clock::nowUs,
+                timers,
+                counters,
+                config.settings(),
+                "backend.local",
+                plan.nodes(),
+                budgets);
+        this.broker = new Broker(
+                config.settings(),
+                config.seed(),
+                clock::nowUs,
+                timers,
+                rsync == null
+                        ? pool
+                        : new ByWire(
+                                pool,
+                                new RsyncNodes(
+                                        loop::connect,
+                                        clock::nowUs,
+                                        timers,
+                                        config.settings().may().connectTimeoutMs())),
+                counters,
+                log);
         this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
         this.life = new Lifecycle(Lifecycle.Times.of(config.settings()));
         this.front = new Front(broker, timers, plan.clients(), life, budgets);
         this.retuning = new RetunePart(broker, front, pool, life, timers, clock::nowUs, log);
-        this.operation = config.operator() == null ? null : new OperationPart(config, transfers, life, broker, front, pool,
-                timers, clock::nowUs, clock::readUs, loop::execute, counters, log, this::evacuate, this::rejoin);
-        this.watch = new Watch(loop::connect, clock::nowUs, timers, config.discovery(), "backend.local",
-                config.settings().zones(), config.known().version(), this::heard, counters, log);
-        this.keeper = operator == null || operator.state() == null ? null
-                : StateKeeper.onDisk(operator.state().folder(), operator.state().everyUs(),
-                        config.name(), config.settings(), timers, clock::nowUs, System::currentTimeMillis,
-                        loop::execute, counters, log);
+        this.operation = config.operator() == null
+                ? null
+                : new OperationPart(
+                        config,
+                        transfers,
+                        life,
+                        broker,
+                        front,
+                        pool,
+                        timers,
+                        clock::nowUs,
+                        clock::readUs,
+                        loop::execute,
+                        counters,
+                        log,
+                        this::evacuate,
+                        this::rejoin);
+        this.watch = new Watch(
+                loop::connect,
+                clock::nowUs,
+                timers,
+                config.discovery(),
+                "backend.local",
+                config.settings().zones(),
+                config.known().version(),
+                this::heard,
+                counters,
+                log);
+        this.keeper = operator == null || operator.state() == null
+                ? null
+                : StateKeeper.onDisk(
+                        operator.state().folder(),
+                        operator.state().everyUs(),
+                        config.name(),
+                        config.settings(),
+                        timers,
+                        clock::nowUs,
+                        System::currentTimeMillis,
+                        loop::execute,
+                        counters,
+                        log);
         if (operator != null && operator.accounts() != null) {
             account(operator.accounts());
         }
-        this.fleet = operator == null || operator.fleet() == null ? null
+        this.fleet = operator == null || operator.fleet() == null
+                ? null
                 : new FleetPart(operator.fleet(), config, timers, clock::nowUs, loop::execute, counters, log);
-        this.rules = operator == null || operator.rules() == null ? null
-                : new RulesPart(operator.rules(), config, fleet.fleet(), broker, timers, clock::nowUs, loop::execute,
-                        counters, this::ruled, log);
+        this.rules = operator == null || operator.rules() == null
+                ? null
+                : new RulesPart(
+                        operator.rules(),
+                        config,
+                        fleet.fleet(),
+                        broker,
+                        timers,
+                        clock::nowUs,
+                        loop::execute,
+                        counters,
+                        this::ruled,
+                        log);
     }
 
     /** Switches the accounts on; where they are off nothing of them is loaded. */
@@ -207,8 +282,9 @@
     }
 
     /**
-     * Asks for the list as it is now, and opens with it: the one in the file may be as old as the process before, what the
-     * agent has counts as told from the first moment, and clients come at once. Without an answer it opens all the same.
+     * Asks for the list as it is now, and opens with it: the one in the file may be as old as the process before, what
+     * the agent has counts as told from the first moment, and clients come at once. Without an answer it opens all the
+     * same.
      */
     private void follow() {
         watch.start();
@@ -216,9 +292,9 @@
     }
 
     /**
-     * Where operators replace a process, one that starts is beside another or the first, and either has time: it rehearses
-     * more, beside another with rests in which that one serves. Elsewhere what comes while it starts is lost, so little is
-     * rehearsed.
+     * Where operators replace a process, one that starts is beside another or the first, and either has time: it
+     * rehearses more, beside another with rests in which that one serves. Elsewhere what comes while it starts is lost,
+     * so little is rehearsed.
      */
     private void rehearse() {
         int times = operation != null ? REHEARSALS_REPLACED : 1;
@@ -255,9 +331,11 @@
         if (operation != null) {
             listen(operation::open, config.operator());
         }
-        ports.complete(listeners.stream().map(listener -> listener.socket().getLocalPort()).toList());
-        log.accept("ready: " + config.name() + " on " + config.listen() + ", " + config.known().nodes().size()
-                + " nodes known");
+        ports.complete(listeners.stream()
+                .map(listener -> listener.socket().getLocalPort())
+                .toList());
+        log.accept("ready: " + config.name() + " on " + config.listen() + ", "
+                + config.known().nodes().size() + " nodes known");
     }
 
     private void listen(String address, Function<EndPoint, Connection> to) {
@@ -287,8 +365,8 @@
     }
 
     /**
-     * SIGHUP: takes the new address of discovery from the gateway's file. The rest of it is fixed at the start, and
-     * its node list is older than the one in use. On the loop's thread.
+     * SIGHUP: takes the new address of discovery from the gateway's file. The rest of it is fixed at the start, and its
+     * node list is older than the one in use. On the loop's thread.
      */
     void reload(GatewayConfig changed) {
         List<String> later = config.fixedChanges(changed);
@@ -337,7 +415,8 @@
         rsync.nodes().stream().filter(node -> !kept.contains(node.number())).forEach(node -> nodes.add(node.asGone()));
         rsync = changed;
         rsyncFront.reload(rules == null ? changed : rules.allowed(changed));
-        log.accept("rsync: the operator's file was read anew, " + changed.modules().size() + " modules");
+        log.accept(
+                "rsync: the operator's file was read anew, " + changed.modules().size() + " modules");
         broker.nodes(ListKind.CHANGES, nodes);
     }
 
@@ -377,8 +456,10 @@
 
     private boolean evacuate() {
         boolean done = life.evacuate(clock.nowUs());
-        log.accept(done ? "evacuate: " + broker.open() + " requests open, " + front.connections() + " connections"
-                : "evacuate: not before this process serves");
+        log.accept(
+                done
+                        ? "evacuate: " + broker.open() + " requests open, " + front.connections() + " connections"
+                        : "evacuate: not before this process serves");
         live();
         return done;
     }
@@ -429,8 +510,9 @@
     private boolean over(long now) {
         boolean answered = broker.open() == 0 && front.answering() == 0 && !loop.isTaking();
         answeredUs = !answered ? 0 : answeredUs == 0 ? now : answeredUs;
-        return answered && (front.owing() + (rsync == null ? 0 : rsyncFront.sessions()) == 0
-                || now >= answeredUs + LAST_LINGER_US);
+        return answered
+                && (front.owing() + (rsync == null ? 0 : rsyncFront.sessions()) == 0
+                        || now >= answeredUs + LAST_LINGER_US);
     }
 
     private void end() {
--- a/src/main/java/petrelstand/HotRestartPart.java
+++ b/src/main/java/petrelstand/HotRestartPart.java
@@ -16,9 +16,9 @@
 import petrelstand.decision.Scheduling.LearnedNode;
 import petrelstand.decision.Scheduling.LearnedVolume;
 import petrelstand.decision.Scheduling.Settings;
+import petrelstand.lifecycle.ProcessShare;
 import petrelstand.state.Snapshot;
 import petrelstand.state.Trust;
-import petrelstand.lifecycle.ProcessShare;
 import petrelstand.store.Marks;
 import petrelstand.store.Marks.Look;
 import petrelstand.store.Marks.Other;
@@ -26,8 +26,8 @@
 import petrelstand.store.StateFault;
 
 /**
- * Two processes of one gateway, of which the newer takes the older's place: each looks for the other by its mark, from a
- * thread of its own, and tells the loop what it found. What each may spend of the gateway's due is decided by
+ * Two processes of one gateway, of which the newer takes the older's place: each looks for the other by its mark, from
+ * a thread of its own, and tells the loop what it found. What each may spend of the gateway's due is decided by
  * {@link ProcessShare}; the older hands on what it has learned, for as long as the newer does not yet listen.
  *
  * <p>The thread owns the marks and the file; the loop's thread owns the share and what is told here, and takes each
@@ -58,17 +58,21 @@
     private final Thread thread = new Thread(this::run, "hot-restart");
     /** Of the thread alone, but for the start. */
     private Marks marks;
+
     private Other seen = Other.NONE;
     /** Of the loop's thread, but for the start. */
     private final ProcessShare share = new ProcessShare();
+
     private Broker broker;
     private volatile long settingsPrint;
     /** Set by the loop, taken by the thread. */
     private final AtomicReference<Snapshot> handing = new AtomicReference<>();
+
     private volatile boolean ended;
 
     /** Looks in a folder; the clock is read from any thread, in µs; what is told, and logged, is on the loop. */
-    HotRestartPart(GatewayConfig config, Path folder, Executor loop, LongSupplier clock, Told told, Consumer<String> log) {
+    HotRestartPart(
+            GatewayConfig config, Path folder, Executor loop, LongSupplier clock, Told told, Consumer<String> log) {
         this.config = config;
         this.folder = folder;
         this.loop = loop;
@@ -81,13 +85,20 @@
     /** Writes and reads a file as between two processes, so that the build's class-data archive has what that takes. */
     static void rehearse(GatewayConfig config) throws StateFault {
         long now = System.currentTimeMillis();
-        Learned learned = new Learned(now, 1, 1, List.of(new LearnedNode(1, 0, 1, 1, 3, 10, 0, 0)),
+        Learned learned = new Learned(
+                now,
+                1,
+                1,
+                List.of(new LearnedNode(1, 0, 1, 1, 3, 10, 0, 0)),
                 List.of(new LearnedVolume(1, 0, 1, 1, 0, 0, 0)));
         Snapshot taken = new Snapshot(config.name(), Snapshot.print(config.settings()), 1, now, false, learned);
         new Trust(config.name(), config.settings()).weigh(SnapshotFormat.decode(SnapshotFormat.encode(taken)), now);
     }
 
-    /** Leaves this process's mark and looks for another's, before anything is opened. Without a folder there is no hot restart. */
+    /**
+     * Leaves this process's mark and looks for another's, before anything is opened. Without a folder there is no hot
+     * restart.
+     */
     Other open() {
         try {
             marks = new Marks(folder, config.name() + " " + config.listen());
@@ -106,7 +117,9 @@
         return share;
     }
 
-    /** What the other process has learned, weighed for this one; null where it has handed on nothing that can be used. */
+    /**
+     * What the other process has learned, weighed for this one; null where it has handed on nothing that can be used.
+     */
     Learned handed() {
         try {
             Path file = marks == null ? null : marks.handover();
@@ -115,9 +128,12 @@
             }
             Snapshot old = SnapshotFormat.decode(Files.readAllBytes(file));
             Trust.Verdict verdict = new Trust(config.name(), config.settings()).weigh(old, System.currentTimeMillis());
-            log.accept(verdict.refused() != null ? "what the other process handed on is not used: " + verdict.refused()
-                    : "took over " + verdict.learned().nodes().size() + " nodes and " + verdict.learned().volumes().size()
-                            + " volumes, " + (long) verdict.ageMs() + " ms old");
+            log.accept(
+                    verdict.refused() != null
+                            ? "what the other process handed on is not used: " + verdict.refused()
+                            : "took over " + verdict.learned().nodes().size() + " nodes and "
+                                    + verdict.learned().volumes().size() + " volumes, " + (long) verdict.ageMs()
+                                    + " ms old");
             return verdict.refused() == null ? verdict.learned() : null;
         } catch (IOException | StateFault | RuntimeException e) {
             log.accept("what the other process handed on is not used: " + e.getMessage());
@@ -187,8 +203,8 @@
         }
         if (now == Other.STARTING && hand) {
             // The snapshot is the loop's to take; the file is this thread's to write.
-            loop.execute(() -> handing.set(new Snapshot(config.name(), settingsPrint, 1,
-                    System.currentTimeMillis(), false, broker.learned())));
+            loop.execute(() -> handing.set(new Snapshot(
+                    config.name(), settingsPrint, 1, System.currentTimeMillis(), false, broker.learned())));
             Snapshot due = handing.getAndSet(null);
             if (due != null) {
                 write(SnapshotFormat.encode(due));
--- a/src/main/java/petrelstand/Main.java
+++ b/src/main/java/petrelstand/Main.java
@@ -23,8 +23,10 @@
 import petrelstand.sim.InstanceLoop;
 import petrelstand.sim.LinkException;
 
-/** Command line of the jar: serves as a gateway, plays the simulator's wire, or
- * rehearses for the build's class-data archive. */
+/**
+ * Command line of the jar: serves as a gateway, plays the simulator's wire, or rehearses for the build's class-data
+ * archive.
+ */
 public final class Main {
     private static final Consumer<String> TEXT = line -> System.out.println("petrelstand: " + line);
 
@@ -41,8 +43,12 @@
         } else if (args.length == 1 && args[0].equals("rehearse")) {
             rehearse();
         } else {
-            System.exit(Cli.line(Main::serve, Main::wirehost, Main::rehearse,
-                    (config, operator) -> serve(config, operator, new CompletableFuture<>())).execute(args));
+            System.exit(Cli.line(
+                            Main::serve,
+                            Main::wirehost,
+                            Main::rehearse,
+                            (config, operator) -> serve(config, operator, new CompletableFuture<>()))
+                    .execute(args));
         }
     }
 
@@ -91,7 +97,9 @@
         ready.get();
         serving.complete(gateway);
         if (operator != null) {
-            operator.follow(config.settings(), changed -> gateway.execute(() -> gateway.reload(changed)),
+            operator.follow(
+                    config.settings(),
+                    changed -> gateway.execute(() -> gateway.reload(changed)),
                     why -> log.accept("the former operator's file stays in use: " + why));
         }
         new CountDownLatch(1).await();
@@ -138,8 +146,8 @@
     }
 
     /**
-     * The gateway's file is read and checked whole off the loop, one signal after another; the last one read is
-     * the last one taken.
+     * The gateway's file is read and checked whole off the loop, one signal after another; the last one read is the
+     * last one taken.
      */
     private static synchronized void reload(Gateway gateway) {
         try {
@@ -154,13 +162,15 @@
     /** A start and an end on loopback, with one request: what it loads goes into the class-data archive. */
     private static void rehearse() {
         try (InputStream file = Main.class.getResourceAsStream("/rehearsal.json")) {
-            GatewayConfig config = GatewayConfig.parse(new String(file.readAllBytes(), StandardCharsets.UTF_8), Map.of());
+            GatewayConfig config =
+                    GatewayConfig.parse(new String(file.readAllBytes(), StandardCharsets.UTF_8), Map.of());
             CountDownLatch ended = new CountDownLatch(1);
             Gateway gateway = new Gateway(config, null, TEXT, ended::countDown);
             guard(gateway);
             int port = gateway.start().get().get(0);
             try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
-                client.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                client.getOutputStream()
+                        .write("GET /ready HTTP/1.1\r\nHost: b\r\n\r\n".getBytes(StandardCharsets.UTF_8));
                 client.getInputStream().read();
             }
             HotRestartPart.rehearse(config);
@@ -175,8 +185,8 @@
 
     private static void wirehost() {
         try {
-            new InstanceLoop().run(new BufferedInputStream(System.in, 1 << 16),
-                    new BufferedOutputStream(System.out, 1 << 16));
+            new InstanceLoop()
+                    .run(new BufferedInputStream(System.in, 1 << 16), new BufferedOutputStream(System.out, 1 << 16));
         } catch (LinkException | IOException e) {
             System.err.println("petrelstand: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/petrelstand/OperationPart.java
+++ b/src/main/java/petrelstand/OperationPart.java
@@ -42,9 +42,24 @@
     private final Consumer<String> log;
     private Other other = Other.NONE;
 
-    /** Before a gateway's parts, of which its rsync transfers take descriptors too; evacuate and rejoin say whether they could be done. */
-    OperationPart(GatewayConfig config, int transfers, Lifecycle life, Broker broker, Front front, NodePool pool, Timers timers,
-            LongSupplier clock, LongSupplier anyThreadsClock, Executor loop, Counters counters, Consumer<String> log, BooleanSupplier evacuate,
+    /**
+     * Before a gateway's parts, of which its rsync transfers take descriptors too; evacuate and rejoin say whether they
+     * could be done.
+     */
+    OperationPart(
+            GatewayConfig config,
+            int transfers,
+            Lifecycle life,
+            Broker broker,
+            Front front,
+            NodePool pool,
+            Timers timers,
+            LongSupplier clock,
+            LongSupplier anyThreadsClock,
+            Executor loop,
+            Counters counters,
+            Consumer<String> log,
+            BooleanSupplier evacuate,
             BooleanSupplier rejoin) {
         this.sockets = config.sockets();
         this.transfers = transfers;
@@ -56,15 +71,28 @@
         this.clock = clock;
         this.log = log;
         String shared = System.getenv("TMPDIR");
-        this.hotRestart = new HotRestartPart(config, Path.of(shared == null ? System.getProperty("java.io.tmpdir") : shared), loop,
-                anyThreadsClock, this::other, log);
+        this.hotRestart = new HotRestartPart(
+                config,
+                Path.of(shared == null ? System.getProperty("java.io.tmpdir") : shared),
+                loop,
+                anyThreadsClock,
+                this::other,
+                log);
         Telemetry telemetry = new Telemetry(broker, counters, () -> (int) front.answering());
-        this.door = new OperatorDoor(timers, clock, counters, Map.of(
-                "/api/ready", new Call("GET", () -> life.canServe() ? new Answer(200, "ready")
-                        : new Answer(503, "this process can't serve: " + word())),
-                "/api/telemetry", new Call("GET", () -> new Answer(200, telemetry.text())),
-                "/api/evacuate", new Call("POST", () -> done(evacuate)),
-                "/api/rejoin", new Call("POST", () -> done(rejoin))));
+        this.door = new OperatorDoor(
+                timers,
+                clock,
+                counters,
+                Map.of(
+                        "/api/ready",
+                                new Call(
+                                        "GET",
+                                        () -> life.canServe()
+                                                ? new Answer(200, "ready")
+                                                : new Answer(503, "this process can't serve: " + word())),
+                        "/api/telemetry", new Call("GET", () -> new Answer(200, telemetry.text())),
+                        "/api/evacuate", new Call("POST", () -> done(evacuate)),
+                        "/api/rejoin", new Call("POST", () -> done(rejoin))));
     }
 
     private Answer done(BooleanSupplier call) {
@@ -111,11 +139,12 @@
 
     /** Told by the hot restart's thread, on the loop. */
     private void other(Other now) {
-        log.accept("hot restart: " + switch (now) {
-            case NONE -> "the other process is gone; this one has all that is the gateway's";
-            case STARTING -> "another process of this gateway starts";
-            case LISTENING -> "another process of this gateway listens too";
-        });
+        log.accept("hot restart: "
+                + switch (now) {
+                    case NONE -> "the other process is gone; this one has all that is the gateway's";
+                    case STARTING -> "another process of this gateway starts";
+                    case LISTENING -> "another process of this gateway listens too";
+                });
         other = now;
         bound();
     }
--- a/src/main/java/petrelstand/RetunePart.java
+++ b/src/main/java/petrelstand/RetunePart.java
@@ -25,7 +25,13 @@
     private Set<String> closed = Set.of();
     private Timers.Timer next;
 
-    RetunePart(Broker broker, Front front, NodePool pool, Lifecycle life, Timers timers, LongSupplier clock,
+    RetunePart(
+            Broker broker,
+            Front front,
+            NodePool pool,
+            Lifecycle life,
+            Timers timers,
+            LongSupplier clock,
             Consumer<String> log) {
         this.broker = broker;
         this.front = front;
@@ -52,8 +58,14 @@
         front.retune(step.settings(), closed);
         pool.retune(step.settings());
         life.times(Lifecycle.Times.of(step.settings()));
-        log.accept("settings: classes " + String.join(", ", step.settings().classes().stream().map(kind -> kind.name())
-                .filter(name -> !closed.contains(name)).toList()) + "; at most " + step.settings().may().maxAttempts()
+        log.accept("settings: classes "
+                + String.join(
+                        ", ",
+                        step.settings().classes().stream()
+                                .map(kind -> kind.name())
+                                .filter(name -> !closed.contains(name))
+                                .toList())
+                + "; at most " + step.settings().may().maxAttempts()
                 + " attempts" + (steps.size() > 1 ? "; clients may go by the former file yet" : ""));
         List<Step> rest = steps.subList(1, steps.size());
         next = rest.isEmpty() ? null : timers.at(rest.get(0).atUs(), () -> take(rest));
--- a/src/main/java/petrelstand/RulesPart.java
+++ b/src/main/java/petrelstand/RulesPart.java
@@ -47,13 +47,15 @@
 import petrelstand.store.StateFault;
 
 /**
- * The agreed rules' part of a gateway, put together: the holder on the loop, where decisions are made, and a voter, where
- * this gateway is one, on a thread of its own with its folder. Loaded only where the operator's file has {@code [rules]}.
+ * The agreed rules' part of a gateway, put together: the holder on the loop, where decisions are made, and a voter,
+ * where this gateway is one, on a thread of its own with its folder. Loaded only where the operator's file has
+ * {@code [rules]}.
  */
 final class RulesPart implements Holder.Actions, Voter.Carrier, RaftNodeExecutor {
     private static final long TICK_US = 50_000;
     /** Parcels that wait for the loop or the voter; more are lost, as datagrams are. */
     private static final int MOST_WAITING = 512;
+
     private static final int MOST_VOTERS = 64;
     private static final String ASKER = "asker";
     private static final String PASSED_ON = "asker passed on";
@@ -63,7 +65,12 @@
 
     /** Makes the holder; the usual one, but for tests that plant a defect. */
     interface Maker {
-        Holder holder(long nowUs, long life, RulesConfig config, long seed, Function<String, Rules> loader,
+        Holder holder(
+                long nowUs,
+                long life,
+                RulesConfig config,
+                long seed,
+                Function<String, Rules> loader,
                 Holder.Actions actions);
     }
 
@@ -91,12 +98,18 @@
     private boolean left;
     /** How far each other voter's store was heard to be. */
     private final Map<String, Long> generations = new HashMap<>();
+
     private OldCopy copy;
-    /** The epoch that this gateway's folder has versions of, -1 for none, and whether a later one was heard to have begun. */
+    /**
+     * The epoch that this gateway's folder has versions of, -1 for none, and whether a later one was heard to have
+     * begun.
+     */
     private long votedEpoch = -1;
+
     private boolean superseded;
     /** Ready to vote, and begins when a leader that was ordered to add it sends it something. */
     private boolean awaitsLeader;
+
     private long copyNonce;
 
     private static Maker maker = (now, life, config, seed, loader, act) ->
@@ -107,8 +120,17 @@
         maker = holders;
     }
 
-    RulesPart(RulesConfig config, GatewayConfig gateway, Fleet fleet, Broker broker, Timers timers, LongSupplier nowUs,
-            Executor loop, Counters counters, Runnable ruled, Consumer<String> log) {
+    RulesPart(
+            RulesConfig config,
+            GatewayConfig gateway,
+            Fleet fleet,
+            Broker broker,
+            Timers timers,
+            LongSupplier nowUs,
+            Executor loop,
+            Counters counters,
+            Runnable ruled,
+            Consumer<String> log) {
         this.config = config;
         this.fleet = fleet;
         this.broker = broker;
@@ -119,7 +141,8 @@
         this.ruled = ruled;
         this.log = line -> log.accept("rules: " + line);
         this.seed = gateway.seed();
-        this.plans = gateway.settings().plans().stream().map(plan -> plan.name()).toList();
+        this.plans =
+                gateway.settings().plans().stream().map(plan -> plan.name()).toList();
         this.votes = config.voters().contains(fleet.name()) || config.mayVote();
     }
 
@@ -144,7 +167,8 @@
         try {
             DiskFolder folder = new DiskFolder(config.folder());
             files = new RaftFiles(folder, log);
-            long newest = files.restored() == null ? 0 : new Recovery(files).book().newest();
+            long newest =
+                    files.restored() == null ? 0 : new Recovery(files).book().newest();
             votedEpoch = newest == 0 ? -1 : RuleBook.epoch(newest);
             kept = new KeptText(folder, log);
         } catch (StateFault e) {
@@ -190,7 +214,8 @@
                     log.accept("votes though only " + copy.answers() + " other voters answered in "
                             + COPY_PATIENCE_US / 1_000_000 + " s: where its folder is an old copy, that is not known");
                 }
-                // One that is none of the first voters and was not added yet would only call elections that it can't win.
+                // One that is none of the first voters and was not added yet would only call elections that it can't
+                // win.
                 awaitsLeader = !config.voters().contains(fleet.name()) && files.restored() == null;
                 if (!awaitsLeader) {
                     execute(this::vote);
@@ -219,8 +244,17 @@
     }
 
     private void vote() {
-        voter = new Voter(fleet.name(), config.voters(), config.promise(), files, Grantor::new, this, this::monotonicUs,
-                seed, this::load, this);
+        voter = new Voter(
+                fleet.name(),
+                config.voters(),
+                config.promise(),
+                files,
+                Grantor::new,
+                this,
+                this::monotonicUs,
+                seed,
+                this::load,
+                this);
         voter.start();
         thread.scheduleWithFixedDelay(this::turn, TICK_US, TICK_US, TimeUnit.MICROSECONDS);
     }
@@ -315,7 +349,11 @@
             generations.merge(parcel.from(), parcel.generation(), Math::max);
         }
         if (talk instanceof Talk.Recall asked) {
-            post(parcel.from(), heardEpoch(), null, new Talk.Recalled(asked.nonce(), generations.getOrDefault(parcel.from(), 0L)));
+            post(
+                    parcel.from(),
+                    heardEpoch(),
+                    null,
+                    new Talk.Recalled(asked.nonce(), generations.getOrDefault(parcel.from(), 0L)));
         } else if (talk instanceof Talk.Recalled answer) {
             if (copy != null && answer.nonce() == copyNonce) {
                 copy.heard(parcel.from(), answer.generation());
@@ -347,7 +385,8 @@
         }
         if (votedEpoch >= 0 && heard > votedEpoch && !superseded) {
             superseded = true;
-            log.accept("this gateway does not vote: epoch " + heard + " has begun, and its folder is of epoch " + votedEpoch);
+            log.accept("this gateway does not vote: epoch " + heard + " has begun, and its folder is of epoch "
+                    + votedEpoch);
             Voter voting = voter;
             voter = null;
             if (voting != null) {
@@ -365,8 +404,9 @@
         if (leads) {
             toVoter(() -> voter.hear("@" + parcel.address(), parcel.talk()));
         } else if (parcel.from().equals(ASKER) && address != null && !leader.equals(fleet.name())) {
-            fleet.sendRules(address, Wire.encode(new Parcel(parcel.fleet(), PASSED_ON, parcel.address(), 0, 0,
-                    null, parcel.talk())));
+            fleet.sendRules(
+                    address,
+                    Wire.encode(new Parcel(parcel.fleet(), PASSED_ON, parcel.address(), 0, 0, null, parcel.talk())));
         }
     }
 
@@ -390,8 +430,8 @@
         long generation = files == null || voter == null ? 0 : files.generation();
         loop.execute(() -> {
             String address = to.startsWith("@") ? to.substring(1) : fleet.addressOf(to);
-            Parcel parcel = new Parcel(fleet.config().fleet(), fleet.name(), fleet.config().advertise(), generation, epoch,
-                    raft, talk);
+            Parcel parcel = new Parcel(
+                    fleet.config().fleet(), fleet.name(), fleet.config().advertise(), generation, epoch, raft, talk);
             if (to.equals(fleet.name())) {
                 take(parcel);
             } else if (address != null) {
@@ -470,11 +510,12 @@
 
     @Override
     public void acts(long at, Holder.Acting acting, String why) {
-        log.accept(switch (acting.mode()) {
-            case LEASED -> "acts on version " + acting.version() + ": " + why;
-            case FALLBACK -> "FALLBACK: acts on the floors of version " + acting.version() + ": " + why;
-            case NONE -> "acts on no version: " + why;
-        });
+        log.accept(
+                switch (acting.mode()) {
+                    case LEASED -> "acts on version " + acting.version() + ": " + why;
+                    case FALLBACK -> "FALLBACK: acts on the floors of version " + acting.version() + ": " + why;
+                    case NONE -> "acts on no version: " + why;
+                });
         counters.add("rules.acts." + acting.mode().name().toLowerCase(java.util.Locale.ROOT));
         JsonObject line = new JsonObject();
         line.addProperty("version", acting.version());
@@ -525,8 +566,13 @@
             Rules.Node ruledNode = rules.nodes().get(node.name());
             nodes.add(ruledNode != null && ruledNode.removed() ? node.asGone() : node);
         }
-        return new RsyncConfig(file.listen(), file.idleUs(), file.mostTransfers(), file.modules().stream()
-                .filter(module -> on && !closed.contains(module.name())).toList(), nodes);
+        return new RsyncConfig(
+                file.listen(),
+                file.idleUs(),
+                file.mostTransfers(),
+                file.modules().stream()
+                        .filter(module -> on && !closed.contains(module.name()))
+                        .toList(),
+                nodes);
     }
-
 }
--- a/src/main/java/petrelstand/Terminator.java
+++ b/src/main/java/petrelstand/Terminator.java
@@ -8,9 +8,9 @@
 import petrelstand.lifecycle.ExitStatus;
 
 /**
- * Ends this process at once, with one line on standard error and a status of {@link ExitStatus}; the system
- * closes its sockets. All that this takes is allocated beforehand, since the cause may be that no memory is left.
- * As the handler of a thread's uncaught exceptions it marks a thread that the process can't do without.
+ * Ends this process at once, with one line on standard error and a status of {@link ExitStatus}; the system closes its
+ * sockets. All that this takes is allocated beforehand, since the cause may be that no memory is left. As the handler
+ * of a thread's uncaught exceptions it marks a thread that the process can't do without.
  */
 final class Terminator implements Thread.UncaughtExceptionHandler {
     /** A longer line is cut. */
@@ -36,8 +36,7 @@
     }
 
     /**
-     * Names the thread that calls {@link #finish} whenever it wakes, and ends the process should the line not go
-     * out.
+     * Names the thread that calls {@link #finish} whenever it wakes, and ends the process should the line not go out.
      */
     void standby(Thread thread) {
         standby = thread;
--- a/src/main/java/petrelstand/Watchdog.java
+++ b/src/main/java/petrelstand/Watchdog.java
@@ -6,8 +6,8 @@
 import petrelstand.net.EventLoop;
 
 /**
- * A thread that ends the process when its event loop stands still. It wakes once a period, and a loop that is
- * idle then.
+ * A thread that ends the process when its event loop stands still. It wakes once a period, and a loop that is idle
+ * then.
  */
 final class Watchdog {
     private final EventLoop loop;
@@ -33,8 +33,10 @@
             LockSupport.parkNanos(StallDetector.PERIOD_NS);
             terminator.finish();
             if (detector.observe(System.nanoTime(), loop.turns())) {
-                terminator.end(ExitStatus.LOOP_STALLED, "the loop has not turned for "
-                        + StallDetector.LIMIT_NS / StallDetector.PERIOD_NS + " s; it is at " + loop.place());
+                terminator.end(
+                        ExitStatus.LOOP_STALLED,
+                        "the loop has not turned for " + StallDetector.LIMIT_NS / StallDetector.PERIOD_NS
+                                + " s; it is at " + loop.place());
             }
             if (detector.mayBeIdle()) {
                 loop.wake();
--- a/src/main/java/petrelstand/accounts/Accounts.java
+++ b/src/main/java/petrelstand/accounts/Accounts.java
@@ -20,9 +20,11 @@
     static final int MOST_NODES = 1024;
     /** First tries that a client's repeat may be linked to, and for how long. */
     static final int MOST_FIRST_TRIES = 4096;
+
     static final long REPEAT_WITHIN_US = 10_000_000;
     /** A stretch without an answer to several of ours is a standstill from this length on, beyond what was usual. */
     static final long STANDSTILL_US = 40_000;
+
     private static final int MOST_STANDSTILLS = 64;
     /**
      * A request keeps its core in the model until its answer, but no longer than this many times its usual time: the
@@ -35,10 +37,22 @@
 
     /**
      * What became of a request: its phases in microseconds over all its attempts, the time between a first try that was
-     * turned away and this one where they could be linked, and the shares of held and waited time, which add up to them.
+     * turned away and this one where they could be linked, and the shares of held and waited time, which add up to
+     * them.
      */
-    public record Account(long request, long volume, int plan, int requestClass, boolean served, int attempts,
-            long heldUs, long connectingUs, long waitedUs, long servedUs, long awayUs, long endedAtUs,
+    public record Account(
+            long request,
+            long volume,
+            int plan,
+            int requestClass,
+            boolean served,
+            int attempts,
+            long heldUs,
+            long connectingUs,
+            long waitedUs,
+            long servedUs,
+            long awayUs,
+            long endedAtUs,
             List<Share> shares) {
         /** From the first taking to the end, of all tries that were linked. */
         public long totalUs() {
@@ -83,6 +97,7 @@
         private boolean foundNothing;
         /** Its time is booked; its end, once it is known, may still correct the node's model. */
         private boolean booked;
+
         private boolean ended;
 
         Try(int number, AtNode node, boolean streamed, long sentUs) {
@@ -213,14 +228,23 @@
      * Shares a wait: what our own work explains of it, at most so much, by who did that work in a stretch of time; then
      * the node's part of the rest, and the rest of that to a cause.
      */
-    private void share(Open of, AtNode node, long waitUs, long explainedUs, long fromUs, long toUs, NodeModel.Job but,
-            Cause rest, long nodeUs) {
+    private void share(
+            Open of,
+            AtNode node,
+            long waitUs,
+            long explainedUs,
+            long fromUs,
+            long toUs,
+            NodeModel.Job but,
+            Cause rest,
+            long nodeUs) {
         List<NodeModel.Done> done = node.model.doneIn(fromUs, toUs, but);
         long work = done.stream().mapToLong(NodeModel.Done::us).sum();
         // All cores busy all the time explain all of it.
         long explained = Math.min(waitUs, Math.min(explainedUs, work / cores));
         if (explained > 0) {
-            long[] parts = Split.exact(explained, done.stream().mapToLong(NodeModel.Done::us).toArray());
+            long[] parts = Split.exact(
+                    explained, done.stream().mapToLong(NodeModel.Done::us).toArray());
             for (int i = 0; i < parts.length; i++) {
                 book(of, node, done.get(i).owner(), parts[i]);
             }
@@ -268,7 +292,9 @@
         at.job = node.model.arrive(nowUs, of.owner(), (long) (MOST_TIMES_USUAL * usualUs(node, of.demand)));
     }
 
-    /** The usual time of a request at a node; of its class at all nodes where the node is not known; 0 where neither. */
+    /**
+     * The usual time of a request at a node; of its class at all nodes where the node is not known; 0 where neither.
+     */
     private long usualUs(AtNode node, Demand demand) {
         UsualTime here = node.usual.get(demand.requestClass());
         UsualTime all = usualOfAll.get(demand.requestClass());
@@ -329,8 +355,12 @@
         long nodeUs = trouble(of, node, outcome, nowUs) ? waitUs : standstillUs(node, at.writtenUs, nowUs);
         share(of, node, waitUs, modelWaitUs, at.writtenUs, at.writtenUs + modelWaitUs, at.job, Cause.UNSEEN, nodeUs);
         if (outcome == Outcome.SERVED && at.foundNothing && outUs > 0) {
-            node.usual.computeIfAbsent(of.demand.requestClass(), c -> new UsualTime()).add(outUs, of.demand.units());
-            usualOfAll.computeIfAbsent(of.demand.requestClass(), c -> new UsualTime()).add(outUs, of.demand.units());
+            node.usual
+                    .computeIfAbsent(of.demand.requestClass(), c -> new UsualTime())
+                    .add(outUs, of.demand.units());
+            usualOfAll
+                    .computeIfAbsent(of.demand.requestClass(), c -> new UsualTime())
+                    .add(outUs, of.demand.units());
         }
     }
 
@@ -338,10 +368,9 @@
     private boolean trouble(Open of, AtNode node, Outcome outcome, long nowUs) {
         boolean cold = node.startedMs > 0 && nowUs / 1000.0 < node.startedMs + warmUpMs;
         UsualTime usual = node.usual.get(of.demand.requestClass());
-        boolean slow = node.usual.values().stream().anyMatch(UsualTime::slow) && (usual == null || usual.slow()
-                || !usual.known());
-        return cold || slow || outcome != Outcome.SERVED && outcome != Outcome.REJECTED
-                && outcome != Outcome.CANCELLED;
+        boolean slow = node.usual.values().stream().anyMatch(UsualTime::slow)
+                && (usual == null || usual.slow() || !usual.known());
+        return cold || slow || outcome != Outcome.SERVED && outcome != Outcome.REJECTED && outcome != Outcome.CANCELLED;
     }
 
     /** An answer came: a long time without one, with several of ours out, was a standstill. */
@@ -393,11 +422,23 @@
         Demand demand = of.demand;
         long spentUs = of.heldUs + of.connectingUs + of.waitedUs + of.servedUs;
         if (!of.served) {
-            firstTries.put(new Key(demand.volume(), demand.key(), demand.requestClass()),
+            firstTries.put(
+                    new Key(demand.volume(), demand.key(), demand.requestClass()),
                     new FirstTry(nowUs, spentUs + of.awayUs));
         }
-        sink.over(new Account(request, demand.volume(), demand.plan(), demand.requestClass(), of.served,
-                of.tries.size(), of.heldUs, of.connectingUs, of.waitedUs, of.servedUs, of.awayUs, nowUs,
+        sink.over(new Account(
+                request,
+                demand.volume(),
+                demand.plan(),
+                demand.requestClass(),
+                of.served,
+                of.tries.size(),
+                of.heldUs,
+                of.connectingUs,
+                of.waitedUs,
+                of.servedUs,
+                of.awayUs,
+                nowUs,
                 List.copyOf(of.shares)));
     }
 
--- a/src/main/java/petrelstand/accounts/Book.java
+++ b/src/main/java/petrelstand/accounts/Book.java
@@ -9,14 +9,14 @@
 import petrelstand.accounts.Accounts.Share;
 
 /**
- * The accounts of the last minutes, in bounded memory: a {@link Ledger} and histograms by phase for the minute that runs
- * and the last whole one, and a small ledger for each of the last {@link #SECONDS} seconds. A keeper may hear of each
- * second and minute that is over. Times are microseconds of
- * the loop's clock, which never goes back.
+ * The accounts of the last minutes, in bounded memory: a {@link Ledger} and histograms by phase for the minute that
+ * runs and the last whole one, and a small ledger for each of the last {@link #SECONDS} seconds. A keeper may hear of
+ * each second and minute that is over. Times are microseconds of the loop's clock, which never goes back.
  */
 public final class Book implements Accounts.Sink {
     /** Cells of a minute's ledger, causes of a second's. */
     static final int MOST_CELLS = 1024;
+
     static final int MOST_CAUSES = 32;
     /** Seconds that are kept. */
     public static final int SECONDS = 120;
@@ -24,10 +24,17 @@
     static final int MOST_GROUPS = 48;
     /** The longest time a histogram tells apart, and its two digits: a figure is right to 1 %. */
     private static final long LONGEST_US = 60_000_000;
+
     private static final long MINUTE_US = 60_000_000;
 
     /** The phases of a request. */
-    public enum Phase { HELD, CONNECTING, WAITED, SERVED, TOTAL }
+    public enum Phase {
+        HELD,
+        CONNECTING,
+        WAITED,
+        SERVED,
+        TOTAL
+    }
 
     /** What requests are counted together: those of a class and plan, or those of a node; or the rest. */
     public record Group(int requestClass, int plan, long node) {
@@ -90,8 +97,12 @@
 
         public Percentiles percentiles(Group group, Phase phase) {
             IntCountsHistogram of = phases.get(group)[phase.ordinal()];
-            return new Percentiles(of.getTotalCount(), of.getValueAtPercentile(50), of.getValueAtPercentile(90),
-                    of.getValueAtPercentile(99), of.getMaxValue());
+            return new Percentiles(
+                    of.getTotalCount(),
+                    of.getValueAtPercentile(50),
+                    of.getValueAtPercentile(90),
+                    of.getValueAtPercentile(99),
+                    of.getMaxValue());
         }
 
         private void count(Group wanted, Account account) {
@@ -103,8 +114,9 @@
                 }
                 return made;
             });
-            long[] us = {account.heldUs(), account.connectingUs(), account.waitedUs(), account.servedUs(),
-                account.totalUs()};
+            long[] us = {
+                account.heldUs(), account.connectingUs(), account.waitedUs(), account.servedUs(), account.totalUs()
+            };
             for (int i = 0; i < us.length; i++) {
                 of[i].recordValue(Math.min(LONGEST_US, Math.max(0, us[i])));
             }
@@ -127,6 +139,7 @@
 
     /** Classes and plans that totals are kept apart for; the last place is for all beyond. */
     static final int MOST_CLASSES = 17;
+
     static final int MOST_PLANS = 17;
     private final long[][] waitUs = new long[MOST_CLASSES][Cause.Kind.values().length];
     private final long[][][] ended = new long[MOST_CLASSES][MOST_PLANS][2];
@@ -177,10 +190,10 @@
         seconds[place].requests++;
         long lastNode = -1;
         for (Share share : account.shares()) {
-            running.ledger.add(new Ledger.Cell(share.node(), account.volume(), account.requestClass(), share.cause()),
-                    share.us());
-            seconds[place].causes.add(new Ledger.Cell(share.node(), account.volume(), account.requestClass(),
-                    share.cause()), share.us());
+            running.ledger.add(
+                    new Ledger.Cell(share.node(), account.volume(), account.requestClass(), share.cause()), share.us());
+            seconds[place].causes.add(
+                    new Ledger.Cell(share.node(), account.volume(), account.requestClass(), share.cause()), share.us());
             if (share.node() != lastNode) {
                 lastNode = share.node();
                 running.count(Group.at(lastNode), account);
@@ -192,7 +205,9 @@
         return of >= 0 && of < most - 1 ? of : most - 1;
     }
 
-    /** Time that requests of a class (by place; beyond the sixteenth all together) were held and waited since the start. */
+    /**
+     * Time that requests of a class (by place; beyond the sixteenth all together) were held and waited since the start.
+     */
     public long waitUs(int requestClass, Cause.Kind kind) {
         return waitUs[place(requestClass, MOST_CLASSES)][kind.ordinal()];
     }
--- a/src/main/java/petrelstand/accounts/Ledger.java
+++ b/src/main/java/petrelstand/accounts/Ledger.java
@@ -35,6 +35,7 @@
     private final Map<Cell, Count> counts = new HashMap<>();
     /** A heap by time, the least first. */
     private final List<Count> heap = new ArrayList<>();
+
     private final long[] byKind = new long[Cause.Kind.values().length];
     private long totalUs;
     private long pushedOut;
@@ -99,7 +100,7 @@
     }
 
     private void down(int from) {
-        for (int at = from;;) {
+        for (int at = from; ; ) {
             int least = at;
             for (int child = 2 * at + 1; child <= 2 * at + 2 && child < heap.size(); child++) {
                 least = heap.get(child).us < heap.get(least).us ? child : least;
@@ -133,8 +134,11 @@
 
     /** The cells, the heaviest first. */
     public List<Entry> entries() {
-        return heap.stream().map(count -> new Entry(count.cell, count.us, count.overUs))
-                .sorted((a, b) -> a.us != b.us ? Long.compare(b.us, a.us)
-                        : a.cell.toString().compareTo(b.cell.toString())).toList();
+        return heap.stream()
+                .map(count -> new Entry(count.cell, count.us, count.overUs))
+                .sorted((a, b) -> a.us != b.us
+                        ? Long.compare(b.us, a.us)
+                        : a.cell.toString().compareTo(b.cell.toString()))
+                .toList();
     }
 }
--- a/src/main/java/petrelstand/accounts/NodeModel.java
+++ b/src/main/java/petrelstand/accounts/NodeModel.java
@@ -17,6 +17,7 @@
     static final int MOST_QUEUED = 512;
     /** How long the work done is remembered. */
     static final long REMEMBERED_US = 10_000_000;
+
     static final int MOST_REMEMBERED = 1024;
     /** Owners that a wait is shared among at most. */
     static final int MOST_OWNERS = 16;
@@ -28,6 +29,7 @@
         private final long workUs;
         /** When the model began and ended it; -1 where it has not. */
         private long beganUs = -1;
+
         private long endedUs = -1;
         private boolean queued;
         /** Whose work made it wait in the model; in core microseconds, and in proportion only. */
@@ -55,6 +57,7 @@
     private final ArrayDeque<Job> queue = new ArrayDeque<>();
     /** Work done and in hand, the oldest first. */
     private final ArrayDeque<Job> work = new ArrayDeque<>();
+
     private long nowUs;
     private long longestUs;
 
@@ -132,8 +135,9 @@
     }
 
     private void forget() {
-        while (!work.isEmpty() && (work.size() > MOST_REMEMBERED
-                || work.peekFirst().endedUs >= 0 && work.peekFirst().endedUs < nowUs - REMEMBERED_US)) {
+        while (!work.isEmpty()
+                && (work.size() > MOST_REMEMBERED
+                        || work.peekFirst().endedUs >= 0 && work.peekFirst().endedUs < nowUs - REMEMBERED_US)) {
             work.removeFirst();
         }
     }
@@ -171,14 +175,14 @@
     }
 
     /**
-     * The work that filled the cores in a stretch of time, but for one request's own, by whose fault it stood there, the
-     * sum being the core time that was filled. A request that would have been done by then, had it not waited itself,
-     * stands there by the fault of those for whom it waited; so a read that an export delayed is not blamed for the
-     * export.
+     * The work that filled the cores in a stretch of time, but for one request's own, by whose fault it stood there,
+     * the sum being the core time that was filled. A request that would have been done by then, had it not waited
+     * itself, stands there by the fault of those for whom it waited; so a read that an export delayed is not blamed for
+     * the export.
      */
     List<Done> doneIn(long fromUs, long toUs, Job but) {
         Map<Cause, Long> done = new LinkedHashMap<>();
-        for (Iterator<Job> all = work.descendingIterator(); all.hasNext();) {
+        for (Iterator<Job> all = work.descendingIterator(); all.hasNext(); ) {
             Job job = all.next();
             if (job.beganUs < fromUs - longestUs) {
                 break;
@@ -194,7 +198,8 @@
                 done.merge(job.owner, overlap - delayed, Long::sum);
             }
             if (delayed > 0) {
-                long[] parts = Split.exact(delayed, job.blame.stream().mapToLong(Done::us).toArray());
+                long[] parts = Split.exact(
+                        delayed, job.blame.stream().mapToLong(Done::us).toArray());
                 for (int i = 0; i < parts.length; i++) {
                     done.merge(job.blame.get(i).owner(), parts[i], Long::sum);
                 }
@@ -219,7 +224,9 @@
             return all;
         }
         all.sort((a, b) -> Long.compare(b.us, a.us));
-        long rest = all.subList(MOST_OWNERS, all.size()).stream().mapToLong(Done::us).sum();
+        long rest = all.subList(MOST_OWNERS, all.size()).stream()
+                .mapToLong(Done::us)
+                .sum();
         List<Done> kept = new ArrayList<>(all.subList(0, MOST_OWNERS));
         kept.add(new Done(Cause.OTHERS, rest));
         return kept;
--- a/src/main/java/petrelstand/accounts/Split.java
+++ b/src/main/java/petrelstand/accounts/Split.java
@@ -26,9 +26,11 @@
         for (int i = 0; i < weights.length; i++) {
             before += weights[i];
             // What all up to here get together, rounded once: so rounding never adds up.
-            long upTo = sum == 0 ? 0 : Math.multiplyHigh(total, before) == 0 && total * before >= 0
-                    ? total * before / sum
-                    : (long) (total * ((double) before / sum));
+            long upTo = sum == 0
+                    ? 0
+                    : Math.multiplyHigh(total, before) == 0 && total * before >= 0
+                            ? total * before / sum
+                            : (long) (total * ((double) before / sum));
             upTo = i == weights.length - 1 ? total : Math.max(given, Math.min(total, upTo));
             parts[i] = upTo - given;
             given = upTo;
--- a/src/main/java/petrelstand/accounts/UsualTime.java
+++ b/src/main/java/petrelstand/accounts/UsualTime.java
@@ -5,13 +5,15 @@
 /**
  * The usual time that a unit takes at a node: the lower quartile of the last answers that found nothing of ours before
  * them. The quartile, not the mean, since some of these waited for what we cannot see. The last few tell whether the
- * node is slow now: one that has unseen work still answers some at once, one that is slow answers none at its usual time.
+ * node is slow now: one that has unseen work still answers some at once, one that is slow answers none at its usual
+ * time.
  */
 final class UsualTime {
     private static final int KEPT = 128;
     private static final int RECENT = 8;
     /** Answers that are needed before a usual time is known, and before a node can be called slow. */
     private static final int LEAST = 4;
+
     private static final int LEAST_FOR_SLOW = 16;
     /** So much slower than usual, in the fastest of the last few answers, is slow. */
     static final double SLOW_TIMES = 1.6;
--- a/src/main/java/petrelstand/agreement/Command.java
+++ b/src/main/java/petrelstand/agreement/Command.java
@@ -8,6 +8,7 @@
     int PIECE = 400;
     /** The longest text of a version. */
     int MOST_TEXT = 32 * 1024;
+
     int MOST_PIECES = (MOST_TEXT + PIECE - 1) / PIECE;
     /** Bounds on words that come with a proposal. */
     int MOST_WHO = 64, MOST_WHY = 200, MOST_FIGURES = 8, MOST_NAME = 40;
--- a/src/main/java/petrelstand/agreement/Grantor.java
+++ b/src/main/java/petrelstand/agreement/Grantor.java
@@ -46,6 +46,7 @@
         long acting;
         /** The highest that it said it acted on: it never goes back, but what it says may come in another order. */
         long acted;
+
         long actingSinceUs;
         String refuses = "";
         long hintedUs = Long.MIN_VALUE / 2;
@@ -104,6 +105,7 @@
     private long hinted = -1;
     /** The version that is acted on as of the last tick, and since when. */
     private long activeSeen = -1;
+
     private long activeSinceUs;
     private String saidBlocked = "";
 
@@ -225,10 +227,15 @@
         return receivedUs + promise.surelyOverUs();
     }
 
-    /** A member that can't load the version that waits: it stays as it is until that one is gone or this is withdrawn. */
+    /**
+     * A member that can't load the version that waits: it stays as it is until that one is gone or this is withdrawn.
+     */
     private boolean blocked() {
-        return book.waiting() != 0 && holders.values().stream().anyMatch(h -> !h.refuses.isEmpty()
-                && h.prepared < book.waiting() && tickedUs < h.heardUs + promise.surelyOverUs());
+        return book.waiting() != 0
+                && holders.values().stream()
+                        .anyMatch(h -> !h.refuses.isEmpty()
+                                && h.prepared < book.waiting()
+                                && tickedUs < h.heardUs + promise.surelyOverUs());
     }
 
     private long tickedUs = Long.MIN_VALUE / 2;
@@ -257,7 +264,10 @@
             return;
         }
         if (blocked()) {
-            Holder by = holders.values().stream().filter(h -> !h.refuses.isEmpty()).findFirst().orElseThrow();
+            Holder by = holders.values().stream()
+                    .filter(h -> !h.refuses.isEmpty())
+                    .findFirst()
+                    .orElseThrow();
             String line = "version " + book.waiting() + " waits: " + by.name + " can't load it: " + by.refuses;
             if (!line.equals(saidBlocked)) {
                 saidBlocked = line;
@@ -270,16 +280,18 @@
             activating = book.waiting();
             activatingUs = nowUs;
             java.util.Set<String> confirmed = new java.util.HashSet<>();
-            holders.values().stream().filter(h -> nowUs < h.untilUs && h.prepared >= book.waiting())
+            holders.values().stream()
+                    .filter(h -> nowUs < h.untilUs && h.prepared >= book.waiting())
                     .forEach(h -> confirmed.add(h.name));
-            act.commit(new Command.Activate(book.waiting(),
-                    confirmed.containsAll(book.names()) ? book.namesPrint() : 0));
+            act.commit(
+                    new Command.Activate(book.waiting(), confirmed.containsAll(book.names()) ? book.namesPrint() : 0));
         }
     }
 
     /**
-     * Whether everyone whose lease may still run has confirmed the version that waits, and acts on the one that it is to
-     * replace: else two that take turns in being late would contradict each other from version to version without end.
+     * Whether everyone whose lease may still run has confirmed the version that waits, and acts on the one that it is
+     * to replace: else two that take turns in being late would contradict each other from version to version without
+     * end.
      */
     protected boolean mayActivate(long nowUs) {
         if (nowUs < electedUs + promise.surelyOverUs()) {
@@ -287,8 +299,8 @@
         }
         boolean formerOver = nowUs >= activeSinceUs + promise.surelyOverUs();
         for (Holder holder : holders.values()) {
-            if (nowUs < holder.untilUs && (holder.prepared < book.waiting()
-                    || holder.acted < book.active() && !formerOver)) {
+            if (nowUs < holder.untilUs
+                    && (holder.prepared < book.waiting() || holder.acted < book.active() && !formerOver)) {
                 return false;
             }
         }
--- a/src/main/java/petrelstand/agreement/Holder.java
+++ b/src/main/java/petrelstand/agreement/Holder.java
@@ -15,14 +15,15 @@
 import petrelstand.agreement.Talk.Renew;
 
 /**
- * A gateway's half of the leases: on which version it may act at a moment. A lease counts from when it was asked for, by
- * this process's own clock; {@link #acting} is asked with the turn's one time wherever a rule decides, so that a process
- * which stood still for a minute acts on nothing stale when it goes on. Without a lease it acts on the floors of what it
- * last knew, or the stricter of that and what it has heard of since. Deterministic: one thread at a time.
+ * A gateway's half of the leases: on which version it may act at a moment. A lease counts from when it was asked for,
+ * by this process's own clock; {@link #acting} is asked with the turn's one time wherever a rule decides, so that a
+ * process which stood still for a minute acts on nothing stale when it goes on. Without a lease it acts on the floors
+ * of what it last knew, or the stricter of that and what it has heard of since. Deterministic: one thread at a time.
  */
 public class Holder {
     /** Questions out, and texts kept. */
     static final int MOST_ASKED = 16;
+
     static final int MOST_TEXTS = 4;
     /** A question that is not answered by then goes to another voter. */
     static final long PATIENCE_US = 200_000;
@@ -32,7 +33,11 @@
     private static final int AHEAD = 4;
 
     /** How a gateway acts: under a lease, on floors, or on nothing that is agreed. */
-    public enum Mode { LEASED, FALLBACK, NONE }
+    public enum Mode {
+        LEASED,
+        FALLBACK,
+        NONE
+    }
 
     /** What it acts on at a moment. */
     public record Acting(long version, Mode mode, Rules rules) {}
@@ -92,6 +97,7 @@
     private long leasedUntilUs = Long.MIN_VALUE / 2;
     /** A lease on a version whose text has not come: it begins to count for something when it has. */
     private long comingVersion;
+
     private long comingUntilUs;
     private Acting told = NOTHING;
     private long toldSinceUs;
@@ -105,7 +111,13 @@
      * @param life a random number, another at each start
      * @param loader what a text rules; throws an IllegalArgumentException of one line
      */
-    public Holder(long nowUs, long life, List<String> voters, Promise promise, long seed, Function<String, Rules> loader,
+    public Holder(
+            long nowUs,
+            long life,
+            List<String> voters,
+            Promise promise,
+            long seed,
+            Function<String, Rules> loader,
             Actions act) {
         this.life = life;
         this.voters = List.copyOf(voters);
@@ -217,8 +229,14 @@
         lastAskUs = nowUs;
         nextAskUs = nowUs + (long) (promise.leaseUs() / RENEWALS * (0.8 + 0.2 * random.nextDouble()));
         Text next = texts.get(waiting);
-        act.send(someVoter(), new Renew(nonce, life, told.mode() == Mode.LEASED ? told.version() : 0, prepared(),
-                waiting == 0 || next == null ? "" : next.fault));
+        act.send(
+                someVoter(),
+                new Renew(
+                        nonce,
+                        life,
+                        told.mode() == Mode.LEASED ? told.version() : 0,
+                        prepared(),
+                        waiting == 0 || next == null ? "" : next.fault));
     }
 
     private String someVoter() {
@@ -244,12 +262,14 @@
             if (asked.remove(elsewhere.nonce()) != null) {
                 answeredUs = nowUs;
                 // It may be a voter that was added since this process read its file.
-                boolean known = !elsewhere.leader().isEmpty() && !elsewhere.leader().equals(from);
+                boolean known =
+                        !elsewhere.leader().isEmpty() && !elsewhere.leader().equals(from);
                 leader = known ? elsewhere.leader() : "";
                 nextAskUs = Math.min(nextAskUs, nowUs + (known ? 0 : PATIENCE_US / 2));
             }
         } else if (talk instanceof Hint hint) {
-            // Also one that tells nothing new is answered: the leader gives them to those of whom it thinks they are behind.
+            // Also one that tells nothing new is answered: the leader gives them to those of whom it thinks they are
+            // behind.
             if (hint.active() >= active && (hint.waiting() >= waiting || hint.waiting() == 0)) {
                 leader = from;
                 heardOf(nowUs, hint.active(), hint.waiting());
@@ -339,7 +359,11 @@
 
     private void pieceCame(long nowUs, String from, Piece piece) {
         Text text = texts.get(piece.version());
-        if (text == null || text.whole() || piece.of() < 1 || piece.of() > Command.MOST_PIECES || piece.piece() < 0
+        if (text == null
+                || text.whole()
+                || piece.of() < 1
+                || piece.of() > Command.MOST_PIECES
+                || piece.piece() < 0
                 || piece.piece() >= piece.of()) {
             return;
         }
--- a/src/main/java/petrelstand/agreement/LimitGate.java
+++ b/src/main/java/petrelstand/agreement/LimitGate.java
@@ -6,12 +6,14 @@
 
 /**
  * Holds the agreed limits at a gateway's door: each plan's part of its limit, an even one among the gateways that the
- * rules name, as a store of a quarter second of it, or of one largest request. When a rule changes, what was left moves over in proportion and never
- * above the new size, so that no second is counted twice. Asked before the decision module, never in its place.
+ * rules name, as a store of a quarter second of it, or of one largest request. When a rule changes, what was left moves
+ * over in proportion and never above the new size, so that no second is counted twice. Asked before the decision
+ * module, never in its place.
  */
 public final class LimitGate {
     /** The largest request; a store holds that much at least, or a small part could never be used. */
     private final double mostUnits;
+
     private final List<String> plans;
     private final Holder holder;
     private final Map<String, Store> stores = new HashMap<>();
--- a/src/main/java/petrelstand/agreement/OldCopy.java
+++ b/src/main/java/petrelstand/agreement/OldCopy.java
@@ -4,14 +4,18 @@
 import java.util.Map;
 
 /**
- * Whether a voter that starts may vote: its folder may be an old copy, and then it would forget votes that it gave. Every
- * message of a voter carries how often its store was written; the others remember the highest. It votes once so many of
- * them have answered that any majority with one of its votes in it has, or once the patience is over, with whoever
- * answered; never where one of them has heard it further on. Deterministic.
+ * Whether a voter that starts may vote: its folder may be an old copy, and then it would forget votes that it gave.
+ * Every message of a voter carries how often its store was written; the others remember the highest. It votes once so
+ * many of them have answered that any majority with one of its votes in it has, or once the patience is over, with
+ * whoever answered; never where one of them has heard it further on. Deterministic.
  */
 public final class OldCopy {
     /** What is to be done. */
-    public enum Verdict { WAIT, VOTE, REFUSE }
+    public enum Verdict {
+        WAIT,
+        VOTE,
+        REFUSE
+    }
 
     private final int voters;
     private final long generation;
--- a/src/main/java/petrelstand/agreement/Proposer.java
+++ b/src/main/java/petrelstand/agreement/Proposer.java
@@ -4,9 +4,10 @@
 import java.util.SplittableRandom;
 
 /**
- * Proposes what an operator wrote into this gateway's file. Every gateway of a fleet may be given the same file at about
- * the same time: whoever comes first proposes it, the others find it agreed on. Where the newest version is neither the
- * one that the file was last in step with nor the file's own text, nothing is overwritten: a line says so. Deterministic.
+ * Proposes what an operator wrote into this gateway's file. Every gateway of a fleet may be given the same file at
+ * about the same time: whoever comes first proposes it, the others find it agreed on. Where the newest version is
+ * neither the one that the file was last in step with nor the file's own text, nothing is overwritten: a line says so.
+ * Deterministic.
  */
 public final class Proposer {
     static final long AGAIN_US = 200_000;
--- a/src/main/java/petrelstand/agreement/RuleBook.java
+++ b/src/main/java/petrelstand/agreement/RuleBook.java
@@ -11,8 +11,8 @@
 
 /**
  * The versions that are agreed on: the state that the voters' log leads to, the same at each voter after the same
- * commands. At most one version waits beside the one that is acted on. Bounded: {@link #KEPT} versions, {@link
- * #MOST_PROPOSALS} proposals under way, {@link #MOST_NAMES} gateways.
+ * commands. At most one version waits beside the one that is acted on. Bounded: {@link #KEPT} versions,
+ * {@link #MOST_PROPOSALS} proposals under way, {@link #MOST_NAMES} gateways.
  */
 public final class RuleBook {
     /** Versions kept with their texts. */
@@ -21,15 +21,28 @@
     public static final long EPOCH = 1_000_000;
     /** Of an epoch's number the part that is drawn. */
     public static final int TAGS = 1000;
+
     static final int MOST_PROPOSALS = 4;
     static final int MOST_NAMES = 1024;
 
     /** What a version is. */
-    public enum State { WAITS, ACTED_ON, PAST, WITHDRAWN }
+    public enum State {
+        WAITS,
+        ACTED_ON,
+        PAST,
+        WITHDRAWN
+    }
 
     /** A version: who proposed it, when, why, on which base. */
-    public record Version(long number, long base, String who, String why, long wallMs, State state,
-            List<Command.Figure> figures, String text) {
+    public record Version(
+            long number,
+            long base,
+            String who,
+            String why,
+            long wallMs,
+            State state,
+            List<Command.Figure> figures,
+            String text) {
         public Version {
             figures = List.copyOf(figures);
         }
@@ -97,9 +110,11 @@
             return withdraw(withdraw);
         } else if (command instanceof Command.Register register) {
             return names.contains(register.name()) || names.size() < MOST_NAMES && names.add(register.name())
-                    ? new Result(newest, "") : new Result(newest, "no room for more than " + MOST_NAMES + " gateways");
+                    ? new Result(newest, "")
+                    : new Result(newest, "no room for more than " + MOST_NAMES + " gateways");
         } else if (command instanceof Command.Forget forget) {
-            return names.remove(forget.name()) ? new Result(newest, "")
+            return names.remove(forget.name())
+                    ? new Result(newest, "")
                     : new Result(newest, forget.name() + " is not known");
         }
         return new Result(newest, "");
@@ -125,14 +140,18 @@
     private Result propose(Command.Propose propose) {
         for (Version version : versions.values()) {
             // The answer was lost, and the proposer asks again.
-            if (version.wallMs() == propose.wallMs() && version.who().equals(propose.who())
-                    && version.base() == propose.base() && version.why().equals(propose.why())) {
+            if (version.wallMs() == propose.wallMs()
+                    && version.who().equals(propose.who())
+                    && version.base() == propose.base()
+                    && version.why().equals(propose.why())) {
                 proposals.remove(propose.proposal());
                 return new Result(version.number(), "");
             }
         }
         String[] pieces = proposals.get(propose.proposal());
-        if (pieces == null || pieces.length != propose.pieces() || Arrays.asList(pieces).contains(null)) {
+        if (pieces == null
+                || pieces.length != propose.pieces()
+                || Arrays.asList(pieces).contains(null)) {
             return new Result(newest, "the text did not come whole; propose it again");
         }
         if (propose.base() != newest) {
@@ -144,16 +163,30 @@
         for (Command.Figure figure : propose.figures()) {
             long mark = marks.getOrDefault(figure.plan(), 0L);
             if (figure.units() < mark) {
-                return new Result(newest, "limit " + figure.plan() + ": units " + figure.units() + " is below " + mark
-                        + ", the floor that gateways which are cut off may act on; lower the floor first");
+                return new Result(
+                        newest,
+                        "limit " + figure.plan() + ": units " + figure.units() + " is below " + mark
+                                + ", the floor that gateways which are cut off may act on; lower the floor first");
             }
         }
         proposals.remove(propose.proposal());
         waiting = ++newest;
-        versions.put(waiting, new Version(waiting, propose.base(), propose.who(), propose.why(), propose.wallMs(),
-                State.WAITS, propose.figures(), String.join("", pieces)));
+        versions.put(
+                waiting,
+                new Version(
+                        waiting,
+                        propose.base(),
+                        propose.who(),
+                        propose.why(),
+                        propose.wallMs(),
+                        State.WAITS,
+                        propose.figures(),
+                        String.join("", pieces)));
         while (versions.size() > KEPT) {
-            versions.remove(versions.keySet().stream().filter(v -> v != active && v != waiting).findFirst().orElseThrow());
+            versions.remove(versions.keySet().stream()
+                    .filter(v -> v != active && v != waiting)
+                    .findFirst()
+                    .orElseThrow());
         }
         return new Result(waiting, "");
     }
@@ -198,8 +231,17 @@
             return new Result(newest, "version " + withdraw.version() + " does not wait");
         }
         Version old = versions.get(waiting);
-        versions.put(waiting, new Version(old.number(), old.base(), old.who(), old.why() + "; withdrawn by "
-                + withdraw.who() + ": " + withdraw.why(), old.wallMs(), State.WITHDRAWN, old.figures(), old.text()));
+        versions.put(
+                waiting,
+                new Version(
+                        old.number(),
+                        old.base(),
+                        old.who(),
+                        old.why() + "; withdrawn by " + withdraw.who() + ": " + withdraw.why(),
+                        old.wallMs(),
+                        State.WITHDRAWN,
+                        old.figures(),
+                        old.text()));
         waiting = 0;
         return new Result(newest, "");
     }
@@ -207,14 +249,26 @@
     // ---- Whole, for snapshots ----
 
     /** Everything, as a value that another book can begin with. */
-    public record Whole(long active, long waiting, long newest, List<Version> versions, List<String> names,
-            Map<String, Long> marks, Map<Long, List<String>> proposals) {}
+    public record Whole(
+            long active,
+            long waiting,
+            long newest,
+            List<Version> versions,
+            List<String> names,
+            Map<String, Long> marks,
+            Map<Long, List<String>> proposals) {}
 
     public Whole whole() {
         Map<Long, List<String>> under = new LinkedHashMap<>();
         proposals.forEach((id, pieces) -> under.put(id, Arrays.asList(pieces.clone())));
-        return new Whole(active, waiting, newest, new ArrayList<>(versions.values()), new ArrayList<>(names),
-                new TreeMap<>(marks), under);
+        return new Whole(
+                active,
+                waiting,
+                newest,
+                new ArrayList<>(versions.values()),
+                new ArrayList<>(names),
+                new TreeMap<>(marks),
+                under);
     }
 
     /** Takes another book's state in the place of this one's. */
--- a/src/main/java/petrelstand/agreement/Rules.java
+++ b/src/main/java/petrelstand/agreement/Rules.java
@@ -17,7 +17,11 @@
  * @param nodes that operators list, by name
  * @param switches what is switched on, by name
  */
-public record Rules(int gateways, Map<String, Limit> limits, Map<String, Module> modules, Map<String, Node> nodes,
+public record Rules(
+        int gateways,
+        Map<String, Limit> limits,
+        Map<String, Module> modules,
+        Map<String, Node> nodes,
         Map<String, Boolean> switches) {
     /** No version: nothing is ruled. */
     public static final Rules NONE = new Rules(1, Map.of(), Map.of(), Map.of(), Map.of());
@@ -27,7 +31,7 @@
      *
      * @param units a second
      * @param floor units a second that gateways which are cut off may go on admitting together; no later version may be
-     *         below it until every gateway has confirmed a lower one
+     *     below it until every gateway has confirmed a lower one
      */
     public record Limit(long units, long floor) {}
 
@@ -65,8 +69,8 @@
     /** The stricter of two in each place: the lower limit, open only where both are, nodes that both list. */
     public Rules stricter(Rules other) {
         Map<String, Limit> less = new TreeMap<>(limits);
-        other.limits.forEach((plan, limit) -> less.merge(plan, limit, (a, b) -> new Limit(
-                Math.min(a.units(), b.units()), Math.min(a.floor(), b.floor()))));
+        other.limits.forEach((plan, limit) -> less.merge(
+                plan, limit, (a, b) -> new Limit(Math.min(a.units(), b.units()), Math.min(a.floor(), b.floor()))));
         Map<String, Module> both = new TreeMap<>();
         modules.forEach((name, module) -> {
             Module there = other.modules.get(name);
@@ -91,8 +95,7 @@
         for (String plan : keys(limits, other.limits)) {
             Limit a = limits.get(plan);
             Limit b = other.limits.get(plan);
-            if (a == null || b == null || a.units() != b.units()
-                    || gateways != other.gateways) {
+            if (a == null || b == null || a.units() != b.units() || gateways != other.gateways) {
                 found.add("limit " + plan);
             }
         }
--- a/src/main/java/petrelstand/cli/AccountsCommand.java
+++ b/src/main/java/petrelstand/cli/AccountsCommand.java
@@ -18,7 +18,6 @@
 import petrelstand.report.TextReport;
 import petrelstand.store.AccountsRecord;
 import petrelstand.store.StateFault;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -27,8 +26,11 @@
 import picocli.CommandLine.Spec;
 
 /** {@code petrelstand accounts}: reads what a gateway has recorded of who waited for whom. Takes no lock. */
-@Command(name = "accounts", description = "Reads recorded latency accounts.",
-        subcommands = AccountsCommand.ReportCommand.class, mixinStandardHelpOptions = true)
+@Command(
+        name = "accounts",
+        description = "Reads recorded latency accounts.",
+        subcommands = AccountsCommand.ReportCommand.class,
+        mixinStandardHelpOptions = true)
 final class AccountsCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -39,26 +41,40 @@
     }
 
     /** The report. */
-    @Command(name = "report", description = "Who waited for whom, the worst seconds with their causes, and percentiles by"
-            + " phase.", mixinStandardHelpOptions = true)
+    @Command(
+            name = "report",
+            description = "Who waited for whom, the worst seconds with their causes, and percentiles by" + " phase.",
+            mixinStandardHelpOptions = true)
     static final class ReportCommand implements Callable<Integer> {
         private static final long MOST_FILE = 64L << 20;
+
         @Parameters(paramLabel = "FILE|DIR", arity = "1..*", description = "record files, or folders of them")
         private List<Path> where;
-        @Option(names = "--from", paramLabel = "TIME", description = "first second, as 2026-12-01T12:00:00Z or Unix time")
+
+        @Option(
+                names = "--from",
+                paramLabel = "TIME",
+                description = "first second, as 2026-12-01T12:00:00Z or Unix time")
         private String from;
+
         @Option(names = "--to", paramLabel = "TIME", description = "last second, counted in")
         private String to;
+
         @Option(names = "--node", description = "a node's number in hex, with or without s-")
         private String node;
+
         @Option(names = "--volume", description = "a waiting volume, 16 hex digits")
         private String volume;
+
         @Option(names = "--class", description = "a waiting class")
         private String requestClass;
+
         @Option(names = "--json", description = "as JSON on standard output")
         private boolean json;
+
         @Option(names = "--html", paramLabel = "OUT", description = "writes a page there")
         private Path html;
+
         @Spec
         private CommandSpec spec;
 
@@ -92,20 +108,28 @@
             }
             int place = requestClass == null ? -1 : names.classes().indexOf(requestClass);
             if (requestClass != null && place < 0) {
-                throw new ParameterException(spec.commandLine(), "--class is none of " + names.classes() + ": '"
-                        + requestClass + "'");
+                throw new ParameterException(
+                        spec.commandLine(), "--class is none of " + names.classes() + ": '" + requestClass + "'");
             }
             long first = second("--from", from, 0);
             long last = second("--to", to, Long.MAX_VALUE);
-            Report report = Report.of(seconds, new Report.Query(first, last, hex("--node", node == null ? null
-                    : node.replaceFirst("^s-", "")), hex("--volume", volume), place));
+            Report report = Report.of(
+                    seconds,
+                    new Report.Query(
+                            first,
+                            last,
+                            hex("--node", node == null ? null : node.replaceFirst("^s-", "")),
+                            hex("--volume", volume),
+                            place));
             List<AccountsRecord.Minute> within = minutes.stream()
-                    .filter(minute -> minute.fromSecond() + 59 >= first && minute.fromSecond() <= last).toList();
+                    .filter(minute -> minute.fromSecond() + 59 >= first && minute.fromSecond() <= last)
+                    .toList();
             if (html != null) {
                 Files.writeString(html, HtmlReport.page(report, names, within));
             }
             if (json) {
-                out.println(new GsonBuilder().setPrettyPrinting().create().toJson(TextReport.json(report, names, within)));
+                out.println(
+                        new GsonBuilder().setPrettyPrinting().create().toJson(TextReport.json(report, names, within)));
             } else if (html == null) {
                 out.print(TextReport.text(report, names, within));
             }
@@ -121,7 +145,8 @@
                     try (Stream<Path> files = Files.list(one)) {
                         files.filter(file -> file.getFileName().toString().matches("accounts-[0-9]{1,15}\\.log"))
                                 .sorted(Comparator.comparingLong(file -> Long.parseLong(
-                                        file.getFileName().toString().replaceAll("[^0-9]", "")))).forEach(all::add);
+                                        file.getFileName().toString().replaceAll("[^0-9]", ""))))
+                                .forEach(all::add);
                     }
                 } else {
                     all.add(one);
@@ -132,11 +157,14 @@
 
         private long second(String option, String text, long otherwise) {
             try {
-                return text == null ? otherwise : text.matches("[0-9]{1,12}") ? Long.parseLong(text)
-                        : Instant.parse(text).getEpochSecond();
+                return text == null
+                        ? otherwise
+                        : text.matches("[0-9]{1,12}")
+                                ? Long.parseLong(text)
+                                : Instant.parse(text).getEpochSecond();
             } catch (DateTimeParseException e) {
-                throw new ParameterException(spec.commandLine(), option + " is no time such as 2026-12-01T12:00:00Z: '"
-                        + text + "'");
+                throw new ParameterException(
+                        spec.commandLine(), option + " is no time such as 2026-12-01T12:00:00Z: '" + text + "'");
             }
         }
 
--- a/src/main/java/petrelstand/cli/Cli.java
+++ b/src/main/java/petrelstand/cli/Cli.java
@@ -14,10 +14,18 @@
  * The command line, on picocli. What the platform starts ({@code serve}, {@code wirehost}) goes past it, since a start
  * has no time for it; here they are only listed, and started where they come with options.
  */
-@Command(name = "petrelstand", description = "The gateway before chart storage, and its tools.",
-        subcommands = {StateCommand.class, AccountsCommand.class, FleetCommand.class, RulesCommand.class,
-            LabCommand.class},
-        mixinStandardHelpOptions = true, versionProvider = Cli.Version.class)
+@Command(
+        name = "petrelstand",
+        description = "The gateway before chart storage, and its tools.",
+        subcommands = {
+            StateCommand.class,
+            AccountsCommand.class,
+            FleetCommand.class,
+            RulesCommand.class,
+            LabCommand.class
+        },
+        mixinStandardHelpOptions = true,
+        versionProvider = Cli.Version.class)
 public final class Cli implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -33,11 +41,13 @@
     public static CommandLine line(Runnable serve, Runnable wirehost, Runnable rehearse, Gateways gateways) {
         IFactory usual = CommandLine.defaultFactory();
         return new CommandLine(new Cli(), new IFactory() {
-            @Override
-            public <K> K create(Class<K> kind) throws Exception {
-                return kind == LabCommand.Serve.class ? kind.cast(new LabCommand.Serve(gateways)) : usual.create(kind);
-            }
-        })
+                    @Override
+                    public <K> K create(Class<K> kind) throws Exception {
+                        return kind == LabCommand.Serve.class
+                                ? kind.cast(new LabCommand.Serve(gateways))
+                                : usual.create(kind);
+                    }
+                })
                 .addSubcommand("serve", new Plain(serve, "One gateway, as RELAY_CONFIG says; nothing else is asked."))
                 .addSubcommand("wirehost", new Plain(wirehost, "The decisions on the simulator's wire."))
                 .addSubcommand("rehearse", new Plain(rehearse, "A start and an end, for the build."));
--- a/src/main/java/petrelstand/cli/FleetCommand.java
+++ b/src/main/java/petrelstand/cli/FleetCommand.java
@@ -25,8 +25,11 @@
 import picocli.CommandLine.Spec;
 
 /** {@code petrelstand fleet}: what running gateways say of each other. */
-@Command(name = "fleet", description = "What running gateways know of each other.",
-        subcommands = FleetCommand.Members.class, mixinStandardHelpOptions = true)
+@Command(
+        name = "fleet",
+        description = "What running gateways know of each other.",
+        subcommands = FleetCommand.Members.class,
+        mixinStandardHelpOptions = true)
 final class FleetCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -37,17 +40,25 @@
     }
 
     /** Prints views, and where they differ. */
-    @Command(name = "members", description = "Prints the view of a running gateway; of several, also where their views"
-            + " differ. Ends with 0 where all agree, 1 where a gateway does not answer, 3 where views differ.",
+    @Command(
+            name = "members",
+            description = "Prints the view of a running gateway; of several, also where their views"
+                    + " differ. Ends with 0 where all agree, 1 where a gateway does not answer, 3 where views differ.",
             mixinStandardHelpOptions = true)
     static final class Members implements Callable<Integer> {
         private static final Duration PATIENCE = Duration.ofSeconds(3);
 
-        @Option(names = "--at", paramLabel = "ADDRESS", defaultValue = "127.0.0.1:9000", split = ",",
+        @Option(
+                names = "--at",
+                paramLabel = "ADDRESS",
+                defaultValue = "127.0.0.1:9000",
+                split = ",",
                 description = "where a gateway listens for clients; several, with commas; 127.0.0.1:9000")
         private List<String> at;
+
         @Option(names = "--json", description = "as JSON")
         private boolean json;
+
         @Spec
         private CommandSpec spec;
 
@@ -62,8 +73,10 @@
                     views.put(address, ask(client, address));
                 } catch (IOException | IllegalArgumentException | JsonSyntaxException e) {
                     silent = true;
-                    spec.commandLine().getErr().println(address + ": no view: "
-                            + (e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage()));
+                    spec.commandLine()
+                            .getErr()
+                            .println(address + ": no view: "
+                                    + (e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage()));
                 }
             }
             List<String> differences = differences(views);
@@ -88,12 +101,13 @@
         }
 
         private static JsonObject ask(HttpClient client, String address) throws IOException, InterruptedException {
-            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/members")).timeout(PATIENCE)
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/members"))
+                    .timeout(PATIENCE)
                     .build();
             HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
             if (answer.statusCode() != 200) {
-                throw new IOException("it answers " + answer.statusCode()
-                        + " (is [fleet] in its operator's file, with page = on?)");
+                throw new IOException(
+                        "it answers " + answer.statusCode() + " (is [fleet] in its operator's file, with page = on?)");
             }
             return JsonParser.parseString(answer.body()).getAsJsonObject();
         }
@@ -106,11 +120,18 @@
                     + standing.get("for_ms").getAsLong() / 1000 + " s)");
             for (JsonElement element : view.getAsJsonArray("members")) {
                 JsonObject member = element.getAsJsonObject();
-                String silent = member.has("silent_ms") ? ", heard " + text(member, "silent_ms") + " ms ago"
-                        + (member.get("through_others").getAsBoolean() ? " through others" : "") : "";
-                out.println(String.format("  %-16s %-8s %-21s for %6d s, %s%s", text(member, "name"),
-                        text(member, "state"), text(member, "address"), member.get("for_ms").getAsLong() / 1000,
-                        text(member, "cause"), silent));
+                String silent = member.has("silent_ms")
+                        ? ", heard " + text(member, "silent_ms") + " ms ago"
+                                + (member.get("through_others").getAsBoolean() ? " through others" : "")
+                        : "";
+                out.println(String.format(
+                        "  %-16s %-8s %-21s for %6d s, %s%s",
+                        text(member, "name"),
+                        text(member, "state"),
+                        text(member, "address"),
+                        member.get("for_ms").getAsLong() / 1000,
+                        text(member, "cause"),
+                        silent));
             }
         }
 
@@ -125,15 +146,19 @@
                 JsonObject member = element.getAsJsonObject();
                 String state = text(member, "state");
                 boolean gone = state.equals("failed") || state.equals("left");
-                held.computeIfAbsent(text(member, "name"), n -> new TreeMap<>()).put(address,
-                        gone ? "gone" : state + ", life " + text(member, "life"));
+                held.computeIfAbsent(text(member, "name"), n -> new TreeMap<>())
+                        .put(address, gone ? "gone" : state + ", life " + text(member, "life"));
             }));
             List<String> lines = new ArrayList<>();
             held.forEach((name, by) -> {
                 views.keySet().forEach(address -> by.putIfAbsent(address, "gone"));
                 if (by.values().stream().distinct().count() > 1) {
-                    lines.add("differ on " + name + ": " + String.join("; ",
-                            by.entrySet().stream().map(e -> e.getKey() + " has it " + e.getValue()).toList()));
+                    lines.add("differ on " + name + ": "
+                            + String.join(
+                                    "; ",
+                                    by.entrySet().stream()
+                                            .map(e -> e.getKey() + " has it " + e.getValue())
+                                            .toList()));
                 }
             });
             return lines;
--- a/src/main/java/petrelstand/cli/LabCapacity.java
+++ b/src/main/java/petrelstand/cli/LabCapacity.java
@@ -19,28 +19,46 @@
 import picocli.CommandLine.Spec;
 
 /** What fleets of several sizes cost a member, and how that grows. */
-@Command(name = "capacity", description = "Plays the real modules in virtual time at several sizes, and fits what they"
-        + " cost a member against the size. Ends with 2 where an argument is wrong.", mixinStandardHelpOptions = true)
+@Command(
+        name = "capacity",
+        description = "Plays the real modules in virtual time at several sizes, and fits what they"
+                + " cost a member against the size. Ends with 2 where an argument is wrong.",
+        mixinStandardHelpOptions = true)
 final class LabCapacity implements Callable<Integer> {
     private static final int WRONG_ARGUMENT = 2;
 
-    @Parameters(paramLabel = "ROLE", description = "members: gateways that know each other; rules: gateways that act on"
-            + " agreed rules, and five voters")
+    @Parameters(
+            paramLabel = "ROLE",
+            description = "members: gateways that know each other; rules: gateways that act on"
+                    + " agreed rules, and five voters")
     private String role;
-    @Option(names = "--sizes", paramLabel = "A,B,...", defaultValue = "50,100,200,400,670,1000",
+
+    @Option(
+            names = "--sizes",
+            paramLabel = "A,B,...",
+            defaultValue = "50,100,200,400,670,1000",
             description = "gateways, 10 to 1024; 50,100,200,400,670,1000")
     private String sizes;
-    @Option(names = "--events", paramLabel = "A,B,...", defaultValue = "all",
+
+    @Option(
+            names = "--events",
+            paramLabel = "A,B,...",
+            defaultValue = "all",
             description = "start, rest, restarts, changes (rules), loss, zone, cut (members); all")
     private String events;
+
     @Option(names = "--seed", defaultValue = "1", description = "one seed gives one course; 1")
     private long seed;
+
     @Option(names = "--sweeps", description = "varies restarts, changes and loss as well, at the smallest size")
     private boolean sweeps;
+
     @Option(names = "--json", paramLabel = "FILE", description = "writes all points and curves there")
     private Path json;
+
     @Option(names = "--html", paramLabel = "FILE", description = "writes one page with plots there")
     private Path html;
+
     @Spec
     private CommandSpec spec;
 
--- a/src/main/java/petrelstand/cli/LabFaults.java
+++ b/src/main/java/petrelstand/cli/LabFaults.java
@@ -14,11 +14,11 @@
 import petrelstand.lab.check.Verdict;
 import petrelstand.lab.faults.FaultScenario;
 import petrelstand.lab.faults.FaultTrial;
+import petrelstand.lab.faults.FleetCost;
 import petrelstand.lab.faults.FleetMeasure;
 import petrelstand.lab.faults.FleetPlan;
 import petrelstand.lab.faults.FleetSearch;
 import petrelstand.lab.faults.FleetSim;
-import petrelstand.lab.faults.FleetCost;
 import petrelstand.lab.rules.RulesMeasure;
 import petrelstand.lab.rules.RulesSearch;
 import petrelstand.lab.rules.RulesSim;
@@ -31,39 +31,67 @@
 import picocli.CommandLine.Spec;
 
 /** {@code petrelstand lab faults}: a fleet under faults, as real processes, in virtual time, or searched. */
-@Command(name = "faults", description = "Plays faults between gateways: real processes of a scenario, drawn faults in"
-        + " virtual time, or a search of all within a bound. Ends with 1 where a promise was broken, 4 where the machine"
-        + " was too slow to tell.", mixinStandardHelpOptions = true)
+@Command(
+        name = "faults",
+        description = "Plays faults between gateways: real processes of a scenario, drawn faults in"
+                + " virtual time, or a search of all within a bound. Ends with 1 where a promise was broken, 4 where the machine"
+                + " was too slow to tell.",
+        mixinStandardHelpOptions = true)
 final class LabFaults implements Callable<Integer> {
     private static final int INCONCLUSIVE = 4;
 
     @Parameters(paramLabel = "SCENARIO.ini", arity = "0..1", description = "a trial of real processes; see lab/")
     private Path file;
+
     @Option(names = "--seeds", paramLabel = "A-B", defaultValue = "1-1", description = "both counted in; 1-1")
     private String seeds;
+
     @Option(names = "--folder", paramLabel = "DIR", description = "where histories go; a temporary one where left out")
     private Path folder;
+
     @Option(names = "--virtual", paramLabel = "N", description = "drawn faults among so many gateways in virtual time")
     private Integer virtual;
-    @Option(names = "--measure", paramLabel = "N", description = "a table of times, alarms and messages among so many"
-            + " gateways in virtual time; --seeds 1-B says how many seeds")
+
+    @Option(
+            names = "--measure",
+            paramLabel = "N",
+            description = "a table of times, alarms and messages among so many"
+                    + " gateways in virtual time; --seeds 1-B says how many seeds")
     private Integer measure;
-    @Option(names = "--search", paramLabel = "FAULTS", description = "all orders and faults, up to so many, among 3 in"
-            + " virtual time")
+
+    @Option(
+            names = "--search",
+            paramLabel = "FAULTS",
+            description = "all orders and faults, up to so many, among 3 in" + " virtual time")
     private Integer search;
-    @Option(names = "--cost", paramLabel = "PAIRS", description = "CPU of three gateways of 200 requests a second each, alone,"
-            + " as a fleet, and as a fleet with rules")
+
+    @Option(
+            names = "--cost",
+            paramLabel = "PAIRS",
+            description = "CPU of three gateways of 200 requests a second each, alone,"
+                    + " as a fleet, and as a fleet with rules")
     private Integer cost;
-    @Option(names = "--rules", paramLabel = "N", description = "drawn faults among so many gateways that agree on rules, in"
-            + " virtual time; with --voters")
+
+    @Option(
+            names = "--rules",
+            paramLabel = "N",
+            description =
+                    "drawn faults among so many gateways that agree on rules, in" + " virtual time; with --voters")
     private Integer rules;
+
     @Option(names = "--voters", paramLabel = "V", defaultValue = "5", description = "of those, how many vote; 5")
     private int voters;
-    @Option(names = "--search-rules", paramLabel = "FAULTS", description = "all faults round a change of rules, up to so many,"
-            + " among 3 in virtual time, over the seeds")
+
+    @Option(
+            names = "--search-rules",
+            paramLabel = "FAULTS",
+            description =
+                    "all faults round a change of rules, up to so many," + " among 3 in virtual time, over the seeds")
     private Integer searchRules;
+
     @Option(names = "--measure-rules", description = "times of agreed rules in virtual time, over --seeds 1-B")
     private boolean measureRules;
+
     @Spec
     private CommandSpec spec;
 
@@ -83,8 +111,9 @@
             return 0;
         }
         if (cost != null) {
-            spec.commandLine().getOut().print(FleetCost.table(cost, 200,
-                    folder == null ? Files.createTempDirectory("cost") : folder));
+            spec.commandLine()
+                    .getOut()
+                    .print(FleetCost.table(cost, 200, folder == null ? Files.createTempDirectory("cost") : folder));
             spec.commandLine().getOut().flush();
             return 0;
         }
@@ -141,8 +170,8 @@
             slow += verdict.outcome() == Verdict.Outcome.INCONCLUSIVE ? 1 : 0;
             failed += verdict.outcome() == Verdict.Outcome.FAILED ? 1 : 0;
             if (verdict.outcome() == Verdict.Outcome.FAILED) {
-                out.println("  histories: " + trial + "; again: petrelstand lab faults " + file + " --seeds " + seed + "-"
-                        + seed);
+                out.println("  histories: " + trial + "; again: petrelstand lab faults " + file + " --seeds " + seed
+                        + "-" + seed);
             }
             detected.addAll(verdict.detectUs());
         }
@@ -160,8 +189,13 @@
     private static void spread(PrintWriter out, String what, List<Long> us) {
         Collections.sort(us);
         if (!us.isEmpty()) {
-            out.printf("%s: p50 %d ms, p99 %d ms, worst %d ms (%d)%n", what, us.get(us.size() / 2) / 1000,
-                    us.get((us.size() - 1) * 99 / 100) / 1000, us.get(us.size() - 1) / 1000, us.size());
+            out.printf(
+                    "%s: p50 %d ms, p99 %d ms, worst %d ms (%d)%n",
+                    what,
+                    us.get(us.size() / 2) / 1000,
+                    us.get((us.size() - 1) * 99 / 100) / 1000,
+                    us.get(us.size() - 1) / 1000,
+                    us.size());
         }
     }
 
@@ -181,8 +215,9 @@
                 out.flush();
             }
         }
-        out.printf("%d seeds of %d gateways, %d failed, %.1f s%n", until - from + 1, virtual, failed,
-                (System.nanoTime() - began) / 1e9);
+        out.printf(
+                "%d seeds of %d gateways, %d failed, %.1f s%n",
+                until - from + 1, virtual, failed, (System.nanoTime() - began) / 1e9);
         out.flush();
         return failed > 0 ? 1 : 0;
     }
@@ -204,8 +239,8 @@
             if (!sim.fault().isEmpty()) {
                 failed++;
                 out.println("seed " + seed + ": " + sim.fault() + " in " + plan.faults());
-                out.println("  again: petrelstand lab faults --rules " + rules + " --voters " + voters + " --seeds " + seed
-                        + "-" + seed);
+                out.println("  again: petrelstand lab faults --rules " + rules + " --voters " + voters + " --seeds "
+                        + seed + "-" + seed);
                 out.flush();
             }
             agreed += sim.acknowledged();
@@ -214,8 +249,9 @@
         }
         spread(out, "changes acted on by all after", took);
         spread(out, "contradictions of two gateways lasted", contradicted);
-        out.printf("%d seeds of %d gateways, %d vote, %d changes, %d failed, %.1f s%n", until - from + 1, rules,
-                Math.min(voters, rules), agreed, failed, (System.nanoTime() - began) / 1e9);
+        out.printf(
+                "%d seeds of %d gateways, %d vote, %d changes, %d failed, %.1f s%n",
+                until - from + 1, rules, Math.min(voters, rules), agreed, failed, (System.nanoTime() - began) / 1e9);
         out.flush();
         return failed > 0 ? 1 : 0;
     }
--- a/src/main/java/petrelstand/cli/RulesCommand.java
+++ b/src/main/java/petrelstand/cli/RulesCommand.java
@@ -14,8 +14,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,11 +38,24 @@
 import picocli.CommandLine.Spec;
 
 /** {@code petrelstand rules}: what gateways agree on, looked at and changed. */
-@CommandLine.Command(name = "rules", description = "Rules on which a fleet's gateways agree (docs/RULES.md).",
-        subcommands = {RulesCommand.Check.class, RulesCommand.Show.class, RulesCommand.Diff.class,
-            RulesCommand.History.class, RulesCommand.Who.class, RulesCommand.Propose.class, RulesCommand.Rollback.class,
-            RulesCommand.Withdraw.class, RulesCommand.Forget.class, RulesCommand.AddVoter.class,
-            RulesCommand.RemoveVoter.class, RulesCommand.Recover.class}, mixinStandardHelpOptions = true)
+@CommandLine.Command(
+        name = "rules",
+        description = "Rules on which a fleet's gateways agree (docs/RULES.md).",
+        subcommands = {
+            RulesCommand.Check.class,
+            RulesCommand.Show.class,
+            RulesCommand.Diff.class,
+            RulesCommand.History.class,
+            RulesCommand.Who.class,
+            RulesCommand.Propose.class,
+            RulesCommand.Rollback.class,
+            RulesCommand.Withdraw.class,
+            RulesCommand.Forget.class,
+            RulesCommand.AddVoter.class,
+            RulesCommand.RemoveVoter.class,
+            RulesCommand.Recover.class
+        },
+        mixinStandardHelpOptions = true)
 final class RulesCommand implements Runnable {
     private static final Duration PATIENCE = Duration.ofSeconds(3);
     private static final int REFUSED = 1;
@@ -70,11 +83,16 @@
 
     /** What all that ask a running gateway share. */
     private abstract static class Asking implements Callable<Integer> {
-        @Option(names = "--at", paramLabel = "ADDRESS", defaultValue = "127.0.0.1:9000",
+        @Option(
+                names = "--at",
+                paramLabel = "ADDRESS",
+                defaultValue = "127.0.0.1:9000",
                 description = "where a gateway listens for clients; one that votes knows versions; 127.0.0.1:9000")
         String at;
+
         @Option(names = "--json", description = "as JSON")
         boolean json;
+
         @Spec
         CommandSpec spec;
 
@@ -99,17 +117,26 @@
 
         JsonObject page(String address) throws Fault, InterruptedException {
             try {
-                HttpResponse<String> answer = HttpClient.newBuilder().connectTimeout(PATIENCE).build().send(
-                        HttpRequest.newBuilder(URI.create("http://" + address + "/rules")).timeout(PATIENCE).build(),
-                        HttpResponse.BodyHandlers.ofString());
+                HttpResponse<String> answer = HttpClient.newBuilder()
+                        .connectTimeout(PATIENCE)
+                        .build()
+                        .send(
+                                HttpRequest.newBuilder(URI.create("http://" + address + "/rules"))
+                                        .timeout(PATIENCE)
+                                        .build(),
+                                HttpResponse.BodyHandlers.ofString());
                 if (answer.statusCode() != 200) {
-                    throw new Fault(NO_ANSWER, address + ": it answers " + answer.statusCode()
-                            + " (is [rules] in its operator's file, with page = on?)");
+                    throw new Fault(
+                            NO_ANSWER,
+                            address + ": it answers " + answer.statusCode()
+                                    + " (is [rules] in its operator's file, with page = on?)");
                 }
                 return JsonParser.parseString(answer.body()).getAsJsonObject();
             } catch (IOException | IllegalArgumentException | JsonSyntaxException e) {
-                throw new Fault(NO_ANSWER, address + ": no rules: "
-                        + (e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage()));
+                throw new Fault(
+                        NO_ANSWER,
+                        address + ": no rules: "
+                                + (e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage()));
             }
         }
 
@@ -147,8 +174,10 @@
     }
 
     /** Checks a file without a gateway. */
-    @CommandLine.Command(name = "check", description = "Checks a file of rules: ends with 0, or 1 and one line that names"
-            + " file, line and key.", mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "check",
+            description = "Checks a file of rules: ends with 0, or 1 and one line that names" + " file, line and key.",
+            mixinStandardHelpOptions = true)
     static final class Check extends Asking {
         @Parameters(paramLabel = "FILE")
         private Path file;
@@ -162,7 +191,9 @@
     }
 
     /** Shows what a gateway acts on. */
-    @CommandLine.Command(name = "show", description = "What a gateway acts on, or the text of a version.",
+    @CommandLine.Command(
+            name = "show",
+            description = "What a gateway acts on, or the text of a version.",
             mixinStandardHelpOptions = true)
     static final class Show extends Asking {
         @Parameters(paramLabel = "VERSION", arity = "0..1")
@@ -176,23 +207,30 @@
             } else if (json) {
                 pretty(page);
             } else {
-                out().println(text(page, "name") + " acts on version " + text(page, "acts_on") + " (" + text(page, "mode")
+                out().println(text(page, "name") + " acts on version " + text(page, "acts_on") + " ("
+                        + text(page, "mode")
                         + ") for " + page.get("for_ms").getAsLong() / 1000 + " s; active " + text(page, "active")
-                        + (page.get("waiting").getAsLong() > 0 ? ", " + text(page, "waiting") + " waits" : "") + "; leader "
+                        + (page.get("waiting").getAsLong() > 0 ? ", " + text(page, "waiting") + " waits" : "")
+                        + "; leader "
                         + (text(page, "leader").isEmpty() ? "not known" : text(page, "leader")));
-                page.getAsJsonObject("rules").entrySet().forEach(rule ->
-                        out().println("  " + rule.getKey() + " = " + rule.getValue().getAsString()));
+                page.getAsJsonObject("rules")
+                        .entrySet()
+                        .forEach(rule -> out().println("  " + rule.getKey() + " = "
+                                + rule.getValue().getAsString()));
             }
             return 0;
         }
     }
 
     /** Says where two versions differ. */
-    @CommandLine.Command(name = "diff", description = "Lines that are in one version and not in another.",
+    @CommandLine.Command(
+            name = "diff",
+            description = "Lines that are in one version and not in another.",
             mixinStandardHelpOptions = true)
     static final class Diff extends Asking {
         @Parameters(paramLabel = "A", index = "0")
         private long one;
+
         @Parameters(paramLabel = "B", index = "1")
         private long two;
 
@@ -210,8 +248,8 @@
             int[][] common = new int[a.length + 1][b.length + 1];
             for (int i = a.length - 1; i >= 0; i--) {
                 for (int j = b.length - 1; j >= 0; j--) {
-                    common[i][j] = a[i].equals(b[j]) ? common[i + 1][j + 1] + 1
-                            : Math.max(common[i + 1][j], common[i][j + 1]);
+                    common[i][j] =
+                            a[i].equals(b[j]) ? common[i + 1][j + 1] + 1 : Math.max(common[i + 1][j], common[i][j + 1]);
                 }
             }
             List<String> lines = new ArrayList<>();
@@ -232,7 +270,9 @@
     }
 
     /** Lists versions. */
-    @CommandLine.Command(name = "history", description = "The versions that are kept: who, when, why.",
+    @CommandLine.Command(
+            name = "history",
+            description = "The versions that are kept: who, when, why.",
             mixinStandardHelpOptions = true)
     static final class History extends Asking {
         @Override
@@ -245,17 +285,24 @@
             }
             for (JsonElement element : page.getAsJsonArray("versions")) {
                 JsonObject one = element.getAsJsonObject();
-                out().printf("%5d on %5d  %-9s  %s  %s: %s%n", one.get("version").getAsLong(), one.get("base").getAsLong(),
-                        text(one, "state"), Instant.ofEpochMilli(one.get("wall_ms").getAsLong()), text(one, "who"),
-                        text(one, "why"));
+                out().printf(
+                                "%5d on %5d  %-9s  %s  %s: %s%n",
+                                one.get("version").getAsLong(),
+                                one.get("base").getAsLong(),
+                                text(one, "state"),
+                                Instant.ofEpochMilli(one.get("wall_ms").getAsLong()),
+                                text(one, "who"),
+                                text(one, "why"));
             }
             return 0;
         }
     }
 
     /** Says which gateway acts on what. */
-    @CommandLine.Command(name = "who", description = "Which gateway acts on which version, since when, as the leader knows"
-            + " it; asked of any voter's address, with commas. Ends with 3 where not all act on the newest.",
+    @CommandLine.Command(
+            name = "who",
+            description = "Which gateway acts on which version, since when, as the leader knows"
+                    + " it; asked of any voter's address, with commas. Ends with 3 where not all act on the newest.",
             mixinStandardHelpOptions = true)
     static final class Who extends Asking {
         @Override
@@ -267,8 +314,11 @@
                     if (page.has("who")) {
                         return print(page);
                     }
-                    last = new Fault(NO_ANSWER, address + " does not lead; the leader is "
-                            + (text(page, "leader").isEmpty() ? "not known" : text(page, "leader")) + ": ask there");
+                    last = new Fault(
+                            NO_ANSWER,
+                            address + " does not lead; the leader is "
+                                    + (text(page, "leader").isEmpty() ? "not known" : text(page, "leader"))
+                                    + ": ask there");
                 } catch (Fault e) {
                     last = e;
                 }
@@ -281,17 +331,23 @@
                 pretty(page.get("who"));
             }
             boolean all = true;
-            long newest = Math.max(page.get("active").getAsLong(), page.get("waiting").getAsLong());
+            long newest =
+                    Math.max(page.get("active").getAsLong(), page.get("waiting").getAsLong());
             List<String> heard = new ArrayList<>();
             for (JsonElement element : page.getAsJsonArray("who")) {
                 JsonObject one = element.getAsJsonObject();
                 heard.add(text(one, "name"));
                 all &= one.get("acts_on").getAsLong() == newest;
                 if (!json) {
-                    out().printf("%-16s acts on %d for %d s, has %d, lease %d ms, heard %d ms ago%s%n", text(one, "name"),
-                            one.get("acts_on").getAsLong(), one.get("for_ms").getAsLong() / 1000,
-                            one.get("has").getAsLong(), one.get("lease_ms").getAsLong(), one.get("heard_ms").getAsLong(),
-                            text(one, "refuses").isEmpty() ? "" : ", can't load it: " + text(one, "refuses"));
+                    out().printf(
+                                    "%-16s acts on %d for %d s, has %d, lease %d ms, heard %d ms ago%s%n",
+                                    text(one, "name"),
+                                    one.get("acts_on").getAsLong(),
+                                    one.get("for_ms").getAsLong() / 1000,
+                                    one.get("has").getAsLong(),
+                                    one.get("lease_ms").getAsLong(),
+                                    one.get("heard_ms").getAsLong(),
+                                    text(one, "refuses").isEmpty() ? "" : ", can't load it: " + text(one, "refuses"));
                 }
             }
             for (JsonElement name : page.getAsJsonArray("gateways")) {
@@ -308,17 +364,31 @@
 
     /** What all that change something share. */
     private abstract static class Changing extends Asking {
-        @Option(names = "--operator", paramLabel = "FILE", defaultValue = "deploy/petrelstand.ini",
+        @Option(
+                names = "--operator",
+                paramLabel = "FILE",
+                defaultValue = "deploy/petrelstand.ini",
                 description = "a gateway's INI file: its [fleet] gives name, key and seeds; deploy/petrelstand.ini")
         private Path operator;
+
         @Option(names = "--who", paramLabel = "NAME", description = "who changes it; the user's name")
         private String who;
+
         @Option(names = "--why", paramLabel = "TEXT", required = true, description = "why, kept with the version")
         String why;
-        @Option(names = "--from", paramLabel = "IP", defaultValue = "127.0.0.1",
+
+        @Option(
+                names = "--from",
+                paramLabel = "IP",
+                defaultValue = "127.0.0.1",
                 description = "an address of this machine that the gateways reach; 127.0.0.1")
         private String from;
-        @Option(names = "--patience", paramLabel = "S", defaultValue = "10", description = "seconds to go on asking; 10")
+
+        @Option(
+                names = "--patience",
+                paramLabel = "S",
+                defaultValue = "10",
+                description = "seconds to go on asking; 10")
         long patienceS;
 
         String who() {
@@ -349,8 +419,10 @@
 
         int told(Talk.Taken taken, String done) throws Fault {
             if (taken == null) {
-                throw new Fault(NO_ANSWER, "nobody who leads answered in " + patienceS
-                        + " s; it may have been taken: look with 'rules history' before you ask again");
+                throw new Fault(
+                        NO_ANSWER,
+                        "nobody who leads answered in " + patienceS
+                                + " s; it may have been taken: look with 'rules history' before you ask again");
             }
             if (!taken.fault().isEmpty()) {
                 throw new Fault(REFUSED, "refused: " + taken.fault());
@@ -396,7 +468,8 @@
                 JsonObject one = element.getAsJsonObject();
                 heard.add(text(one, "name"));
                 if (one.get("acts_on").getAsLong() < version) {
-                    missing.add(text(one, "name") + " acts on version " + text(one, "acts_on") + ", has " + text(one, "has")
+                    missing.add(text(one, "name") + " acts on version " + text(one, "acts_on") + ", has "
+                            + text(one, "has")
                             + (text(one, "refuses").isEmpty() ? "" : ", can't load it: " + text(one, "refuses")));
                 }
             }
@@ -410,14 +483,21 @@
     }
 
     /** Proposes a file as the next version. */
-    @CommandLine.Command(name = "propose", description = "Proposes a file as the next version, on a named base.",
+    @CommandLine.Command(
+            name = "propose",
+            description = "Proposes a file as the next version, on a named base.",
             mixinStandardHelpOptions = true)
     static final class Propose extends Changing {
         @Parameters(paramLabel = "FILE")
         private Path file;
-        @Option(names = "--base", paramLabel = "VERSION", description = "the version that it changes; refused where another"
-                + " is the newest. Left out, the newest that the gateway at --at knows")
+
+        @Option(
+                names = "--base",
+                paramLabel = "VERSION",
+                description = "the version that it changes; refused where another"
+                        + " is the newest. Left out, the newest that the gateway at --at knows")
         private Long base;
+
         @Option(names = "--wait", description = "ends when all act on it, or tells who does not")
         private boolean await;
 
@@ -438,11 +518,14 @@
     }
 
     /** Makes an old text the next version. */
-    @CommandLine.Command(name = "rollback", description = "Proposes the text of an older version as the next one.",
+    @CommandLine.Command(
+            name = "rollback",
+            description = "Proposes the text of an older version as the next one.",
             mixinStandardHelpOptions = true)
     static final class Rollback extends Changing {
         @Parameters(paramLabel = "VERSION")
         private long version;
+
         @Option(names = "--wait", description = "ends when all act on it, or tells who does not")
         private boolean await;
 
@@ -463,7 +546,10 @@
     }
 
     /** Gives up a version that waits. */
-    @CommandLine.Command(name = "withdraw", description = "Gives up the version that waits.", mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "withdraw",
+            description = "Gives up the version that waits.",
+            mixinStandardHelpOptions = true)
     static final class Withdraw extends Ordering {
         @Parameters(paramLabel = "VERSION")
         private long version;
@@ -475,8 +561,10 @@
     }
 
     /** Makes a gateway a voter. */
-    @CommandLine.Command(name = "add-voter", description = "Makes a gateway a voter, whose file has may_vote = yes; it listens"
-            + " for 2 s first.", mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "add-voter",
+            description = "Makes a gateway a voter, whose file has may_vote = yes; it listens" + " for 2 s first.",
+            mixinStandardHelpOptions = true)
     static final class AddVoter extends Ordering {
         @Parameters(paramLabel = "NAME")
         private String name;
@@ -488,8 +576,11 @@
     }
 
     /** Takes a voter's vote away. */
-    @CommandLine.Command(name = "remove-voter", description = "Takes a voter's vote away, also of one that is gone; it goes on"
-            + " to act on what is agreed.", mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "remove-voter",
+            description =
+                    "Takes a voter's vote away, also of one that is gone; it goes on" + " to act on what is agreed.",
+            mixinStandardHelpOptions = true)
     static final class RemoveVoter extends Ordering {
         @Parameters(paramLabel = "NAME")
         private String name;
@@ -501,8 +592,10 @@
     }
 
     /** Drops a gateway that is gone for good. */
-    @CommandLine.Command(name = "forget", description = "Drops a gateway that is gone for good: its floors are no longer"
-            + " kept free.", mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "forget",
+            description = "Drops a gateway that is gone for good: its floors are no longer" + " kept free.",
+            mixinStandardHelpOptions = true)
     static final class Forget extends Ordering {
         @Parameters(paramLabel = "NAME")
         private String name;
@@ -514,21 +607,35 @@
     }
 
     /** Begins a new epoch from one voter's folder. */
-    @CommandLine.Command(name = "recover", description = "After a majority of voters is lost for ever: makes one former voter's"
-            + " folder the beginning of a new epoch, with that voter alone. First shows what the folder holds and a word; with"
-            + " --confirm WORD and the names of all other voters in --give-up it writes. Its gateway, and all former voters, must"
-            + " be ended.", mixinStandardHelpOptions = true)
+    @CommandLine.Command(
+            name = "recover",
+            description = "After a majority of voters is lost for ever: makes one former voter's"
+                    + " folder the beginning of a new epoch, with that voter alone. First shows what the folder holds and a word; with"
+                    + " --confirm WORD and the names of all other voters in --give-up it writes. Its gateway, and all former voters, must"
+                    + " be ended.",
+            mixinStandardHelpOptions = true)
     static final class Recover implements Callable<Integer> {
-        @Parameters(paramLabel = "FOLDER", description = "the [rules] folder of a former voter, the one with the highest version")
+        @Parameters(
+                paramLabel = "FOLDER",
+                description = "the [rules] folder of a former voter, the one with the highest version")
         private Path folder;
-        @Option(names = "--give-up", paramLabel = "NAMES", split = ",", description = "all other voters of the folder's group")
+
+        @Option(
+                names = "--give-up",
+                paramLabel = "NAMES",
+                split = ",",
+                description = "all other voters of the folder's group")
         private List<String> givenUp = List.of();
+
         @Option(names = "--confirm", paramLabel = "WORD", description = "the word that the first call showed")
         private String word;
+
         @Option(names = "--who", paramLabel = "NAME", description = "who does it; the user's name")
         private String who;
+
         @Option(names = "--why", paramLabel = "TEXT", required = true, description = "why, kept with the version")
         private String why;
+
         @Spec
         private CommandSpec spec;
 
@@ -544,20 +651,25 @@
                 Recovery recovery = new Recovery(new RaftFiles(disk, out::println));
                 List<String> others = new ArrayList<>(recovery.voters());
                 others.remove(recovery.name());
-                out.println(folder + " is " + recovery.name() + "'s: acted on is version " + recovery.book().active()
-                        + ", the newest is " + recovery.book().newest() + "; the other voters are " + String.join(",", others)
+                out.println(folder + " is " + recovery.name() + "'s: acted on is version "
+                        + recovery.book().active()
+                        + ", the newest is " + recovery.book().newest() + "; the other voters are "
+                        + String.join(",", others)
                         + "; the word is " + recovery.print());
                 if (word == null) {
                     out.println("nothing was written");
                     return NOT_ALL;
                 }
                 if (!word.equals(recovery.print()) || !new TreeSet<>(others).equals(new TreeSet<>(givenUp))) {
-                    err.println("not written: --confirm must be the word, and --give-up name the other voters, all of them");
+                    err.println(
+                            "not written: --confirm must be the word, and --give-up name the other voters, all of them");
                     return REFUSED;
                 }
                 String name = who == null ? System.getProperty("user.name", "operator") : who;
-                long version = recovery.write(name.substring(0, Math.min(name.length(), Command.MOST_WHO)),
-                        why.substring(0, Math.min(why.length(), Command.MOST_WHY - 20)), System.currentTimeMillis(),
+                long version = recovery.write(
+                        name.substring(0, Math.min(name.length(), Command.MOST_WHO)),
+                        why.substring(0, Math.min(why.length(), Command.MOST_WHY - 20)),
+                        System.currentTimeMillis(),
                         new SecureRandom().nextInt());
                 out.println("version " + version + " is the first of a new epoch; start " + recovery.name()
                         + ", then add the other voters with empty folders");
--- a/src/main/java/petrelstand/cli/StateCommand.java
+++ b/src/main/java/petrelstand/cli/StateCommand.java
@@ -27,8 +27,11 @@
 import picocli.CommandLine.Spec;
 
 /** {@code petrelstand state}: what a state folder holds, and whether it is whole. Reads only; takes no lock. */
-@Command(name = "state", description = "Looks at what a gateway has learned and kept.",
-        subcommands = {StateCommand.Inspect.class, StateCommand.Verify.class}, mixinStandardHelpOptions = true)
+@Command(
+        name = "state",
+        description = "Looks at what a gateway has learned and kept.",
+        subcommands = {StateCommand.Inspect.class, StateCommand.Verify.class},
+        mixinStandardHelpOptions = true)
 final class StateCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -40,8 +43,8 @@
 
     private static Snapshot read(Path file) throws IOException, StateFault {
         if (!Files.isRegularFile(file, LinkOption.NOFOLLOW_LINKS)) {
-            throw new IOException(Files.exists(file, LinkOption.NOFOLLOW_LINKS) ? "it is not a plain file"
-                    : "there is no such file");
+            throw new IOException(
+                    Files.exists(file, LinkOption.NOFOLLOW_LINKS) ? "it is not a plain file" : "there is no such file");
         }
         if (Files.size(file) > SnapshotFormat.MOST_BYTES) {
             throw new IOException("it is longer than " + SnapshotFormat.MOST_BYTES + " bytes");
@@ -52,8 +55,11 @@
     /** The snapshots of a folder, newest first. */
     private static List<Path> snapshots(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            List<String> names = files.map(file -> file.getFileName().toString()).toList();
-            return Generations.newestFirst(names).stream().map(g -> folder.resolve(Generations.name(g))).toList();
+            List<String> names =
+                    files.map(file -> file.getFileName().toString()).toList();
+            return Generations.newestFirst(names).stream()
+                    .map(g -> folder.resolve(Generations.name(g)))
+                    .toList();
         }
     }
 
@@ -62,13 +68,17 @@
     }
 
     /** Prints a snapshot. */
-    @Command(name = "inspect", description = "Prints a snapshot, or the newest whole one of a folder.",
+    @Command(
+            name = "inspect",
+            description = "Prints a snapshot, or the newest whole one of a folder.",
             mixinStandardHelpOptions = true)
     static final class Inspect implements Callable<Integer> {
         @Parameters(paramLabel = "FILE|DIR", description = "a snapshot's file, or a state folder")
         private Path where;
+
         @Option(names = "--json", description = "as JSON")
         private boolean json;
+
         @Spec
         private CommandSpec spec;
 
@@ -83,8 +93,13 @@
             for (Path file : files) {
                 try {
                     Snapshot snapshot = read(file);
-                    out.println(json ? new GsonBuilder().setPrettyPrinting().create().toJson(json(snapshot))
-                            : text(file, snapshot));
+                    out.println(
+                            json
+                                    ? new GsonBuilder()
+                                            .setPrettyPrinting()
+                                            .create()
+                                            .toJson(json(snapshot))
+                                    : text(file, snapshot));
                     out.flush();
                     return 0;
                 } catch (IOException | StateFault e) {
@@ -101,18 +116,50 @@
                     + java.time.Instant.ofEpochMilli(snapshot.wallMs())
                     + (snapshot.clean() ? " at an orderly end" : "") + ", settings "
                     + String.format("%016x", snapshot.settingsPrint()));
-            lines.add(String.format(Locale.ROOT, "%-10s %16s %8s %8s %8s %10s %8s %10s", "node", "started_ms", "slots",
-                    "units/slot", "window", "latency_ms", "cold", "silent_ms"));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%-10s %16s %8s %8s %8s %10s %8s %10s",
+                    "node",
+                    "started_ms",
+                    "slots",
+                    "units/slot",
+                    "window",
+                    "latency_ms",
+                    "cold",
+                    "silent_ms"));
             for (LearnedNode node : snapshot.learned().nodes()) {
-                lines.add(String.format(Locale.ROOT, "%08x   %16.0f %8.1f %10.2f %8.2f %10.1f %8.1f %10.0f", node.node(),
-                        node.upSinceMs(), node.slots(), node.slots() > 0 ? node.served() / node.slots() : 0,
-                        node.window(), node.latencyMs(), node.coldSent(), node.silentMs()));
+                lines.add(String.format(
+                        Locale.ROOT,
+                        "%08x   %16.0f %8.1f %10.2f %8.2f %10.1f %8.1f %10.0f",
+                        node.node(),
+                        node.upSinceMs(),
+                        node.slots(),
+                        node.slots() > 0 ? node.served() / node.slots() : 0,
+                        node.window(),
+                        node.latencyMs(),
+                        node.coldSent(),
+                        node.silentMs()));
             }
-            lines.add(String.format(Locale.ROOT, "%-16s %4s %5s %6s %8s %8s %8s", "volume", "plan", "hosts", "part",
-                    "limit", "reserve", "share"));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%-16s %4s %5s %6s %8s %8s %8s",
+                    "volume",
+                    "plan",
+                    "hosts",
+                    "part",
+                    "limit",
+                    "reserve",
+                    "share"));
             for (LearnedVolume volume : snapshot.learned().volumes()) {
-                lines.add(String.format(Locale.ROOT, "%016x %4d %5d %6.3f %8.1f %8.1f %8.1f", volume.volume(),
-                        volume.plan(), volume.setSize(), volume.ownPart(), volume.limitLevel(), volume.reserveLevel(),
+                lines.add(String.format(
+                        Locale.ROOT,
+                        "%016x %4d %5d %6.3f %8.1f %8.1f %8.1f",
+                        volume.volume(),
+                        volume.plan(),
+                        volume.setSize(),
+                        volume.ownPart(),
+                        volume.limitLevel(),
+                        volume.reserveLevel(),
                         volume.shareLevel()));
             }
             return String.join(System.lineSeparator(), lines);
@@ -159,12 +206,15 @@
     }
 
     /** Reads every snapshot of a folder. */
-    @Command(name = "verify", description = "Reads every snapshot of a folder. Ends with 0 where all are whole and"
-            + " there is one; with 1, and a line for each that names file, offset and fault, where not.",
+    @Command(
+            name = "verify",
+            description = "Reads every snapshot of a folder. Ends with 0 where all are whole and"
+                    + " there is one; with 1, and a line for each that names file, offset and fault, where not.",
             mixinStandardHelpOptions = true)
     static final class Verify implements Callable<Integer> {
         @Parameters(paramLabel = "DIR", description = "a state folder")
         private Path folder;
+
         @Spec
         private CommandSpec spec;
 
@@ -177,7 +227,8 @@
                 for (Path file : snapshots(folder)) {
                     try {
                         Snapshot snapshot = read(file);
-                        long named = Generations.of(file.getFileName().toString()).orElseThrow();
+                        long named =
+                                Generations.of(file.getFileName().toString()).orElseThrow();
                         if (snapshot.generation() != named) {
                             throw new IOException("offset 16: it says it is generation " + snapshot.generation());
                         }
@@ -189,7 +240,8 @@
                 }
             } catch (IOException e) {
                 bad++;
-                err.println(folder + ": the folder cannot be read: " + e.getClass().getSimpleName());
+                err.println(
+                        folder + ": the folder cannot be read: " + e.getClass().getSimpleName());
             }
             if (whole == 0 && bad == 0) {
                 err.println(folder + ": the folder holds no snapshot");
--- a/src/main/java/petrelstand/config/FleetConfig.java
+++ b/src/main/java/petrelstand/config/FleetConfig.java
@@ -28,8 +28,19 @@
  * @param metrics whether {@code GET /metrics} has the fleet's figures
  * @param abilities what this gateway can do, for parts that ask
  */
-public record FleetConfig(String fleet, String name, String listen, String advertise, List<String> seeds, int size,
-        List<byte[]> keys, Timing timing, Path folder, Path history, boolean page, boolean metrics,
+public record FleetConfig(
+        String fleet,
+        String name,
+        String listen,
+        String advertise,
+        List<String> seeds,
+        int size,
+        List<byte[]> keys,
+        Timing timing,
+        Path folder,
+        Path history,
+        boolean page,
+        boolean metrics,
         List<String> abilities) {
     private static final int LEAST_KEY = 16;
     private static final int MOST_KEY = 64;
@@ -54,19 +65,27 @@
             throw section.wrong("seeds", "has more than " + MOST_SEEDS + " addresses");
         }
         List<String> abilities = words(section, "can");
-        if (abilities.size() > Member.MOST_ABILITIES || abilities.stream().anyMatch(a -> a.length() > Member.MOST_NAME)) {
-            throw section.wrong("can", "has more than " + Member.MOST_ABILITIES + " words, or one longer than "
-                    + Member.MOST_NAME);
+        if (abilities.size() > Member.MOST_ABILITIES
+                || abilities.stream().anyMatch(a -> a.length() > Member.MOST_NAME)) {
+            throw section.wrong(
+                    "can", "has more than " + Member.MOST_ABILITIES + " words, or one longer than " + Member.MOST_NAME);
         }
         Path key = ini.beside(section.text("key"));
         files.add(key);
-        return new FleetConfig(name(section, "name"), section.has("member") ? name(section, "member") : null, listen,
-                section.has("advertise") ? section.address("advertise") : listen, seeds,
-                section.whole("size", 0, 0, 1000), keys(section, key, reader), timing(section),
+        return new FleetConfig(
+                name(section, "name"),
+                section.has("member") ? name(section, "member") : null,
+                listen,
+                section.has("advertise") ? section.address("advertise") : listen,
+                seeds,
+                section.whole("size", 0, 0, 1000),
+                keys(section, key, reader),
+                timing(section),
                 section.has("folder") ? ini.beside(section.text("folder")) : null,
                 section.has("history") ? ini.beside(section.text("history")) : null,
                 !section.has("page") || section.place("page", List.of("off", "on")) == 1,
-                section.has("metrics") && section.place("metrics", List.of("off", "on")) == 1, abilities);
+                section.has("metrics") && section.place("metrics", List.of("off", "on")) == 1,
+                abilities);
     }
 
     private static List<String> words(IniFile.Section section, String key) {
@@ -77,8 +96,9 @@
     private static String name(IniFile.Section section, String key) {
         String name = section.text(key);
         if (!name.matches("[A-Za-z0-9._-]{1," + Member.MOST_NAME + "}")) {
-            throw section.wrong(key, "is not a name of 1 to " + Member.MOST_NAME + " letters, digits, '.', '_' or '-': '"
-                    + name + "'");
+            throw section.wrong(
+                    key,
+                    "is not a name of 1 to " + Member.MOST_NAME + " letters, digits, '.', '_' or '-': '" + name + "'");
         }
         return name;
     }
@@ -86,7 +106,8 @@
     private static Timing timing(IniFile.Section section) {
         Timing usual = Timing.USUAL;
         try {
-            return new Timing(section.durationUs("ping", usual.pingUs(), Timing.TICK_US, 60_000_000),
+            return new Timing(
+                    section.durationUs("ping", usual.pingUs(), Timing.TICK_US, 60_000_000),
                     section.durationUs("suspect_after", usual.suspectAfterUs(), 200_000, 600_000_000),
                     section.durationUs("fail_after", usual.failAfterUs(), 200_000, 600_000_000),
                     section.durationUs("retry", usual.retryUs(), 100_000, 600_000_000));
@@ -94,7 +115,8 @@
             if (String.valueOf(e.getMessage()).contains("[fleet]")) {
                 throw e;
             }
-            throw section.wrong("suspect_after", "must be three times ping or more, fail_after twice, and retry no less");
+            throw section.wrong(
+                    "suspect_after", "must be three times ping or more, fail_after twice, and retry no less");
         }
     }
 
@@ -104,7 +126,8 @@
         try {
             if (Files.exists(file) && Files.getFileStore(file).supportsFileAttributeView("posix")) {
                 Set<PosixFilePermission> open = Files.getPosixFilePermissions(file);
-                if (open.contains(PosixFilePermission.OTHERS_READ) || open.contains(PosixFilePermission.GROUP_WRITE)
+                if (open.contains(PosixFilePermission.OTHERS_READ)
+                        || open.contains(PosixFilePermission.GROUP_WRITE)
                         || open.contains(PosixFilePermission.OTHERS_WRITE)) {
                     throw section.wrong("key", "names " + file + ", which others than its owner may read or write");
                 }
@@ -115,17 +138,22 @@
                 }
             }
         } catch (IOException e) {
-            throw section.wrong("key", "names " + file + ", which cannot be read: " + e.getClass().getSimpleName());
+            throw section.wrong(
+                    "key",
+                    "names " + file + ", which cannot be read: " + e.getClass().getSimpleName());
         } catch (IllegalArgumentException e) {
             if (String.valueOf(e.getMessage()).contains("[fleet]")) {
                 throw e;
             }
             throw section.wrong("key", "names " + file + ", line " + (keys.size() + 1) + " of which is not in hex");
         }
-        if (keys.isEmpty() || keys.size() > MOST_KEYS
+        if (keys.isEmpty()
+                || keys.size() > MOST_KEYS
                 || keys.stream().anyMatch(k -> k.length < LEAST_KEY || k.length > MOST_KEY)) {
-            throw section.wrong("key", "names " + file + ", which must hold one or two keys of " + 2 * LEAST_KEY + " to "
-                    + 2 * MOST_KEY + " hex digits, one a line");
+            throw section.wrong(
+                    "key",
+                    "names " + file + ", which must hold one or two keys of " + 2 * LEAST_KEY + " to " + 2 * MOST_KEY
+                            + " hex digits, one a line");
         }
         return List.copyOf(keys);
     }
--- a/src/main/java/petrelstand/config/GatewayConfig.java
+++ b/src/main/java/petrelstand/config/GatewayConfig.java
@@ -23,8 +23,16 @@
  * What a gateway is told at its start: its addresses, its limits, its last node list and the settings. The operators'
  * address is null where none is given. {@code file} is the text as it was read; nobody changes it.
  */
-public record GatewayConfig(String name, String listen, String discovery, String operator, long seed, int sockets,
-        Settings settings, NodeList known, JsonObject file) {
+public record GatewayConfig(
+        String name,
+        String listen,
+        String discovery,
+        String operator,
+        long seed,
+        int sockets,
+        Settings settings,
+        NodeList known,
+        JsonObject file) {
     /** What a later file may leave out: it tells of the moment, or the environment tells it. */
     private static final Set<String> SPARED = Set.of("known", "seed", "operator");
 
@@ -38,8 +46,8 @@
     }
 
     /**
-     * Reads the file anew. It must have every key that the one in use has, so that one which was cut or edited in haste is
-     * turned down whole; what is wrong is one IllegalArgumentException that names file and field.
+     * Reads the file anew. It must have every key that the one in use has, so that one which was cut or edited in haste
+     * is turned down whole; what is wrong is one IllegalArgumentException that names file and field.
      */
     public static GatewayConfig reload(Map<String, String> env, GatewayConfig inUse) {
         return load(env.get("RELAY_CONFIG"), env, json -> {
@@ -56,7 +64,8 @@
             check.accept(json);
             return of(json, env);
         } catch (IOException e) {
-            throw new IllegalArgumentException(file + " cannot be read: " + e.getClass().getSimpleName());
+            throw new IllegalArgumentException(
+                    file + " cannot be read: " + e.getClass().getSimpleName());
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException(file + ": " + e.getMessage());
         }
@@ -74,8 +83,11 @@
             if (is == null || is.isJsonNull() && !was.isJsonNull()) {
                 return at;
             }
-            String below = was.isJsonObject() && is.isJsonObject() ? missing(at, was.getAsJsonObject(), is.getAsJsonObject())
-                    : was.isJsonArray() && is.isJsonArray() ? missing(at, was.getAsJsonArray(), is.getAsJsonArray()) : null;
+            String below = was.isJsonObject() && is.isJsonObject()
+                    ? missing(at, was.getAsJsonObject(), is.getAsJsonObject())
+                    : was.isJsonArray() && is.isJsonArray()
+                            ? missing(at, was.getAsJsonArray(), is.getAsJsonArray())
+                            : null;
             if (below != null) {
                 return below;
             }
@@ -108,7 +120,8 @@
 
     private static GatewayConfig of(JsonObject json, Map<String, String> env) {
         JsonObject limits = json.has("limits") && json.get("limits").isJsonObject()
-                ? json.getAsJsonObject("limits") : new JsonObject();
+                ? json.getAsJsonObject("limits")
+                : new JsonObject();
         if (!json.has("settings") || !json.get("settings").isJsonObject()) {
             throw new IllegalArgumentException("settings is missing");
         }
@@ -123,11 +136,18 @@
         }
         whole(limits, "memory_mb", 0);
         NodeList known = json.has("known") && json.get("known").isJsonObject()
-                ? NodeList.of(json.getAsJsonObject("known"), settings.zones()) : NodeList.empty();
-        return new GatewayConfig(word(json, "name", env.get("RELAY_NAME")),
+                ? NodeList.of(json.getAsJsonObject("known"), settings.zones())
+                : NodeList.empty();
+        return new GatewayConfig(
+                word(json, "name", env.get("RELAY_NAME")),
                 address("listen", word(json, "listen", env.get("RELAY_LISTEN"))),
-                address("discovery", word(json, "discovery", env.get("RELAY_DISCOVERY"))), operator(json, env),
-                seed(word(json, "seed", "0")), whole(limits, "sockets", 1024), settings, known, json);
+                address("discovery", word(json, "discovery", env.get("RELAY_DISCOVERY"))),
+                operator(json, env),
+                seed(word(json, "seed", "0")),
+                whole(limits, "sockets", 1024),
+                settings,
+                known,
+                json);
     }
 
     /**
@@ -143,7 +163,8 @@
     /** The memory that the file grants, bytes; 0 where it says nothing. */
     public long memoryBytes() {
         return file.has("limits") && file.get("limits").isJsonObject()
-                ? whole(file.getAsJsonObject("limits"), "memory_mb", 0) * 1024L * 1024 : 0;
+                ? whole(file.getAsJsonObject("limits"), "memory_mb", 0) * 1024L * 1024
+                : 0;
     }
 
     /** What differs in another file that a running gateway cannot take, by the names the file has for it. */
@@ -178,7 +199,8 @@
     }
 
     private static void number(String path, JsonElement value) {
-        if (value != null && !(value instanceof JsonPrimitive number && number.isNumber() && number.getAsDouble() > 0)) {
+        if (value != null
+                && !(value instanceof JsonPrimitive number && number.isNumber() && number.getAsDouble() > 0)) {
             throw new IllegalArgumentException("settings: " + path + " is no number above 0: " + value);
         }
     }
@@ -234,7 +256,10 @@
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port >= 0 && port <= 0xffff && text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+            if (colon > 0
+                    && port >= 0
+                    && port <= 0xffff
+                    && text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
                 return text;
             }
         } catch (NumberFormatException e) {
--- a/src/main/java/petrelstand/config/IniFile.java
+++ b/src/main/java/petrelstand/config/IniFile.java
@@ -18,8 +18,8 @@
 import org.apache.commons.configuration2.tree.ImmutableNode;
 
 /**
- * The operator's file in INI form, read by Apache Commons Configuration. What that library does not tell, the line of
- * a section or key, is looked up in the text. Every fault is one IllegalArgumentException, FILE:LINE: [SECTION] KEY and
+ * The operator's file in INI form, read by Apache Commons Configuration. What that library does not tell, the line of a
+ * section or key, is looked up in the text. Every fault is one IllegalArgumentException, FILE:LINE: [SECTION] KEY and
  * what is wrong. A key or section that nobody has asked for by the end is a fault too ({@link #refuseUnread}).
  */
 public final class IniFile {
@@ -43,7 +43,8 @@
         } catch (CharacterCodingException e) {
             throw new IllegalArgumentException(file + " is not UTF-8 text");
         } catch (IOException e) {
-            throw new IllegalArgumentException(file + " cannot be read: " + e.getClass().getSimpleName());
+            throw new IllegalArgumentException(
+                    file + " cannot be read: " + e.getClass().getSimpleName());
         }
     }
 
@@ -59,8 +60,8 @@
         }
         for (ImmutableNode node : ini.getNodeModel().getInMemoryRepresentation().getChildren()) {
             if (node.getValue() != null) {
-                throw new IllegalArgumentException(at(line(null, node.getNodeName())) + node.getNodeName()
-                        + " stands before the first section");
+                throw new IllegalArgumentException(
+                        at(line(null, node.getNodeName())) + node.getNodeName() + " stands before the first section");
             }
             add(node);
         }
@@ -69,12 +70,14 @@
     private void add(ImmutableNode node) {
         Section section = new Section(node.getNodeName());
         if (sections.put(node.getNodeName(), section) != null) {
-            throw new IllegalArgumentException(at(line(node.getNodeName(), null)) + "[" + node.getNodeName()
-                    + "] is there twice");
+            throw new IllegalArgumentException(
+                    at(line(node.getNodeName(), null)) + "[" + node.getNodeName() + "] is there twice");
         }
         inOrder.add(section);
         for (ImmutableNode key : node.getChildren()) {
-            if (section.values.put(key.getNodeName(), String.valueOf(key.getValue()).strip()) != null) {
+            if (section.values.put(
+                            key.getNodeName(), String.valueOf(key.getValue()).strip())
+                    != null) {
                 throw section.wrong(key.getNodeName(), "is there twice");
             }
         }
@@ -100,7 +103,8 @@
 
     /** The sections whose names begin with a word and a space, in the order of the file. */
     public List<Section> sections(String word) {
-        List<Section> found = inOrder.stream().filter(s -> s.name.startsWith(word + " ")).toList();
+        List<Section> found =
+                inOrder.stream().filter(s -> s.name.startsWith(word + " ")).toList();
         found.forEach(section -> section.asked = true);
         return found;
     }
@@ -109,8 +113,8 @@
     public void refuseUnread() {
         for (Section section : inOrder) {
             if (!section.asked) {
-                throw new IllegalArgumentException(at(line(section.name, null)) + "[" + section.name
-                        + "] is no section of this file");
+                throw new IllegalArgumentException(
+                        at(line(section.name, null)) + "[" + section.name + "] is no section of this file");
             }
             for (String key : section.values.keySet()) {
                 if (!section.read.contains(key)) {
@@ -126,8 +130,7 @@
 
     /** The line, from 1, of the last place where a section, or a key in it, is given; 1 where it is none. */
     private int line(String section, String key) {
-        Pattern wanted = key == null ? null
-                : Pattern.compile("^\\s*" + Pattern.quote(key) + "\\s*([=:].*)?$");
+        Pattern wanted = key == null ? null : Pattern.compile("^\\s*" + Pattern.quote(key) + "\\s*([=:].*)?$");
         String in = null;
         int found = 0;
         int header = 0;
@@ -136,7 +139,9 @@
             if (head.matches()) {
                 in = head.group(1).strip();
                 header = in.equals(section) ? i + 1 : header;
-            } else if (wanted != null && java.util.Objects.equals(in, section) && wanted.matcher(lines[i]).matches()) {
+            } else if (wanted != null
+                    && java.util.Objects.equals(in, section)
+                    && wanted.matcher(lines[i]).matches()) {
                 found = i + 1;
             }
         }
@@ -160,8 +165,8 @@
 
         /** A fault at a key, or at the section where the key is null or missing. */
         public IllegalArgumentException wrong(String key, String what) {
-            return new IllegalArgumentException(at(line(name, key)) + "[" + name + "] " + (key == null ? "" : key + " ")
-                    + what);
+            return new IllegalArgumentException(
+                    at(line(name, key)) + "[" + name + "] " + (key == null ? "" : key + " ") + what);
         }
 
         public boolean has(String key) {
@@ -196,8 +201,8 @@
             }
             double us = Double.parseDouble(parts.group(1)) * UNITS_US.get(parts.group(2));
             if (!(us >= leastUs && us <= mostUs)) {
-                throw wrong(key, "must be from " + leastUs / 1000.0 + " ms to " + mostUs / 1e6 + " s, not '" + part
-                        + "'");
+                throw wrong(
+                        key, "must be from " + leastUs / 1000.0 + " ms to " + mostUs / 1e6 + " s, not '" + part + "'");
             }
             return (long) us;
         }
--- a/src/main/java/petrelstand/config/NodeList.java
+++ b/src/main/java/petrelstand/config/NodeList.java
@@ -27,9 +27,14 @@
                     nodes.add(node(element.getAsJsonObject(), zones));
                 }
             }
-            return new NodeList(json.get("version").getAsLong(), !json.has("full") || json.get("full").getAsBoolean(),
+            return new NodeList(
+                    json.get("version").getAsLong(),
+                    !json.has("full") || json.get("full").getAsBoolean(),
                     nodes);
-        } catch (IllegalStateException | ClassCastException | NullPointerException | NumberFormatException
+        } catch (IllegalStateException
+                | ClassCastException
+                | NullPointerException
+                | NumberFormatException
                 | UnsupportedOperationException e) {
             throw new IllegalArgumentException("the node list is malformed: " + e.getMessage());
         }
@@ -41,8 +46,9 @@
             case "up" -> NodeState.READY;
             case "draining" -> NodeState.DRAINING;
             case "removed" -> NodeState.GONE;
-            default -> throw new IllegalArgumentException("node " + name + " has an unknown state: "
-                    + json.get("state").getAsString());
+            default ->
+                throw new IllegalArgumentException("node " + name + " has an unknown state: "
+                        + json.get("state").getAsString());
         };
         int zone = json.has("zone") ? Math.max(0, zones.indexOf(json.get("zone").getAsString())) : 0;
         String address = json.has("addr") ? json.get("addr").getAsString() : "";
@@ -53,8 +59,16 @@
         if (state != NodeState.GONE) {
             GatewayConfig.address("addr of node " + name, address);
         }
-        return new Node(name, address, new NodeEntry(Node.numberOf(name), zone, cell,
-                state, number(json, "weight", 1).doubleValue(), number(json, "started_ms", 0).doubleValue()));
+        return new Node(
+                name,
+                address,
+                new NodeEntry(
+                        Node.numberOf(name),
+                        zone,
+                        cell,
+                        state,
+                        number(json, "weight", 1).doubleValue(),
+                        number(json, "started_ms", 0).doubleValue()));
     }
 
     private static Number number(JsonObject json, String key, Number otherwise) {
--- a/src/main/java/petrelstand/config/OperatorConfig.java
+++ b/src/main/java/petrelstand/config/OperatorConfig.java
@@ -22,10 +22,17 @@
  * @param jsonLog true where log lines are JSON
  * @param files this file and those it names: a change of any is a change of the whole
  */
-public record OperatorConfig(StateConfig state, RsyncConfig rsync, AccountsConfig accounts, FleetConfig fleet,
-        RulesConfig rules, boolean jsonLog, List<Path> files) {
+public record OperatorConfig(
+        StateConfig state,
+        RsyncConfig rsync,
+        AccountsConfig accounts,
+        FleetConfig fleet,
+        RulesConfig rules,
+        boolean jsonLog,
+        List<Path> files) {
     /** Where the file lies if PETRELSTAND_INI does not say; without it nothing is switched on. */
     public static final Path USUAL = Path.of("deploy/petrelstand.ini");
+
     private static final long FOLLOW_MS = 1000;
 
     /** The folder that learned state is kept in, and how often a snapshot is written. */
@@ -33,8 +40,11 @@
         static final long EVERY_US = 2_000_000;
 
         static StateConfig of(IniFile.Section section, IniFile ini) {
-            return section == null ? null : new StateConfig(ini.beside(section.text("folder")),
-                    section.durationUs("every", EVERY_US, 100_000, 600_000_000));
+            return section == null
+                    ? null
+                    : new StateConfig(
+                            ini.beside(section.text("folder")),
+                            section.durationUs("every", EVERY_US, 100_000, 600_000_000));
         }
     }
 
@@ -44,10 +54,13 @@
      */
     public record AccountsConfig(int nodeCores, boolean page, boolean metrics, Path folder) {
         static AccountsConfig of(IniFile.Section section, IniFile ini) {
-            return section == null ? null : new AccountsConfig(section.whole("node_cores", 2, 1, 256),
-                    !section.has("page") || section.place("page", List.of("off", "on")) == 1,
-                    section.has("metrics") && section.place("metrics", List.of("off", "on")) == 1,
-                    section.has("folder") ? ini.beside(section.text("folder")) : null);
+            return section == null
+                    ? null
+                    : new AccountsConfig(
+                            section.whole("node_cores", 2, 1, 256),
+                            !section.has("page") || section.place("page", List.of("off", "on")) == 1,
+                            section.has("metrics") && section.place("metrics", List.of("off", "on")) == 1,
+                            section.has("folder") ? ini.beside(section.text("folder")) : null);
         }
     }
 
@@ -78,8 +91,14 @@
         IniFile.Section log = ini.section("log");
         boolean json = log != null && log.place("form", List.of("text", "json")) == 1;
         FleetConfig fleet = FleetConfig.of(ini, files, reader);
-        OperatorConfig config = new OperatorConfig(StateConfig.of(ini.section("state"), ini), rsync,
-                AccountsConfig.of(ini.section("accounts"), ini), fleet, RulesConfig.of(ini, fleet, settings, files, reader), json, List.copyOf(files));
+        OperatorConfig config = new OperatorConfig(
+                StateConfig.of(ini.section("state"), ini),
+                rsync,
+                AccountsConfig.of(ini.section("accounts"), ini),
+                fleet,
+                RulesConfig.of(ini, fleet, settings, files, reader),
+                json,
+                List.copyOf(files));
         ini.refuseUnread();
         return config;
     }
@@ -90,29 +109,31 @@
      */
     public Thread follow(Settings settings, Consumer<OperatorConfig> changed, Consumer<String> wrong) {
         List<FileTime> first = modified(files);
-        Thread thread = new Thread(() -> {
-            List<Path> watched = files;
-            List<FileTime> seen = first;
-            while (!Thread.currentThread().isInterrupted()) {
-                try {
-                    Thread.sleep(FOLLOW_MS);
-                } catch (InterruptedException e) {
-                    return;
-                }
-                List<FileTime> now = modified(watched);
-                if (!now.equals(seen)) {
-                    seen = now;
-                    try {
-                        OperatorConfig read = load(files.get(0), settings);
-                        watched = read.files();
-                        seen = modified(watched);
-                        changed.accept(read);
-                    } catch (IllegalArgumentException e) {
-                        wrong.accept(e.getMessage());
+        Thread thread = new Thread(
+                () -> {
+                    List<Path> watched = files;
+                    List<FileTime> seen = first;
+                    while (!Thread.currentThread().isInterrupted()) {
+                        try {
+                            Thread.sleep(FOLLOW_MS);
+                        } catch (InterruptedException e) {
+                            return;
+                        }
+                        List<FileTime> now = modified(watched);
+                        if (!now.equals(seen)) {
+                            seen = now;
+                            try {
+                                OperatorConfig read = load(files.get(0), settings);
+                                watched = read.files();
+                                seen = modified(watched);
+                                changed.accept(read);
+                            } catch (IllegalArgumentException e) {
+                                wrong.accept(e.getMessage());
+                            }
+                        }
                     }
-                }
-            }
-        }, "operator-file");
+                },
+                "operator-file");
         thread.setDaemon(true);
         thread.start();
         return thread;
--- a/src/main/java/petrelstand/config/RsyncConfig.java
+++ b/src/main/java/petrelstand/config/RsyncConfig.java
@@ -14,17 +14,20 @@
 import petrelstand.decision.Scheduling.Settings;
 
 /**
- * The rsync front as the operator's file sets it up: where it listens, its modules, and its nodes as Envoy clusters
- * and endpoints in the xDS JSON files that it names. A cluster is a shard of its own: any of its endpoints holds its data.
+ * The rsync front as the operator's file sets it up: where it listens, its modules, and its nodes as Envoy clusters and
+ * endpoints in the xDS JSON files that it names. A cluster is a shard of its own: any of its endpoints holds its data.
  */
 public record RsyncConfig(String listen, long idleUs, int mostTransfers, List<Module> modules, List<Node> nodes) {
     /** An rsync module, and how the decision module counts its transfers. */
-    public record Module(String name, String comment, int requestClass, int plan, long volume, double units,
-            int shard) {}
+    public record Module(
+            String name, String comment, int requestClass, int plan, long volume, double units, int shard) {}
 
     /** The module of a name; null where there is none. */
     public Module module(String name) {
-        return modules.stream().filter(module -> module.name().equals(name)).findFirst().orElse(null);
+        return modules.stream()
+                .filter(module -> module.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     /**
@@ -44,7 +47,8 @@
             try {
                 resources(reader.read(file), shards, settings, nodes);
             } catch (IOException e) {
-                throw rsync.wrong("xds", name + " cannot be read: " + e.getClass().getSimpleName());
+                throw rsync.wrong(
+                        "xds", name + " cannot be read: " + e.getClass().getSimpleName());
             } catch (IllegalArgumentException e) {
                 throw new IllegalArgumentException(file.getFileName() + ": " + e.getMessage());
             }
@@ -53,8 +57,12 @@
         for (IniFile.Section module : ini.sections("rsync module")) {
             modules.add(module(module, shards, settings));
         }
-        return new RsyncConfig(rsync.address("listen"), rsync.durationUs("idle", 2_000_000, 1_000, 3_600_000_000L),
-                rsync.whole("most_transfers", 32, 1, 10_000), List.copyOf(modules), List.copyOf(nodes));
+        return new RsyncConfig(
+                rsync.address("listen"),
+                rsync.durationUs("idle", 2_000_000, 1_000, 3_600_000_000L),
+                rsync.whole("most_transfers", 32, 1, 10_000),
+                List.copyOf(modules),
+                List.copyOf(nodes));
     }
 
     private static void resources(String text, Map<String, Integer> shards, Settings settings, List<Node> nodes) {
@@ -93,13 +101,18 @@
         if (shard == null) {
             throw module.wrong("cluster", "names no cluster: '" + module.text("cluster") + "'");
         }
-        return new Module(name, module.textOr("comment", ""), module.place("class", classes),
-                module.place("plan", plans), Long.parseUnsignedLong(module.text("volume"), 16),
-                module.number("units", settings.meanUnits(), 1e-3, 1e9), shard);
+        return new Module(
+                name,
+                module.textOr("comment", ""),
+                module.place("class", classes),
+                module.place("plan", plans),
+                Long.parseUnsignedLong(module.text("volume"), 16),
+                module.number("units", settings.meanUnits(), 1e-3, 1e9),
+                shard);
     }
 
-    private static void assignment(Fields assignment, String cluster, Map<String, Integer> shards, Settings settings,
-            List<Node> nodes) {
+    private static void assignment(
+            Fields assignment, String cluster, Map<String, Integer> shards, Settings settings, List<Node> nodes) {
         Integer shard = shards.get(cluster);
         if (shard == null) {
             throw assignment.wrong("clusterName", "names no cluster: '" + cluster + "'");
@@ -126,15 +139,20 @@
             default -> throw endpoint.wrong("healthStatus", "is unknown: '" + health + "'");
         };
         String name = cluster + "/" + address;
-        return new Node(name, address, new NodeEntry(Node.numberOf(name), zone, shard, state,
-                endpoint.numberOr("loadBalancingWeight", 1, 0), 0));
+        return new Node(
+                name,
+                address,
+                new NodeEntry(
+                        Node.numberOf(name), zone, shard, state, endpoint.numberOr("loadBalancingWeight", 1, 0), 0));
     }
 
     /** A JSON object and where it stands; xDS fields are taken in both spellings that proto JSON allows. */
     private record Fields(String at, JsonObject json) {
         private JsonElement get(String key) {
             JsonElement element = json.get(key);
-            return element != null ? element : json.get(key.replaceAll("([A-Z])", "_$1").toLowerCase(java.util.Locale.ROOT));
+            return element != null
+                    ? element
+                    : json.get(key.replaceAll("([A-Z])", "_$1").toLowerCase(java.util.Locale.ROOT));
         }
 
         String path(String key) {
@@ -154,7 +172,9 @@
             if (element == null) {
                 throw wrong(key, "is missing");
             }
-            if (!element.isJsonPrimitive() || !element.getAsJsonPrimitive().isString() || element.getAsString().isEmpty()) {
+            if (!element.isJsonPrimitive()
+                    || !element.getAsJsonPrimitive().isString()
+                    || element.getAsString().isEmpty()) {
                 throw wrong(key, "is not a text");
             }
             return element.getAsString();
--- a/src/main/java/petrelstand/config/RulesConfig.java
+++ b/src/main/java/petrelstand/config/RulesConfig.java
@@ -13,17 +13,18 @@
  * @param voters names of the gateways that vote, the same in every file; the others only act on what is agreed
  * @param mayVote whether this gateway is ready to vote though it is none of them: it is added by an order
  * @param promise for how long two gateways may contradict each other
- * @param folder where a voter keeps its votes and any gateway the last version that it had; null for one that is no voter
+ * @param folder where a voter keeps its votes and any gateway the last version that it had; null for one that is no
+ *     voter
  * @param file that an operator writes rules into, to be proposed when it changes, or null
  * @param text of that file
  * @param page whether {@code GET /rules} is answered
  */
-public record RulesConfig(List<String> voters, boolean mayVote, Promise promise, Path folder, boolean page, String file,
-        String text) {
+public record RulesConfig(
+        List<String> voters, boolean mayVote, Promise promise, Path folder, boolean page, String file, String text) {
     private static final int MOST_VOTERS = 9;
 
-    static RulesConfig of(IniFile ini, FleetConfig fleet, Settings settings, List<Path> files,
-            OperatorConfig.TextReader reader) {
+    static RulesConfig of(
+            IniFile ini, FleetConfig fleet, Settings settings, List<Path> files, OperatorConfig.TextReader reader) {
         IniFile.Section section = ini.section("rules");
         if (section == null) {
             return null;
@@ -32,8 +33,9 @@
             throw section.wrong(null, "needs the section [fleet]: gateways that know each other");
         }
         List<String> voters = List.of(section.text("voters").strip().split("[\\s,]+"));
-        if (voters.size() > MOST_VOTERS || voters.stream().distinct().count() != voters.size() || voters.stream().anyMatch(
-                name -> !name.matches("[A-Za-z0-9._-]{1," + Member.MOST_NAME + "}"))) {
+        if (voters.size() > MOST_VOTERS
+                || voters.stream().distinct().count() != voters.size()
+                || voters.stream().anyMatch(name -> !name.matches("[A-Za-z0-9._-]{1," + Member.MOST_NAME + "}"))) {
             throw section.wrong("voters", "must be 1 to " + MOST_VOTERS + " different names of the fleet's gateways");
         }
         long within = section.durationUs("promise", Promise.USUAL.withinUs(), 500_000, 600_000_000);
@@ -47,13 +49,23 @@
             try {
                 text = reader.read(rules);
             } catch (IOException e) {
-                throw section.wrong("file", "names " + rules + ", which cannot be read: " + e.getClass().getSimpleName());
+                throw section.wrong(
+                        "file",
+                        "names " + rules + ", which cannot be read: "
+                                + e.getClass().getSimpleName());
             }
-            RulesText.load(rules.toString(), text, settings.plans().stream().map(plan -> plan.name()).toList());
+            RulesText.load(
+                    rules.toString(),
+                    text,
+                    settings.plans().stream().map(plan -> plan.name()).toList());
         }
-        return new RulesConfig(voters, section.has("may_vote") && section.place("may_vote", List.of("no", "yes")) == 1,
+        return new RulesConfig(
+                voters,
+                section.has("may_vote") && section.place("may_vote", List.of("no", "yes")) == 1,
                 new Promise(within, drift),
                 section.has("folder") ? ini.beside(section.text("folder")) : null,
-                !section.has("page") || section.place("page", List.of("off", "on")) == 1, file, text);
+                !section.has("page") || section.place("page", List.of("off", "on")) == 1,
+                file,
+                text);
     }
 }
--- a/src/main/java/petrelstand/config/RulesText.java
+++ b/src/main/java/petrelstand/config/RulesText.java
@@ -19,7 +19,10 @@
 
     private RulesText() {}
 
-    /** Reads a text that was agreed on; a limit of a plan that is none of {@code plans} is refused where those are given. */
+    /**
+     * Reads a text that was agreed on; a limit of a plan that is none of {@code plans} is refused where those are
+     * given.
+     */
     public static Rules load(String name, String text, Collection<String> plans) {
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
@@ -54,13 +57,17 @@
         }
         Map<String, Rules.Module> modules = new TreeMap<>();
         for (IniFile.Section section : ini.sections("module")) {
-            modules.put(rest(section, "module"), new Rules.Module(
-                    section.place("open", List.of("no", "yes")) == 1, words(section, "credentials")));
+            modules.put(
+                    rest(section, "module"),
+                    new Rules.Module(section.place("open", List.of("no", "yes")) == 1, words(section, "credentials")));
         }
         Map<String, Rules.Node> nodes = new TreeMap<>();
         for (IniFile.Section section : ini.sections("node")) {
-            nodes.put(rest(section, "node"), new Rules.Node(section.address("address"),
-                    section.has("state") && section.place("state", List.of("up", "removed")) == 1));
+            nodes.put(
+                    rest(section, "node"),
+                    new Rules.Node(
+                            section.address("address"),
+                            section.has("state") && section.place("state", List.of("up", "removed")) == 1));
         }
         Map<String, Boolean> switches = new TreeMap<>();
         for (IniFile.Section section : ini.sections("switch")) {
--- a/src/main/java/petrelstand/config/SettingsReader.java
+++ b/src/main/java/petrelstand/config/SettingsReader.java
@@ -15,14 +15,15 @@
 import petrelstand.decision.Scheduling.Settings;
 
 /**
- * Reads the settings of an instance, given as path=value pairs: the simulator's text has one a line, the gateway's
- * JSON is flattened to the same paths. An unreadable value is an IllegalArgumentException that names its path.
+ * Reads the settings of an instance, given as path=value pairs: the simulator's text has one a line, the gateway's JSON
+ * is flattened to the same paths. An unreadable value is an IllegalArgumentException that names its path.
  */
 public final class SettingsReader {
     /** Stands for a figure that the text does not state. */
     private static final double NOT_STATED = -1;
     /** Times of connections where the settings state none, ms. */
     private static final double CONNECT_MS = 250;
+
     private static final double IDLE_MS = 15_000;
 
     private final Map<String, String> values;
@@ -36,7 +37,9 @@
         for (String line : text.split("\n")) {
             int split = line.indexOf('=');
             if (split > 0) {
-                values.put(line.substring(0, split).strip(), line.substring(split + 1).strip());
+                values.put(
+                        line.substring(0, split).strip(),
+                        line.substring(split + 1).strip());
             } else if (!line.isBlank()) {
                 throw new IllegalArgumentException("no '=' in line '" + line.strip() + "'");
             }
@@ -49,19 +52,42 @@
     }
 
     private Settings settings() {
-        return new Settings(whole("balancers"), whole("index"), whole("zone", 0), number("period_ms", 0),
-                items("classes", this::requestClass), items("plans", this::plan), discovery(), capabilities(),
-                rules(), number("extra.cold_bears", 0), number("extra.unit_mean", 1),
-                number("extra.units_top", 1), number("extra.share_worth", 0), number("extra.beyond_share", 0),
-                number("extra.use_period_ms", 0), flag("extra.tells_elsewhere"), names("report.names"), names("failure_domains"));
+        return new Settings(
+                whole("balancers"),
+                whole("index"),
+                whole("zone", 0),
+                number("period_ms", 0),
+                items("classes", this::requestClass),
+                items("plans", this::plan),
+                discovery(),
+                capabilities(),
+                rules(),
+                number("extra.cold_bears", 0),
+                number("extra.unit_mean", 1),
+                number("extra.units_top", 1),
+                number("extra.share_worth", 0),
+                number("extra.beyond_share", 0),
+                number("extra.use_period_ms", 0),
+                flag("extra.tells_elsewhere"),
+                names("report.names"),
+                names("failure_domains"));
     }
 
     private RequestClass requestClass(int i) {
         String at = "classes." + i + ".";
-        return new RequestClass(values.getOrDefault(at + "name", Integer.toString(i)), above0(at + "aim_ms"),
-                number(at + "aim_stretch", 0), above0(at + "hard_limit_ms"), number(at + "value", 1),
-                number(at + "late_value", 0), effect(at + "semantics"), group(at + "group"),
-                number(at + "repeat_window_ms", 0), flag(at + "fifo_by_key"), flag(at + "stream"), writes(i));
+        return new RequestClass(
+                values.getOrDefault(at + "name", Integer.toString(i)),
+                above0(at + "aim_ms"),
+                number(at + "aim_stretch", 0),
+                above0(at + "hard_limit_ms"),
+                number(at + "value", 1),
+                number(at + "late_value", 0),
+                effect(at + "semantics"),
+                group(at + "group"),
+                number(at + "repeat_window_ms", 0),
+                flag(at + "fifo_by_key"),
+                flag(at + "stream"),
+                writes(i));
     }
 
     private boolean writes(int i) {
@@ -71,24 +97,43 @@
 
     private Plan plan(int i) {
         String at = "plans." + i + ".";
-        return new Plan(values.getOrDefault(at + "name", Integer.toString(i)), number(at + "rate", 0),
-                number(at + "reservation", 0), number(at + "proportion", 1), number(at + "price", 1),
-                number(at + "limit", 0), number(at + "burst", 0), number(at + "tolerance", 0));
+        return new Plan(
+                values.getOrDefault(at + "name", Integer.toString(i)),
+                number(at + "rate", 0),
+                number(at + "reservation", 0),
+                number(at + "proportion", 1),
+                number(at + "price", 1),
+                number(at + "limit", 0),
+                number(at + "burst", 0),
+                number(at + "tolerance", 0));
     }
 
     private Capabilities capabilities() {
-        return new Capabilities((int) Math.min(whole("caps.most_tries"), above0("caps.most_tries")), flag("caps.cancel"), flag("caps.probes"),
-                flag("caps.peer_messages"), flag("caps.may_duplicate"), flag("caps.retry_after"),
+        return new Capabilities(
+                (int) Math.min(whole("caps.most_tries"), above0("caps.most_tries")),
+                flag("caps.cancel"),
+                flag("caps.probes"),
+                flag("caps.peer_messages"),
+                flag("caps.may_duplicate"),
+                flag("caps.retry_after"),
                 number("caps.max_retry_after_ms", 0),
-                number("caps.connect_timeout_ms", CONNECT_MS), number("caps.idle_close_ms", IDLE_MS));
+                number("caps.connect_timeout_ms", CONNECT_MS),
+                number("caps.idle_close_ms", IDLE_MS));
     }
 
     private Rules rules() {
-        return new Rules(number("rules.grace_to_answer_ms", 0), number("rules.drain_grace_ms", 0),
-                number("rules.ask_within_ms", NOT_STATED), number("rules.cold_from", 1),
-                number("rules.warm_up_ms", 0), number("rules.fall_ms", 0), number("rules.overload_factor", 1),
-                number("rules.key_quiet_ms", 0), number("rules.free_resends", NOT_STATED),
-                number("rules.extra_ratio", NOT_STATED), number("rules.ratio_span_ms", NOT_STATED));
+        return new Rules(
+                number("rules.grace_to_answer_ms", 0),
+                number("rules.drain_grace_ms", 0),
+                number("rules.ask_within_ms", NOT_STATED),
+                number("rules.cold_from", 1),
+                number("rules.warm_up_ms", 0),
+                number("rules.fall_ms", 0),
+                number("rules.overload_factor", 1),
+                number("rules.key_quiet_ms", 0),
+                number("rules.free_resends", NOT_STATED),
+                number("rules.extra_ratio", NOT_STATED),
+                number("rules.ratio_span_ms", NOT_STATED));
     }
 
     private Discovery discovery() {
--- a/src/main/java/petrelstand/consensus/RaftFiles.java
+++ b/src/main/java/petrelstand/consensus/RaftFiles.java
@@ -24,19 +24,27 @@
 import petrelstand.store.StateFault;
 
 /**
- * A voter's files. Each write is one small file with the next number, synced before the voter says anything that rests on
- * it; once there are {@link #MOST_FILES}, one file takes their place. A last file that is torn was never acted on and is
- * left out; a fault in any other, or a gap in the numbers, is refused: a voter that forgot votes twice. The last number
- * is the store's generation: it tells an old copy of a folder from the one that others have heard.
+ * A voter's files. Each write is one small file with the next number, synced before the voter says anything that rests
+ * on it; once there are {@link #MOST_FILES}, one file takes their place. A last file that is torn was never acted on
+ * and is left out; a fault in any other, or a gap in the numbers, is refused: a voter that forgot votes twice. The last
+ * number is the store's generation: it tells an old copy of a folder from the one that others have heard.
  */
 public final class RaftFiles implements RaftStore {
     /** Files until they are put together. */
     static final int MOST_FILES = 64;
+
     private static final int MOST_BYTES = 8 << 20;
     private static final int MOST_NAMES = 10_000;
     private static final byte[] MAGIC = "PSVOTE1\n".getBytes(StandardCharsets.US_ASCII);
     private static final int TAIL = 4;
-    private static final int ENDPOINT = 1, MEMBERS = 2, TERM = 3, ENTRY = 4, CHUNK = 5, CUT = 6, FORGET = 7, DROP = 8,
+    private static final int ENDPOINT = 1,
+            MEMBERS = 2,
+            TERM = 3,
+            ENTRY = 4,
+            CHUNK = 5,
+            CUT = 6,
+            FORGET = 7,
+            DROP = 8,
             WHOLE = 9;
 
     private final Folder folder;
@@ -91,15 +99,18 @@
         for (int i = first; i < numbers.size(); i++) {
             long number = numbers.get(i);
             if (number != (i > first ? generation + 1 : stands(contents.get(i)) ? number : 1)) {
-                throw new StateFault(0, "a file before " + name(number) + " is missing; this voter does not vote with a"
-                        + " damaged folder");
+                throw new StateFault(
+                        0,
+                        "a file before " + name(number) + " is missing; this voter does not vote with a"
+                                + " damaged folder");
             }
             try {
                 take(contents.get(i));
             } catch (IOException e) {
                 if (i < numbers.size() - 1) {
-                    throw new StateFault(0, name(number) + ": " + e.getMessage()
-                            + "; this voter does not vote with a damaged folder");
+                    throw new StateFault(
+                            0,
+                            name(number) + ": " + e.getMessage() + "; this voter does not vote with a damaged folder");
                 }
                 log.accept(name(number) + " was not finished and is left out: " + e.getMessage());
                 folder.delete(name(number));
@@ -124,7 +135,8 @@
 
     private static CborReader payload(byte[] content) throws IOException {
         int payload = content.length - MAGIC.length - TAIL;
-        if (payload < 0 || !Arrays.equals(content, 0, MAGIC.length, MAGIC, 0, MAGIC.length)
+        if (payload < 0
+                || !Arrays.equals(content, 0, MAGIC.length, MAGIC, 0, MAGIC.length)
                 || ByteBuffer.wrap(content).getInt(content.length - TAIL)
                         != SnapshotFormat.checksum(content, 0, content.length - TAIL)) {
             throw new IOException("it ends early, or its checksum is another's");
@@ -164,7 +176,8 @@
             }
             case CHUNK -> {
                 SnapshotChunk chunk = Wire.chunk(from);
-                chunks.computeIfAbsent(chunk.getIndex(), i -> new TreeMap<>()).put(chunk.getSnapshotChunkIndex(), chunk);
+                chunks.computeIfAbsent(chunk.getIndex(), i -> new TreeMap<>())
+                        .put(chunk.getSnapshotChunkIndex(), chunk);
             }
             case CUT -> entries.tailMap(from.whole(), true).clear();
             case FORGET -> entries.headMap(from.whole(), true).clear();
@@ -187,21 +200,35 @@
         if (endpoint == null || members == null) {
             return null;
         }
-        RaftEndpointPersistentState self = Wire.MODEL.createRaftEndpointPersistentStateBuilder()
-                .setLocalEndpoint(new Name(endpoint)).setVoting(voting).build();
-        RaftTermPersistentState voted = Wire.MODEL.createRaftTermPersistentStateBuilder().setTerm(term)
-                .setVotedFor(votedFor == null ? null : new Name(votedFor)).build();
+        RaftEndpointPersistentState self = Wire.MODEL
+                .createRaftEndpointPersistentStateBuilder()
+                .setLocalEndpoint(new Name(endpoint))
+                .setVoting(voting)
+                .build();
+        RaftTermPersistentState voted = Wire.MODEL
+                .createRaftTermPersistentStateBuilder()
+                .setTerm(term)
+                .setVotedFor(votedFor == null ? null : new Name(votedFor))
+                .build();
         SnapshotEntry snapshot = null;
         for (TreeMap<Integer, SnapshotChunk> of : chunks.values()) {
             SnapshotChunk first = of.firstEntry().getValue();
             if (of.size() == first.getSnapshotChunkCount()) {
-                snapshot = Wire.MODEL.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
-                        .setSnapshotChunks(new ArrayList<>(of.values())).setGroupMembersView(first.getGroupMembersView())
+                snapshot = Wire.MODEL
+                        .createSnapshotEntryBuilder()
+                        .setIndex(first.getIndex())
+                        .setTerm(first.getTerm())
+                        .setSnapshotChunks(new ArrayList<>(of.values()))
+                        .setGroupMembersView(first.getGroupMembersView())
                         .build();
             }
         }
         long from = snapshot == null ? 0 : snapshot.getIndex();
-        return new RestoredRaftState(self, members, voted, snapshot,
+        return new RestoredRaftState(
+                self,
+                members,
+                voted,
+                snapshot,
                 new ArrayList<>(entries.tailMap(from, false).values()));
     }
 
@@ -303,7 +330,8 @@
     }
 
     /** Puts a snapshot, a term and one voter in the place of all that is there, in one step. */
-    void begin(String voter, RaftGroupMembersView view, int newTerm, long index, List<byte[]> pieces) throws IOException {
+    void begin(String voter, RaftGroupMembersView view, int newTerm, long index, List<byte[]> pieces)
+            throws IOException {
         entries.clear();
         chunks.clear();
         pending.clear();
@@ -313,9 +341,18 @@
         term = newTerm;
         votedFor = null;
         for (int i = 0; i < pieces.size(); i++) {
-            chunks.computeIfAbsent(index, n -> new TreeMap<>()).put(i, Wire.MODEL.createSnapshotChunkBuilder()
-                    .setIndex(index).setTerm(newTerm).setSnapshotChunkIndex(i).setSnapshotChunkCount(pieces.size())
-                    .setOperation(pieces.get(i)).setGroupMembersView(view).build());
+            chunks.computeIfAbsent(index, n -> new TreeMap<>())
+                    .put(
+                            i,
+                            Wire.MODEL
+                                    .createSnapshotChunkBuilder()
+                                    .setIndex(index)
+                                    .setTerm(newTerm)
+                                    .setSnapshotChunkIndex(i)
+                                    .setSnapshotChunkCount(pieces.size())
+                                    .setOperation(pieces.get(i))
+                                    .setGroupMembersView(view)
+                                    .build());
         }
         putTogether();
         folder.syncNames();
