--- a/src/main/java/petrelstand/consensus/Recovery.java
+++ b/src/main/java/petrelstand/consensus/Recovery.java
@@ -14,9 +14,9 @@
 
 /**
  * Makes one voter's folder the beginning of a new epoch, after a majority of voters was lost for ever. Its book becomes
- * a snapshot that this voter alone holds; others are added to it afterwards. The version that was acted on gets a number
- * of the new epoch, above all of the one before, so that no gateway that has heard of it goes back to the old voters. The
- * epoch has a drawn part: two recoveries that know nothing of each other do not pass for one.
+ * a snapshot that this voter alone holds; others are added to it afterwards. The version that was acted on gets a
+ * number of the new epoch, above all of the one before, so that no gateway that has heard of it goes back to the old
+ * voters. The epoch has a drawn part: two recoveries that know nothing of each other do not pass for one.
  */
 public final class Recovery {
     private final RaftFiles files;
@@ -33,7 +33,8 @@
         if (state == null) {
             throw new IOException("the folder holds no votes");
         }
-        name = String.valueOf(state.getLocalEndpointPersistentState().getLocalEndpoint().getId());
+        name = String.valueOf(
+                state.getLocalEndpointPersistentState().getLocalEndpoint().getId());
         long at = 0;
         int last = state.getTermPersistentState().getTerm();
         RaftGroupMembersView members = state.getInitialGroupMembers();
@@ -77,27 +78,42 @@
 
     /** A word that names what was looked at; to be given back, so that nobody recovers another folder than he saw. */
     public String print() {
-        return String.format("%08x", (name + " " + term + " " + index + " " + book.newest() + " " + book.active()).hashCode());
+        return String.format(
+                "%08x", (name + " " + term + " " + index + " " + book.newest() + " " + book.active()).hashCode());
     }
 
-    /** Writes the new beginning; {@code drawn} is a random number. Returns the version that is acted on from then on. */
+    /**
+     * Writes the new beginning; {@code drawn} is a random number. Returns the version that is acted on from then on.
+     */
     public long write(String who, String why, long wallMs, int drawn) throws IOException {
-        long epoch = (RuleBook.epoch(book.newest()) / RuleBook.TAGS + 1) * RuleBook.TAGS + Math.floorMod(drawn, RuleBook.TAGS);
+        long epoch = (RuleBook.epoch(book.newest()) / RuleBook.TAGS + 1) * RuleBook.TAGS
+                + Math.floorMod(drawn, RuleBook.TAGS);
         RuleBook.Whole old = book.whole();
         long number = epoch * RuleBook.EPOCH;
         List<RuleBook.Version> versions = new ArrayList<>();
         for (RuleBook.Version version : old.versions()) {
             if (version.number() == old.active()) {
-                versions.add(new RuleBook.Version(number, version.number(), who, "recovered: " + why, wallMs,
-                        RuleBook.State.ACTED_ON, version.figures(), version.text()));
+                versions.add(new RuleBook.Version(
+                        number,
+                        version.number(),
+                        who,
+                        "recovered: " + why,
+                        wallMs,
+                        RuleBook.State.ACTED_ON,
+                        version.figures(),
+                        version.text()));
             }
         }
         boolean acted = !versions.isEmpty();
-        RuleBook.Whole fresh = new RuleBook.Whole(acted ? number : 0, 0, number, versions, old.names(), old.marks(),
-                java.util.Map.of());
+        RuleBook.Whole fresh = new RuleBook.Whole(
+                acted ? number : 0, 0, number, versions, old.names(), old.marks(), java.util.Map.of());
         Set<RaftEndpoint> alone = Set.of(new Name(name));
-        RaftGroupMembersView view = Wire.MODEL.createRaftGroupMembersViewBuilder().setLogIndex(0).setMembers(alone)
-                .setVotingMembers(alone).build();
+        RaftGroupMembersView view = Wire.MODEL
+                .createRaftGroupMembersViewBuilder()
+                .setLogIndex(0)
+                .setMembers(alone)
+                .setVotingMembers(alone)
+                .build();
         List<byte[]> chunks = Wire.chunks(fresh);
         files.begin(name, view, term + 1, index + 1, chunks);
         return number;
--- a/src/main/java/petrelstand/consensus/RulesPage.java
+++ b/src/main/java/petrelstand/consensus/RulesPage.java
@@ -15,17 +15,31 @@
     private RulesPage() {}
 
     /** A process that asks this leader for leases. */
-    public record Asker(String name, long acting, long forMs, long prepared, String refuses, long leaseMs, long heardMs) {}
+    public record Asker(
+            String name, long acting, long forMs, long prepared, String refuses, long leaseMs, long heardMs) {}
 
     /** What a voter shows, taken on its thread. */
-    public record Votes(String leader, long term, boolean leads, List<String> voters, RuleBook.Whole book,
-            List<Asker> askers) {
+    public record Votes(
+            String leader, long term, boolean leads, List<String> voters, RuleBook.Whole book, List<Asker> askers) {
         /** What it shows now. */
         public static Votes of(Voter voter, long nowUs) {
-            List<Asker> askers = voter.grantor().holders().stream().map((Grantor.Holder h) -> new Asker(h.name(), h.acting(),
-                    (nowUs - h.actingSinceUs()) / 1000, h.prepared(), h.refuses(),
-                    Math.max(0, (h.untilUs() - nowUs) / 1000), (nowUs - h.heardUs()) / 1000)).toList();
-            return new Votes(voter.leader(), voter.term(), voter.grantor().leads(), voter.voters(), voter.book().whole(), askers);
+            List<Asker> askers = voter.grantor().holders().stream()
+                    .map((Grantor.Holder h) -> new Asker(
+                            h.name(),
+                            h.acting(),
+                            (nowUs - h.actingSinceUs()) / 1000,
+                            h.prepared(),
+                            h.refuses(),
+                            Math.max(0, (h.untilUs() - nowUs) / 1000),
+                            (nowUs - h.heardUs()) / 1000))
+                    .toList();
+            return new Votes(
+                    voter.leader(),
+                    voter.term(),
+                    voter.grantor().leads(),
+                    voter.voters(),
+                    voter.book().whole(),
+                    askers);
         }
     }
 
@@ -61,7 +75,8 @@
                 JsonObject one = new JsonObject();
                 one.addProperty("version", version.number());
                 one.addProperty("base", version.base());
-                one.addProperty("state", version.state().name().toLowerCase(Locale.ROOT).replace('_', ' '));
+                one.addProperty(
+                        "state", version.state().name().toLowerCase(Locale.ROOT).replace('_', ' '));
                 one.addProperty("who", version.who());
                 one.addProperty("why", version.why());
                 one.addProperty("wall_ms", version.wallMs());
@@ -92,7 +107,8 @@
         JsonObject all = new JsonObject();
         rules.limits().forEach((plan, limit) -> all.addProperty("limit " + plan, limit.units()));
         rules.modules().forEach((name, module) -> all.addProperty("module " + name, module.open() ? "open" : "closed"));
-        rules.nodes().forEach((name, node) -> all.addProperty("node " + name, node.removed() ? "removed" : node.address()));
+        rules.nodes()
+                .forEach((name, node) -> all.addProperty("node " + name, node.removed() ? "removed" : node.address()));
         rules.switches().forEach((name, on) -> all.addProperty("switch " + name, on ? "on" : "off"));
         return all;
     }
--- a/src/main/java/petrelstand/consensus/Voter.java
+++ b/src/main/java/petrelstand/consensus/Voter.java
@@ -41,7 +41,9 @@
     private static final int SNAPSHOT_AFTER = 500;
     private static final int MOST_PENDING = 256;
     private static final int MOST_OFFERS = 8;
-    /** A leader that ends has so long to hand on; shorter than the time in which a gateway that ends takes what comes. */
+    /**
+     * A leader that ends has so long to hand on; shorter than the time in which a gateway that ends takes what comes.
+     */
     public static final long HAND_ON_MS = 300;
     /** A new voter is sent the log or a snapshot for so long before it counts. */
     private static final long LISTENS_MS = 2_000;
@@ -99,8 +101,17 @@
      * @param voters those of the very first start, the same at all; one that is none of them is added later by an order
      * @param files its store, or null for one that keeps nothing (tests)
      */
-    public Voter(String name, List<String> voters, Promise promise, RaftFiles files, Maker maker,
-            RaftNodeExecutor executor, LongSupplier nowUs, long seed, Function<String, Rules> loader, Carrier carrier) {
+    public Voter(
+            String name,
+            List<String> voters,
+            Promise promise,
+            RaftFiles files,
+            Maker maker,
+            RaftNodeExecutor executor,
+            LongSupplier nowUs,
+            long seed,
+            Function<String, Rules> loader,
+            Carrier carrier) {
         this.name = name;
         this.executor = executor;
         this.nowUs = nowUs;
@@ -109,14 +120,25 @@
         this.grantor = maker.make(promise, book, this);
         List<RaftEndpoint> members = new ArrayList<>();
         voters.forEach(voter -> members.add(new Name(voter)));
-        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Wire.GROUP)
-                .setConfig(RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(500).setLeaderHeartbeatPeriodSecs(1)
-                        .setLeaderHeartbeatTimeoutSecs(2).setAppendEntriesRequestBatchSize(1)
-                        .setMaxPendingLogEntryCount(MOST_PENDING).setCommitCountToTakeSnapshot(SNAPSHOT_AFTER)
-                        .setTransferSnapshotsFromFollowersEnabled(false).build())
-                .setExecutor(executor).setTransport(new Post()).setStateMachine(new Machine()).setRandom(new Random(seed))
-                .setClock(new LoopClock(nowUs)).setModelFactory(Wire.MODEL)
-                .setRaftNodeReportListener(this::reported).setStore(files == null ? new NopRaftStore() : files);
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder()
+                .setGroupId(Wire.GROUP)
+                .setConfig(RaftConfig.newBuilder()
+                        .setLeaderElectionTimeoutMillis(500)
+                        .setLeaderHeartbeatPeriodSecs(1)
+                        .setLeaderHeartbeatTimeoutSecs(2)
+                        .setAppendEntriesRequestBatchSize(1)
+                        .setMaxPendingLogEntryCount(MOST_PENDING)
+                        .setCommitCountToTakeSnapshot(SNAPSHOT_AFTER)
+                        .setTransferSnapshotsFromFollowersEnabled(false)
+                        .build())
+                .setExecutor(executor)
+                .setTransport(new Post())
+                .setStateMachine(new Machine())
+                .setRandom(new Random(seed))
+                .setClock(new LoopClock(nowUs))
+                .setModelFactory(Wire.MODEL)
+                .setRaftNodeReportListener(this::reported)
+                .setStore(files == null ? new NopRaftStore() : files);
         if (files != null && files.restored() != null) {
             builder.setRestoredState(files.restored());
         } else {
@@ -134,13 +156,18 @@
         node.terminate();
     }
 
-    /** Ends in order: a leader hands on to another voter first, or ends without where that takes too long; on the executor. */
+    /**
+     * Ends in order: a leader hands on to another voter first, or ends without where that takes too long; on the
+     * executor.
+     */
     public void leave() {
         Name self = new Name(name);
         if (grantor.leads()) {
-            node.getCommittedMembers().getVotingMembers().stream().filter(other -> !other.equals(self)).findFirst()
-                    .ifPresent(other -> node.transferLeadership(other).whenComplete((done, fault) ->
-                            executor.execute(this::stop)));
+            node.getCommittedMembers().getVotingMembers().stream()
+                    .filter(other -> !other.equals(self))
+                    .findFirst()
+                    .ifPresent(other ->
+                            node.transferLeadership(other).whenComplete((done, fault) -> executor.execute(this::stop)));
             executor.schedule(this::stop, HAND_ON_MS, TimeUnit.MILLISECONDS);
         } else {
             stop();
@@ -151,7 +178,8 @@
     public void tick() {
         grantor.tick(nowUs.getAsLong());
         if (outstanding > 0 && grantor.leads()) {
-            node.query(ASK, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).exceptionally(fault -> null);
+            node.query(ASK, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                    .exceptionally(fault -> null);
         }
     }
 
@@ -246,13 +274,13 @@
 
     @Override
     public void commit(Command command) {
-        replicate(command, (done, fault) -> { });
+        replicate(command, (done, fault) -> {});
     }
 
     @Override
     public void confirm(long round) {
-        node.query(ASK, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).whenComplete((answer, fault) ->
-                executor.execute(() -> {
+        node.query(ASK, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
+                .whenComplete((answer, fault) -> executor.execute(() -> {
                     if (fault == null) {
                         grantor.confirmed(nowUs.getAsLong(), round);
                     } else {
@@ -281,8 +309,14 @@
             RuleBook.Version version = book.versions().get(fetch.version());
             List<String> pieces = version == null ? List.of() : Command.pieces(version.text());
             boolean has = fetch.piece() >= 0 && fetch.piece() < pieces.size();
-            carrier.talk(from, new Talk.Piece(fetch.nonce(), fetch.version(), fetch.piece(), pieces.size(),
-                    has ? pieces.get(fetch.piece()) : ""));
+            carrier.talk(
+                    from,
+                    new Talk.Piece(
+                            fetch.nonce(),
+                            fetch.version(),
+                            fetch.piece(),
+                            pieces.size(),
+                            has ? pieces.get(fetch.piece()) : ""));
         } else if (talk instanceof Talk.Offer offer) {
             if (leads(from, offer.id())) {
                 offered(from, offer);
@@ -309,16 +343,21 @@
 
     /**
      * Adds or removes a voter, one at a time. One that is added first only listens, so that a majority never counts on
-     * an empty folder, and votes from {@link #LISTENS_MS} on; where the leader changes meanwhile it is to be added again.
+     * an empty folder, and votes from {@link #LISTENS_MS} on; where the leader changes meanwhile it is to be added
+     * again.
      */
     private void changeVoters(String from, Talk.Order order) {
         Name voter = new Name(order.name());
         boolean there = node.getCommittedMembers().getVotingMembers().contains(voter);
         if (order.verb().equals("add-voter") && !there) {
             boolean listens = node.getCommittedMembers().getMembers().contains(voter);
-            change(from, order, voter, listens ? MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER
-                    : MembershipChangeMode.ADD_LEARNER);
-        } else if (order.verb().equals("remove-voter") && node.getCommittedMembers().getMembers().contains(voter)) {
+            change(
+                    from,
+                    order,
+                    voter,
+                    listens ? MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER : MembershipChangeMode.ADD_LEARNER);
+        } else if (order.verb().equals("remove-voter")
+                && node.getCommittedMembers().getMembers().contains(voter)) {
             if (node.getCommittedMembers().getVotingMembers().size() < 2 && there) {
                 carrier.talk(from, new Talk.Taken(order.id(), -1, 0, "it is the only voter"));
                 return;
@@ -330,19 +369,22 @@
     }
 
     private void change(String from, Talk.Order order, Name voter, MembershipChangeMode mode) {
-        node.changeMembership(voter, mode, node.getCommittedMembers().getLogIndex()).whenComplete((done, fault) ->
-                executor.execute(() -> {
+        node.changeMembership(voter, mode, node.getCommittedMembers().getLogIndex())
+                .whenComplete((done, fault) -> executor.execute(() -> {
                     if (fault != null) {
                         return;
                     }
-                    carrier.say("voters are now " + voters() + (mode == MembershipChangeMode.ADD_LEARNER ? "; " + voter
-                            + " listens first" : ""));
+                    carrier.say("voters are now " + voters()
+                            + (mode == MembershipChangeMode.ADD_LEARNER ? "; " + voter + " listens first" : ""));
                     if (mode == MembershipChangeMode.ADD_LEARNER) {
-                        executor.schedule(() -> {
-                            if (grantor.leads()) {
-                                change(from, order, voter, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER);
-                            }
-                        }, LISTENS_MS, TimeUnit.MILLISECONDS);
+                        executor.schedule(
+                                () -> {
+                                    if (grantor.leads()) {
+                                        change(from, order, voter, MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER);
+                                    }
+                                },
+                                LISTENS_MS,
+                                TimeUnit.MILLISECONDS);
                     } else {
                         carrier.talk(from, new Talk.Taken(order.id(), -1, book.newest(), ""));
                     }
@@ -351,7 +393,10 @@
 
     /** The names that vote, as of the last change that a majority has. */
     public List<String> voters() {
-        return node.getCommittedMembers().getVotingMembers().stream().map(e -> String.valueOf(e.getId())).sorted().toList();
+        return node.getCommittedMembers().getVotingMembers().stream()
+                .map(e -> String.valueOf(e.getId()))
+                .sorted()
+                .toList();
     }
 
     private boolean leads(String from, long id) {
@@ -363,8 +408,9 @@
 
     private void offered(String from, Talk.Offer piece) {
         if (piece.of() < 1 || piece.of() > Command.MOST_PIECES || piece.piece() < 0 || piece.piece() >= piece.of()) {
-            carrier.talk(from, new Talk.Taken(piece.id(), -1, 0, "a text of more than " + Command.MOST_TEXT
-                    + " characters"));
+            carrier.talk(
+                    from,
+                    new Talk.Taken(piece.id(), -1, 0, "a text of more than " + Command.MOST_TEXT + " characters"));
             return;
         }
         Offer offer = offers.computeIfAbsent(piece.id(), id -> new Offer());
@@ -384,8 +430,9 @@
         String text = String.join("", offer.pieces);
         List<Command.Figure> figures = new ArrayList<>();
         try {
-            loader.apply(text).limits().forEach((plan, limit) ->
-                    figures.add(new Command.Figure(plan, limit.units(), limit.floor())));
+            loader.apply(text)
+                    .limits()
+                    .forEach((plan, limit) -> figures.add(new Command.Figure(plan, limit.units(), limit.floor())));
         } catch (IllegalArgumentException e) {
             offers.remove(piece.id());
             carrier.talk(from, new Talk.Taken(piece.id(), -1, 0, cut(String.valueOf(e.getMessage()))));
@@ -395,17 +442,27 @@
         for (int i = 0; i < offer.pieces.length; i++) {
             commit(new Command.Part(piece.id(), i, offer.pieces.length, offer.pieces[i]));
         }
-        answer(from, piece.id(), new Command.Propose(piece.id(), piece.base(), piece.who(), piece.why(), piece.wallMs(),
-                offer.pieces.length, figures));
+        answer(
+                from,
+                piece.id(),
+                new Command.Propose(
+                        piece.id(),
+                        piece.base(),
+                        piece.who(),
+                        piece.why(),
+                        piece.wallMs(),
+                        offer.pieces.length,
+                        figures));
     }
 
     /** Puts a command into the log; {@code then} is told how that went, on the executor. */
     private void replicate(Command command, BiConsumer<Ordered<RuleBook.Result>, Throwable> then) {
         outstanding++;
-        node.<RuleBook.Result>replicate(command).whenComplete((done, fault) -> executor.execute(() -> {
-            outstanding--;
-            then.accept(done, fault);
-        }));
+        node.<RuleBook.Result>replicate(command)
+                .whenComplete((done, fault) -> executor.execute(() -> {
+                    outstanding--;
+                    then.accept(done, fault);
+                }));
     }
 
     /** Answers once the command is in the log of a majority; where that can't be told, the asker asks again. */
--- a/src/main/java/petrelstand/consensus/Wire.java
+++ b/src/main/java/petrelstand/consensus/Wire.java
@@ -114,11 +114,23 @@
     }
 
     private static void write(CBORGenerator to, RaftMessage message) throws IOException {
-        int kind = message instanceof AppendEntriesRequest ? 1 : message instanceof AppendEntriesSuccessResponse ? 2
-                : message instanceof AppendEntriesFailureResponse ? 3 : message instanceof InstallSnapshotRequest ? 4
-                : message instanceof InstallSnapshotResponse ? 5 : message instanceof PreVoteRequest ? 6
-                : message instanceof PreVoteResponse ? 7 : message instanceof VoteRequest ? 8
-                : message instanceof VoteResponse ? 9 : 10;
+        int kind = message instanceof AppendEntriesRequest
+                ? 1
+                : message instanceof AppendEntriesSuccessResponse
+                        ? 2
+                        : message instanceof AppendEntriesFailureResponse
+                                ? 3
+                                : message instanceof InstallSnapshotRequest
+                                        ? 4
+                                        : message instanceof InstallSnapshotResponse
+                                                ? 5
+                                                : message instanceof PreVoteRequest
+                                                        ? 6
+                                                        : message instanceof PreVoteResponse
+                                                                ? 7
+                                                                : message instanceof VoteRequest
+                                                                        ? 8
+                                                                        : message instanceof VoteResponse ? 9 : 10;
         to.writeNumber(kind);
         to.writeNumber(message.getTerm());
         if (message instanceof AppendEntriesRequest one) {
@@ -183,16 +195,36 @@
     private static RaftMessage raft(CborReader from, int kind, Name sender) throws IOException {
         int term = from.count();
         return switch (kind) {
-            case 1 -> MODEL.createAppendEntriesRequestBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setPreviousLogTerm(from.count()).setPreviousLogIndex(from.whole()).setCommitIndex(from.whole())
-                    .setQuerySequenceNumber(from.whole()).setFlowControlSequenceNumber(from.whole())
-                    .setLogEntries(from.list(64, () -> entry(from))).build();
-            case 2 -> MODEL.createAppendEntriesSuccessResponseBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setLastLogIndex(from.whole()).setQuerySequenceNumber(from.whole())
-                    .setFlowControlSequenceNumber(from.whole()).build();
-            case 3 -> MODEL.createAppendEntriesFailureResponseBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setExpectedNextIndex(from.whole()).setQuerySequenceNumber(from.whole())
-                    .setFlowControlSequenceNumber(from.whole()).build();
+            case 1 ->
+                MODEL.createAppendEntriesRequestBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setPreviousLogTerm(from.count())
+                        .setPreviousLogIndex(from.whole())
+                        .setCommitIndex(from.whole())
+                        .setQuerySequenceNumber(from.whole())
+                        .setFlowControlSequenceNumber(from.whole())
+                        .setLogEntries(from.list(64, () -> entry(from)))
+                        .build();
+            case 2 ->
+                MODEL.createAppendEntriesSuccessResponseBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setLastLogIndex(from.whole())
+                        .setQuerySequenceNumber(from.whole())
+                        .setFlowControlSequenceNumber(from.whole())
+                        .build();
+            case 3 ->
+                MODEL.createAppendEntriesFailureResponseBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setExpectedNextIndex(from.whole())
+                        .setQuerySequenceNumber(from.whole())
+                        .setFlowControlSequenceNumber(from.whole())
+                        .build();
             case 4 -> {
                 boolean leader = from.flag();
                 int snapshotTerm = from.count();
@@ -203,25 +235,70 @@
                 Set<RaftEndpoint> members = names(from);
                 RaftGroupMembersView view = view(from);
                 List<SnapshotChunk> chunk = from.list(1, () -> chunk(from));
-                yield MODEL.createInstallSnapshotRequestBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                        .setSenderLeader(leader).setSnapshotTerm(snapshotTerm).setSnapshotIndex(index)
-                        .setTotalSnapshotChunkCount(total).setSnapshotChunk(chunk.isEmpty() ? null : chunk.get(0))
-                        .setSnapshottedMembers(members).setGroupMembersView(view).setQuerySequenceNumber(query)
-                        .setFlowControlSequenceNumber(flow).build();
+                yield MODEL.createInstallSnapshotRequestBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setSenderLeader(leader)
+                        .setSnapshotTerm(snapshotTerm)
+                        .setSnapshotIndex(index)
+                        .setTotalSnapshotChunkCount(total)
+                        .setSnapshotChunk(chunk.isEmpty() ? null : chunk.get(0))
+                        .setSnapshottedMembers(members)
+                        .setGroupMembersView(view)
+                        .setQuerySequenceNumber(query)
+                        .setFlowControlSequenceNumber(flow)
+                        .build();
             }
-            case 5 -> MODEL.createInstallSnapshotResponseBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setSnapshotIndex(from.whole()).setRequestedSnapshotChunkIndex(from.count())
-                    .setQuerySequenceNumber(from.whole()).setFlowControlSequenceNumber(from.whole()).build();
-            case 6 -> MODEL.createPreVoteRequestBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setLastLogTerm(from.count()).setLastLogIndex(from.whole()).build();
-            case 7 -> MODEL.createPreVoteResponseBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setGranted(from.flag()).build();
-            case 8 -> MODEL.createVoteRequestBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setLastLogTerm(from.count()).setLastLogIndex(from.whole()).setSticky(from.flag()).build();
-            case 9 -> MODEL.createVoteResponseBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setGranted(from.flag()).build();
-            case 10 -> MODEL.createTriggerLeaderElectionRequestBuilder().setGroupId(GROUP).setSender(sender).setTerm(term)
-                    .setLastLogTerm(from.count()).setLastLogIndex(from.whole()).build();
+            case 5 ->
+                MODEL.createInstallSnapshotResponseBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setSnapshotIndex(from.whole())
+                        .setRequestedSnapshotChunkIndex(from.count())
+                        .setQuerySequenceNumber(from.whole())
+                        .setFlowControlSequenceNumber(from.whole())
+                        .build();
+            case 6 ->
+                MODEL.createPreVoteRequestBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setLastLogTerm(from.count())
+                        .setLastLogIndex(from.whole())
+                        .build();
+            case 7 ->
+                MODEL.createPreVoteResponseBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setGranted(from.flag())
+                        .build();
+            case 8 ->
+                MODEL.createVoteRequestBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setLastLogTerm(from.count())
+                        .setLastLogIndex(from.whole())
+                        .setSticky(from.flag())
+                        .build();
+            case 9 ->
+                MODEL.createVoteResponseBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setGranted(from.flag())
+                        .build();
+            case 10 ->
+                MODEL.createTriggerLeaderElectionRequestBuilder()
+                        .setGroupId(GROUP)
+                        .setSender(sender)
+                        .setTerm(term)
+                        .setLastLogTerm(from.count())
+                        .setLastLogIndex(from.whole())
+                        .build();
             default -> throw new IOException("no voters' message has the kind " + kind);
         };
     }
@@ -246,10 +323,19 @@
         long index = from.whole();
         int term = from.count();
         int kind = from.count();
-        Object operation = kind == 20 ? MODEL.createUpdateRaftGroupMembersOpBuilder().setMembers(names(from))
-                .setVotingMembers(names(from)).setEndpoint(new Name(from.text(MOST_NAME)))
-                .setMode(mode(from.count())).build() : command(from, kind);
-        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(term).setOperation(operation).build();
+        Object operation = kind == 20
+                ? MODEL.createUpdateRaftGroupMembersOpBuilder()
+                        .setMembers(names(from))
+                        .setVotingMembers(names(from))
+                        .setEndpoint(new Name(from.text(MOST_NAME)))
+                        .setMode(mode(from.count()))
+                        .build()
+                : command(from, kind);
+        return MODEL.createLogEntryBuilder()
+                .setIndex(index)
+                .setTerm(term)
+                .setOperation(operation)
+                .build();
     }
 
     private static MembershipChangeMode mode(int ordinal) throws IOException {
@@ -299,8 +385,15 @@
         return switch (kind) {
             case 1 -> new Command.Term();
             case 2 -> new Command.Part(from.whole(), from.count(), from.count(), from.text(Command.PIECE));
-            case 3 -> new Command.Propose(from.whole(), from.whole(), from.text(Command.MOST_WHO),
-                    from.text(Command.MOST_WHY), from.whole(), from.count(), figures(from));
+            case 3 ->
+                new Command.Propose(
+                        from.whole(),
+                        from.whole(),
+                        from.text(Command.MOST_WHO),
+                        from.text(Command.MOST_WHY),
+                        from.whole(),
+                        from.count(),
+                        figures(from));
             case 4 -> new Command.Activate(from.whole(), from.whole());
             case 5 -> new Command.Withdraw(from.whole(), from.text(Command.MOST_WHO), from.text(Command.MOST_WHY));
             case 6 -> new Command.Register(from.text(MOST_NAME));
@@ -322,8 +415,9 @@
     }
 
     private static List<Command.Figure> figures(CborReader from) throws IOException {
-        return from.list(Command.MOST_FIGURES, () -> new Command.Figure(from.text(Command.MOST_NAME), from.whole(),
-                from.whole()));
+        return from.list(
+                Command.MOST_FIGURES,
+                () -> new Command.Figure(from.text(Command.MOST_NAME), from.whole(), from.whole()));
     }
 
     static void write(CBORGenerator to, SnapshotChunk chunk) throws IOException {
@@ -336,9 +430,14 @@
     }
 
     static SnapshotChunk chunk(CborReader from) throws IOException {
-        return MODEL.createSnapshotChunkBuilder().setIndex(from.whole()).setTerm(from.count())
-                .setSnapshotChunkIndex(from.count()).setSnapshotChunkCount(from.count())
-                .setOperation(from.bytes(MOST_CHUNK)).setGroupMembersView(view(from)).build();
+        return MODEL.createSnapshotChunkBuilder()
+                .setIndex(from.whole())
+                .setTerm(from.count())
+                .setSnapshotChunkIndex(from.count())
+                .setSnapshotChunkCount(from.count())
+                .setOperation(from.bytes(MOST_CHUNK))
+                .setGroupMembersView(view(from))
+                .build();
     }
 
     static void write(CBORGenerator to, RaftGroupMembersView view) throws IOException {
@@ -348,8 +447,11 @@
     }
 
     static RaftGroupMembersView view(CborReader from) throws IOException {
-        return MODEL.createRaftGroupMembersViewBuilder().setLogIndex(from.whole()).setMembers(names(from))
-                .setVotingMembers(names(from)).build();
+        return MODEL.createRaftGroupMembersViewBuilder()
+                .setLogIndex(from.whole())
+                .setMembers(names(from))
+                .setVotingMembers(names(from))
+                .build();
     }
 
     private static void names(CBORGenerator to, Collection<RaftEndpoint> names) throws IOException {
@@ -439,16 +541,31 @@
 
     private static Talk talk(CborReader from, int kind) throws IOException {
         return switch (kind) {
-            case 21 -> new Talk.Renew(from.whole(), from.whole(), from.whole(), from.whole(), from.text(Talk.MOST_LINE));
+            case 21 ->
+                new Talk.Renew(from.whole(), from.whole(), from.whole(), from.whole(), from.text(Talk.MOST_LINE));
             case 22 -> new Talk.Grant(from.whole(), from.whole(), from.whole(), from.whole(), from.flag());
             case 23 -> new Talk.Elsewhere(from.whole(), from.text(MOST_NAME));
             case 24 -> new Talk.Hint(from.whole(), from.whole());
             case 25 -> new Talk.Fetch(from.whole(), from.whole(), from.count());
             case 26 -> new Talk.Piece(from.whole(), from.whole(), from.count(), from.count(), from.text(Command.PIECE));
-            case 27 -> new Talk.Offer(from.whole(), from.whole(), from.text(Command.MOST_WHO),
-                    from.text(Command.MOST_WHY), from.whole(), from.count(), from.count(), from.text(Command.PIECE));
-            case 28 -> new Talk.Order(from.whole(), from.text(16), from.whole(), from.text(MOST_NAME),
-                    from.text(Command.MOST_WHO), from.text(Command.MOST_WHY));
+            case 27 ->
+                new Talk.Offer(
+                        from.whole(),
+                        from.whole(),
+                        from.text(Command.MOST_WHO),
+                        from.text(Command.MOST_WHY),
+                        from.whole(),
+                        from.count(),
+                        from.count(),
+                        from.text(Command.PIECE));
+            case 28 ->
+                new Talk.Order(
+                        from.whole(),
+                        from.text(16),
+                        from.whole(),
+                        from.text(MOST_NAME),
+                        from.text(Command.MOST_WHO),
+                        from.text(Command.MOST_WHY));
             case 29 -> new Talk.Taken(from.whole(), (int) from.whole(), from.whole(), from.text(Talk.MOST_LINE));
             case 30 -> new Talk.Recall(from.whole());
             case 31 -> new Talk.Recalled(from.whole(), from.whole());
@@ -533,9 +650,17 @@
             long active = from.whole();
             long waiting = from.whole();
             long newest = from.whole();
-            List<RuleBook.Version> versions = from.list(RuleBook.KEPT, () -> new RuleBook.Version(from.whole(),
-                    from.whole(), from.text(Command.MOST_WHO), from.text(4 * Command.MOST_WHY), from.whole(),
-                    state(from.count()), figures(from), from.text(Command.MOST_TEXT)));
+            List<RuleBook.Version> versions = from.list(
+                    RuleBook.KEPT,
+                    () -> new RuleBook.Version(
+                            from.whole(),
+                            from.whole(),
+                            from.text(Command.MOST_WHO),
+                            from.text(4 * Command.MOST_WHY),
+                            from.whole(),
+                            state(from.count()),
+                            figures(from),
+                            from.text(Command.MOST_TEXT)));
             List<String> names = from.texts(MOST_CHUNKS, MOST_NAME);
             Map<String, Long> marks = new TreeMap<>();
             from.list(MOST_CHUNKS, () -> marks.put(from.text(Command.MOST_NAME), from.whole()));
@@ -543,8 +668,9 @@
             from.list(64, () -> {
                 long id = from.whole();
                 String[] pieces = new String[Math.min(from.count(), Command.MOST_PIECES)];
-                from.list(Command.MOST_PIECES, () -> pieces[Math.min(pieces.length - 1, from.count())] =
-                        from.text(Command.PIECE));
+                from.list(
+                        Command.MOST_PIECES,
+                        () -> pieces[Math.min(pieces.length - 1, from.count())] = from.text(Command.PIECE));
                 return proposals.put(id, java.util.Arrays.asList(pieces));
             });
             from.expect(JsonToken.END_ARRAY);
--- a/src/main/java/petrelstand/core/Attempt.java
+++ b/src/main/java/petrelstand/core/Attempt.java
@@ -86,9 +86,9 @@
     }
 
     /**
-     * The server side has a connection, and is about to write the first byte. False where that must not be any more, and the
-     * attempt has ended then: its client has left, its request has its answer, or its node drains, went, moved or restarted
-     * while the connection came up.
+     * The server side has a connection, and is about to write the first byte. False where that must not be any more,
+     * and the attempt has ended then: its client has left, its request has its answer, or its node drains, went, moved
+     * or restarted while the connection came up.
      */
     public boolean begins() {
         if (!ended && exchange.over()) {
@@ -107,8 +107,8 @@
     }
 
     /**
-     * The client's body goes to the node in pieces: no other attempt can follow, and its time, which begins with its last
-     * byte, does not run until {@link #bodyComplete}. May be told more than once.
+     * The client's body goes to the node in pieces: no other attempt can follow, and its time, which begins with its
+     * last byte, does not run until {@link #bodyComplete}. May be told more than once.
      */
     public void streams() {
         if (!ended && !exchange.begun()) {
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -33,6 +33,7 @@
 public final class Broker {
     /** The guard on a forgotten request comes after the time-outs at the deadline, and within the rule's grace. */
     private static final long MOST_GUARD_US = 2_000;
+
     private static final double GUARD_PART = 0.25;
 
     private Settings settings;
@@ -47,9 +48,11 @@
     private final Map<Long, Node> nodes = new HashMap<>();
     /** Events that came while the module was at work: it is never entered twice. */
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+
     private Watcher watcher = Watcher.NOBODY;
     /** Null where nothing rules on requests beyond the module: a start links no code for it. */
     private Gate gate;
+
     private boolean busy;
     private ShareSource shares = nowUs -> 1;
     private double share = 1;
@@ -62,13 +65,25 @@
         Events make(double nowMs, Settings settings, Actions actions);
     }
 
-    public Broker(Settings settings, long seed, LongSupplier clock, Timers timers, ServerSide server,
-            Counters counters, Consumer<String> log) {
+    public Broker(
+            Settings settings,
+            long seed,
+            LongSupplier clock,
+            Timers timers,
+            ServerSide server,
+            Counters counters,
+            Consumer<String> log) {
         this(settings, (now, s, actions) -> new Policy(now, s, seed, actions), clock, timers, server, counters, log);
     }
 
-    Broker(Settings settings, ModuleMaker maker, LongSupplier clock, Timers timers, ServerSide server,
-            Counters counters, Consumer<String> log) {
+    Broker(
+            Settings settings,
+            ModuleMaker maker,
+            LongSupplier clock,
+            Timers timers,
+            ServerSide server,
+            Counters counters,
+            Consumer<String> log) {
         this.settings = settings;
         this.clock = clock;
         this.timers = timers;
@@ -125,10 +140,14 @@
 
     /** Those of them that get nothing new at this moment: they drain, or the module has them for silent. */
     public int avoidedNodes() {
-        Set<Long> silent = learned().nodes().stream().filter(node -> node.silentMs() > 0)
-                .map(LearnedNode::node).collect(Collectors.toSet());
-        return (int) nodes.values().stream().filter(node -> !node.isPrivate()
-                && (node.entry().state() != NodeState.READY || silent.contains(node.number()))).count();
+        Set<Long> silent = learned().nodes().stream()
+                .filter(node -> node.silentMs() > 0)
+                .map(LearnedNode::node)
+                .collect(Collectors.toSet());
+        return (int) nodes.values().stream()
+                .filter(node -> !node.isPrivate()
+                        && (node.entry().state() != NodeState.READY || silent.contains(node.number())))
+                .count();
     }
 
     /** Tells a watcher of each step from now on; there is one at most. */
@@ -159,7 +178,9 @@
     /** Whether a node is listed for new requests as it was when it was chosen. */
     boolean isAsListed(Node chosen) {
         Node now = nodes.get(chosen.number());
-        return now != null && now.entry().state() == NodeState.READY && now.address().equals(chosen.address())
+        return now != null
+                && now.entry().state() == NodeState.READY
+                && now.address().equals(chosen.address())
                 && now.entry().upSinceMs() == chosen.entry().upSinceMs();
     }
 
@@ -172,13 +193,15 @@
 
     /** Requests without their final answer. */
     public int open() {
-        return (int) exchanges.values().stream().filter(exchange -> !exchange.over()).count();
+        return (int)
+                exchanges.values().stream().filter(exchange -> !exchange.over()).count();
     }
 
     /** Those of them that have come whole. */
     public int inProgress() {
         return (int) exchanges.values().stream()
-                .filter(exchange -> !exchange.over() && !exchange.client().incoming()).count();
+                .filter(exchange -> !exchange.over() && !exchange.client().incoming())
+                .count();
     }
 
     /** Nodes that are kept. */
@@ -189,8 +212,8 @@
     // ---- What comes in ----
 
     /**
-     * Takes a request; the client side gets one final answer, possibly before this returns, but not before it was
-     * given the exchange.
+     * Takes a request; the client side gets one final answer, possibly before this returns, but not before it was given
+     * the exchange.
      */
     public Exchange take(Demand demand, Object message, ClientSide client, Consumer<Exchange> taken) {
         long now = clock.getAsLong();
@@ -208,16 +231,26 @@
             forgetIfDone(exchange);
             return exchange;
         }
-        Request request = new Request(exchange.id(), demand.requestClass(), demand.plan(), demand.key(),
-                ms(demand.leftUs()), demand.volume(), demand.units(), demand.shard(), demand.setSize(),
-                demand.repeat(), demand.write());
+        Request request = new Request(
+                exchange.id(),
+                demand.requestClass(),
+                demand.plan(),
+                demand.key(),
+                ms(demand.leftUs()),
+                demand.volume(),
+                demand.units(),
+                demand.shard(),
+                demand.setSize(),
+                demand.repeat(),
+                demand.write());
         event(() -> module.request(ms(now), request), exchange);
         return exchange;
     }
 
     /** How long after a request's deadline it is failed here, µs: a part of what the settings leave for the answer. */
     private long guardUs() {
-        return Math.min(MOST_GUARD_US, (long) (GUARD_PART * 1000 * settings.rules().answerGraceMs()));
+        return Math.min(
+                MOST_GUARD_US, (long) (GUARD_PART * 1000 * settings.rules().answerGraceMs()));
     }
 
     private void refuse(Exchange exchange, long retryAfterUs) {
@@ -240,7 +273,8 @@
     /** No answer is given later than this: what would wait longer is failed then. */
     public void answerBy(long us) {
         lastAnswerUs = us;
-        exchanges.values().stream().filter(exchange -> !exchange.over() && exchange.deadlineUs() > us)
+        exchanges.values().stream()
+                .filter(exchange -> !exchange.over() && exchange.deadlineUs() > us)
                 .forEach(exchange -> timers.at(us, () -> overdue(exchange)));
     }
 
@@ -266,8 +300,9 @@
         for (Node node : listed) {
             // What is gone is not kept: attempts still out hold their node themselves, and nodes come and go all day.
             Node before = node.gone() ? nodes.remove(node.number()) : nodes.put(node.number(), node);
-            boolean moved = before != null && (!before.address().equals(node.address())
-                    || before.entry().upSinceMs() != node.entry().upSinceMs());
+            boolean moved = before != null
+                    && (!before.address().equals(node.address())
+                            || before.entry().upSinceMs() != node.entry().upSinceMs());
             if (moved) {
                 server.forget(before);
             }
@@ -275,8 +310,9 @@
                 server.forget(node);
             }
             if (before == null || before.entry().state() != node.entry().state() || moved) {
-                log.accept("node " + node.name() + ": " + node.entry().state().name().toLowerCase(Locale.ROOT)
-                        + (moved ? ", restarted or moved" : "") + ", " + node.address());
+                log.accept("node " + node.name() + ": "
+                        + node.entry().state().name().toLowerCase(Locale.ROOT) + (moved ? ", restarted or moved" : "")
+                        + ", " + node.address());
             }
             entries.add(node.entry());
         }
@@ -354,8 +390,8 @@
         long now = clock.getAsLong();
         exchange.restart(cameUs);
         exchange.guard(timers.at(Math.min(lastAnswerUs, exchange.deadlineUs() + guardUs()), () -> overdue(exchange)));
-        attempt.restart(now, exchange.deadlineUs(),
-                timers.at(exchange.deadlineUs(), () -> stop(attempt, Outcome.TIMED_OUT)));
+        attempt.restart(
+                now, exchange.deadlineUs(), timers.at(exchange.deadlineUs(), () -> stop(attempt, Outcome.TIMED_OUT)));
     }
 
     /** An answer that passed in pieces after it was taken for served is over; it counts as what it came to be. */
@@ -388,15 +424,25 @@
             exchange.client().failed(attempt);
         }
         long now = clock.getAsLong();
-        AttemptEnd end = new AttemptEnd(exchange.id(), attempt.number(), outcome, ms(now - attempt.sentUs()),
-                attempt.node() == null ? 0 : attempt.node().number(), 1 + attempt.use().percent(),
-                attempt.use().fromOthers(), exchange.over(), ordered(load));
+        AttemptEnd end = new AttemptEnd(
+                exchange.id(),
+                attempt.number(),
+                outcome,
+                ms(now - attempt.sentUs()),
+                attempt.node() == null ? 0 : attempt.node().number(),
+                1 + attempt.use().percent(),
+                attempt.use().fromOthers(),
+                exchange.over(),
+                ordered(load));
         event(() -> module.attemptEnded(ms(now), end), exchange);
     }
 
     private List<Double> ordered(Map<String, Double> load) {
-        return load == null || load.isEmpty() ? List.of()
-                : settings.loadNames().stream().map(name -> load.getOrDefault(name, -1.0)).toList();
+        return load == null || load.isEmpty()
+                ? List.of()
+                : settings.loadNames().stream()
+                        .map(name -> load.getOrDefault(name, -1.0))
+                        .toList();
     }
 
     private void stop(Attempt attempt, Outcome how) {
@@ -409,8 +455,8 @@
     // ---- Entering the module ----
 
     /**
-     * Hands the module one event at a time, in order. An exception in it must not take the gateway down: the
-     * request that it was about fails, and the rest goes on.
+     * Hands the module one event at a time, in order. An exception in it must not take the gateway down: the request
+     * that it was about fails, and the rest goes on.
      */
     private void event(Runnable event, Exchange about) {
         waiting.add(() -> {
@@ -420,8 +466,7 @@
             } catch (RuntimeException e) {
                 counters.add("module_faults");
                 StackTraceElement[] trace = e.getStackTrace();
-                log.accept("core: fault in the decision module: " + e
-                        + (trace.length == 0 ? "" : " at " + trace[0]));
+                log.accept("core: fault in the decision module: " + e + (trace.length == 0 ? "" : " at " + trace[0]));
                 if (about != null && finish(about, End.FAILED)) {
                     counters.add("answered.failed");
                     about.client().failed(about.last());
@@ -460,15 +505,20 @@
                 return;
             }
             long now = clock.getAsLong();
-            long until = timeoutMs == 0 ? exchange.deadlineUs()
-                    : Math.min(exchange.deadlineUs(), now + us(timeoutMs));
+            long until = timeoutMs == 0 ? exchange.deadlineUs() : Math.min(exchange.deadlineUs(), now + us(timeoutMs));
             Node to = nodes.get(node);
-            Attempt attempt = new Attempt(Broker.this, exchange, to, exchange.attempts().size(), now, until);
+            Attempt attempt =
+                    new Attempt(Broker.this, exchange, to, exchange.attempts().size(), now, until);
             boolean alone = settings.may().secondCopies() || !exchange.outstanding();
             exchange.attempts().add(attempt);
             int wanted = exchange.demand().shard();
-            boolean holds = to != null && (wanted < 0 ? !to.isPrivate() : to.entry().shard() == wanted);
-            if (exchange.over() || exchange.begun() || now >= until || !holds || !alone
+            boolean holds =
+                    to != null && (wanted < 0 ? !to.isPrivate() : to.entry().shard() == wanted);
+            if (exchange.over()
+                    || exchange.begun()
+                    || now >= until
+                    || !holds
+                    || !alone
                     || attempt.number() >= settings.may().maxAttempts()) {
                 attempt.ended(Outcome.NOT_SENT, null, null);
                 return;
@@ -499,7 +549,9 @@
         @Override
         public void cancel(long request, int attempt) {
             Exchange exchange = exchanges.get(request);
-            if (exchange != null && attempt >= 0 && attempt < exchange.attempts().size()) {
+            if (exchange != null
+                    && attempt >= 0
+                    && attempt < exchange.attempts().size()) {
                 stop(exchange.attempts().get(attempt), Outcome.CANCELLED);
             }
         }
@@ -510,17 +562,21 @@
             if (to != null && settings.may().probes()) {
                 long sent = clock.getAsLong();
                 counters.add("probes");
-                server.probe(to, us(settings.may().connectTimeoutMs()), (outcome, load) -> event(() -> {
-                    long now = clock.getAsLong();
-                    module.probed(ms(now), node, ms(now - sent), outcome, ordered(load));
-                }, null));
+                server.probe(
+                        to,
+                        us(settings.may().connectTimeoutMs()),
+                        (outcome, load) -> event(
+                                () -> {
+                                    long now = clock.getAsLong();
+                                    module.probed(ms(now), node, ms(now - sent), outcome, ordered(load));
+                                },
+                                null));
             }
         }
 
         @Override
         public void timer(double atMs, long token) {
-            timers.at(us(atMs), () -> event(() -> module.timer(ms(clock.getAsLong()), token),
-                    exchanges.get(token)));
+            timers.at(us(atMs), () -> event(() -> module.timer(ms(clock.getAsLong()), token), exchanges.get(token)));
         }
 
         @Override
--- a/src/main/java/petrelstand/core/ClientSide.java
+++ b/src/main/java/petrelstand/core/ClientSide.java
@@ -3,8 +3,8 @@
 /** The front's half of an exchange: it is told the one final answer. */
 public interface ClientSide {
     /**
-     * Served; the answer is whatever the server side of the same wire made of the node's. False where it passes in pieces
-     * from here on: {@link Broker#passed} is told what came of it.
+     * Served; the answer is whatever the server side of the same wire made of the node's. False where it passes in
+     * pieces from here on: {@link Broker#passed} is told what came of it.
      */
     boolean served(Object answer);
 
--- a/src/main/java/petrelstand/core/Counters.java
+++ b/src/main/java/petrelstand/core/Counters.java
@@ -19,7 +19,8 @@
     /** All counts, one "name value" a line, in order of name. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        counts.forEach((name, count) -> text.append(name).append(' ').append(count[0]).append('\n'));
+        counts.forEach(
+                (name, count) -> text.append(name).append(' ').append(count[0]).append('\n'));
         return text.toString();
     }
 
--- a/src/main/java/petrelstand/core/Exchange.java
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -5,8 +5,8 @@
 import petrelstand.decision.Scheduling.RequestClass;
 
 /**
- * One request from its taking to its one final answer. The client side and the server side meet only here: the
- * message that the client sent, in its own wire's form, and the client side that gets the answer.
+ * One request from its taking to its one final answer. The client side and the server side meet only here: the message
+ * that the client sent, in its own wire's form, and the client side that gets the answer.
  */
 public final class Exchange {
     private final long id;
--- a/src/main/java/petrelstand/core/Figures.java
+++ b/src/main/java/petrelstand/core/Figures.java
@@ -9,7 +9,12 @@
  */
 public final class Figures {
     /** How a request ended. */
-    public enum End { SERVED, REFUSED, FAILED, GONE }
+    public enum End {
+        SERVED,
+        REFUSED,
+        FAILED,
+        GONE
+    }
 
     /** One class's counts. */
     private static final class Row {
--- a/src/main/java/petrelstand/core/Node.java
+++ b/src/main/java/petrelstand/core/Node.java
@@ -25,13 +25,15 @@
 
     /** The same node in a state. */
     public Node as(NodeState state) {
-        return new Node(name, address, new NodeEntry(entry.node(), entry.zone(), entry.shard(), state,
-                entry.rating(), entry.upSinceMs()));
+        return new Node(
+                name,
+                address,
+                new NodeEntry(entry.node(), entry.zone(), entry.shard(), state, entry.rating(), entry.upSinceMs()));
     }
 
     /**
-     * The number by which the decision module knows a node. It is made of the name alone, so that it outlives a
-     * restart in learned state: the hex digits of an "s-" name, else a hash.
+     * The number by which the decision module knows a node. It is made of the name alone, so that it outlives a restart
+     * in learned state: the hex digits of an "s-" name, else a hash.
      */
     public static long numberOf(String name) {
         String digits = name.startsWith("s-") ? name.substring(2) : "";
--- a/src/main/java/petrelstand/core/Timers.java
+++ b/src/main/java/petrelstand/core/Timers.java
@@ -61,8 +61,8 @@
     }
 
     /**
-     * Runs what is due. A timer set meanwhile waits for the next call even where it is due already: guards
-     * against a turn of the loop that never ends because each timer sets one for now.
+     * Runs what is due. A timer set meanwhile waits for the next call even where it is due already: guards against a
+     * turn of the loop that never ends because each timer sets one for now.
      */
     public void run(long nowUs) {
         long limit = order;
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -7,24 +7,53 @@
     private Scheduling() {}
 
     /** What a repeated execution of a request of a class would do. */
-    public enum Effect { REPEATABLE, KEYED, UNSAFE }
+    public enum Effect {
+        REPEATABLE,
+        KEYED,
+        UNSAFE
+    }
 
     /** The nodes that drop repeats of a keyed request together: all, those of one zone, or those of one shard. */
-    public enum DedupGroup { ALL, ZONE, SHARD }
+    public enum DedupGroup {
+        ALL,
+        ZONE,
+        SHARD
+    }
 
     /** How a host learns of changes to the node list. */
-    public enum Discovery { PUSHED, ASKED }
+    public enum Discovery {
+        PUSHED,
+        ASKED
+    }
 
     /** State of a node as listed. */
-    public enum NodeState { GONE, READY, DRAINING }
+    public enum NodeState {
+        GONE,
+        READY,
+        DRAINING
+    }
 
     /** What a node-list event carries: changes, the whole list, the list kept from earlier, or a failed call. */
-    public enum ListKind { CHANGES, WHOLE, CACHED, FAILED }
+    public enum ListKind {
+        CHANGES,
+        WHOLE,
+        CACHED,
+        FAILED
+    }
 
-    /** How an attempt ended; OVER: the node turned it away because the request is over, so that no other can do better. */
+    /**
+     * How an attempt ended; OVER: the node turned it away because the request is over, so that no other can do better.
+     */
     public enum Outcome {
-        SERVED(false), ERROR(false), REJECTED(true), TIMED_OUT(false), NOT_CONNECTED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true), OVER(true);
+        SERVED(false),
+        ERROR(false),
+        REJECTED(true),
+        TIMED_OUT(false),
+        NOT_CONNECTED(true),
+        RESET(false),
+        CANCELLED(false),
+        NOT_SENT(true),
+        OVER(true);
 
         private final boolean neverRan;
 
@@ -32,7 +61,10 @@
             this.neverRan = neverRan;
         }
 
-        /** True where another attempt may do better: not where the time is up, or the node knows that the request is over. */
+        /**
+         * True where another attempt may do better: not where the time is up, or the node knows that the request is
+         * over.
+         */
         public boolean mayBeRepeated() {
             return this != TIMED_OUT && this != OVER;
         }
@@ -44,13 +76,23 @@
     }
 
     /**
-     * A class of requests. {@code aimMs} is the time within which an answer earns full worth, {@code aimStretch}
-     * the multiple of a request's own work by which its aim is longer, {@code lateWorth} the share of worth that an
-     * answer after the aim earns, and {@code ordered} says that requests on one key run one at a time.
+     * A class of requests. {@code aimMs} is the time within which an answer earns full worth, {@code aimStretch} the
+     * multiple of a request's own work by which its aim is longer, {@code lateWorth} the share of worth that an answer
+     * after the aim earns, and {@code ordered} says that requests on one key run one at a time.
      */
-    public record RequestClass(String name, double aimMs, double aimStretch, double deadlineMs, double worth,
-            double lateWorth, Effect effect, DedupGroup group, double repeatWindowMs, boolean ordered,
-            boolean streamed, boolean writes) {
+    public record RequestClass(
+            String name,
+            double aimMs,
+            double aimStretch,
+            double deadlineMs,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            DedupGroup group,
+            double repeatWindowMs,
+            boolean ordered,
+            boolean streamed,
+            boolean writes) {
         public RequestClass {
             atLeast(name, "aim", aimMs, 0);
             atLeast(name, "deadline", deadlineMs, 0);
@@ -60,8 +102,15 @@
     }
 
     /** A plan; its figures hold per volume over all hosts and nodes. A limit of 0 is none. */
-    public record Plan(String name, double rate, double reserve, double weight, double price, double limit,
-            double limitBurst, double limitSlack) {
+    public record Plan(
+            String name,
+            double rate,
+            double reserve,
+            double weight,
+            double price,
+            double limit,
+            double limitBurst,
+            double limitSlack) {
         public Plan {
             atLeast(name, "rate", rate, 0);
             atLeast(name, "reserve", reserve, 0);
@@ -70,20 +119,51 @@
     }
 
     /** What the site allows, and the times of its connections. */
-    public record Capabilities(int maxAttempts, boolean cancel, boolean probes, boolean peerMessages,
-            boolean secondCopies, boolean retryAfter, double maxRetryAfterMs, double connectTimeoutMs,
+    public record Capabilities(
+            int maxAttempts,
+            boolean cancel,
+            boolean probes,
+            boolean peerMessages,
+            boolean secondCopies,
+            boolean retryAfter,
+            double maxRetryAfterMs,
+            double connectTimeoutMs,
             double idleCloseMs) {}
 
     /** The figures of the rules; a negative figure is one the site does not state. */
-    public record Rules(double answerGraceMs, double drainGraceMs, double askWithinMs, double coldShare,
-            double warmUpMs, double fallMs, double fallMultiple, double keyQuietMs, double freeFurther,
-            double furtherShare, double furtherSpanMs) {}
+    public record Rules(
+            double answerGraceMs,
+            double drainGraceMs,
+            double askWithinMs,
+            double coldShare,
+            double warmUpMs,
+            double fallMs,
+            double fallMultiple,
+            double keyQuietMs,
+            double freeFurther,
+            double furtherShare,
+            double furtherSpanMs) {}
 
     /** What a start tells a host: its place, the classes and plans, and what the site allows and asks. */
-    public record Settings(int hosts, int index, int zone, double tickMs, List<RequestClass> classes,
-            List<Plan> plans, Discovery discovery, Capabilities may, Rules rules, double coldUnits,
-            double meanUnits, double mostUnits, double shareWorth, double spareWorth, double meterMs,
-            boolean tellsOthers, List<String> loadNames, List<String> zones) {
+    public record Settings(
+            int hosts,
+            int index,
+            int zone,
+            double tickMs,
+            List<RequestClass> classes,
+            List<Plan> plans,
+            Discovery discovery,
+            Capabilities may,
+            Rules rules,
+            double coldUnits,
+            double meanUnits,
+            double mostUnits,
+            double shareWorth,
+            double spareWorth,
+            double meterMs,
+            boolean tellsOthers,
+            List<String> loadNames,
+            List<String> zones) {
         public Settings {
             present("settings", "classes", classes);
             present("settings", "plans", plans);
@@ -110,16 +190,34 @@
     }
 
     /** A request taken by this host. A shard of -1 is a new object, which any node may take. */
-    public record Request(long id, int requestClass, int plan, long key, double timeLeftMs, long volume,
-            double units, int shard, int setSize, boolean clientRepeat, boolean write) {}
+    public record Request(
+            long id,
+            int requestClass,
+            int plan,
+            long key,
+            double timeLeftMs,
+            long volume,
+            double units,
+            int shard,
+            int setSize,
+            boolean clientRepeat,
+            boolean write) {}
 
     /**
      * The end of an attempt. {@code seenUse} is 1 + the volume's use in percent of its plan's rate (0: not told),
      * {@code fromOthers} the units the node served the volume through other hosts since its last answer here, and
      * {@code over} says that the request is closed.
      */
-    public record AttemptEnd(long request, int attempt, Outcome outcome, double elapsedMs, long node, int seenUse,
-            int fromOthers, boolean over, List<Double> load) {}
+    public record AttemptEnd(
+            long request,
+            int attempt,
+            Outcome outcome,
+            double elapsedMs,
+            long node,
+            int seenUse,
+            int fromOthers,
+            boolean over,
+            List<Double> load) {}
 
     /**
      * What a host has learned of a node, under the node's identity: its number and start time. {@code slots} and
@@ -127,22 +225,35 @@
      * sent within the rule's time on cold nodes, {@code silentMs} is how much longer than usual the node has been
      * silent or suspect (0: neither).
      */
-    public record LearnedNode(long node, double upSinceMs, double slots, double served, double window,
-            double latencyMs, double coldSent, double silentMs) {}
+    public record LearnedNode(
+            long node,
+            double upSinceMs,
+            double slots,
+            double served,
+            double window,
+            double latencyMs,
+            double coldSent,
+            double silentMs) {}
 
     /**
      * What a host has learned of a volume: its plan by place, its set of hosts, this host's part of its use, and the
      * levels of its stores at the time of the whole, in units.
      */
-    public record LearnedVolume(long volume, int plan, int setSize, double ownPart, double limitLevel,
-            double reserveLevel, double shareLevel) {}
+    public record LearnedVolume(
+            long volume,
+            int plan,
+            int setSize,
+            double ownPart,
+            double limitLevel,
+            double reserveLevel,
+            double shareLevel) {}
 
     /**
      * What a host has learned at a time: the measured slots and units of all nodes together, then each node, and each
      * volume, the one longest unused first.
      */
-    public record Learned(double atMs, double slots, double served, List<LearnedNode> nodes,
-            List<LearnedVolume> volumes) {
+    public record Learned(
+            double atMs, double slots, double served, List<LearnedNode> nodes, List<LearnedVolume> volumes) {
         public Learned {
             nodes = List.copyOf(nodes);
             volumes = List.copyOf(volumes);
@@ -163,8 +274,8 @@
         void request(double nowMs, Request request);
 
         /**
-         * A stream began, of an answer or of a body to its node: the attempt belongs to the client from here on, and how
-         * long it is out tells nothing of its node.
+         * A stream began, of an answer or of a body to its node: the attempt belongs to the client from here on, and
+         * how long it is out tells nothing of its node.
          */
         void streamStarted(double nowMs, long request, int attempt);
 
@@ -187,14 +298,14 @@
         default void peerMessage(double nowMs, int sender, byte[] message) {}
 
         /**
-         * Other settings from now on; a class keeps its place. What is open keeps the class and the attempts that it came
-         * with, and what was learned stays.
+         * Other settings from now on; a class keeps its place. What is open keeps the class and the attempts that it
+         * came with, and what was learned stays.
          */
         default void retune(double nowMs, Settings changed) {}
 
         /**
-         * The part of this host's due at cold nodes and of volumes' limits that this process may spend: below 1 where
-         * a second process spends in the host's name too, 0 while another may not know of this one yet.
+         * The part of this host's due at cold nodes and of volumes' limits that this process may spend: below 1 where a
+         * second process spends in the host's name too, 0 while another may not know of this one yet.
          */
         default void share(double nowMs, double part) {}
 
--- a/src/main/java/petrelstand/discovery/Watch.java
+++ b/src/main/java/petrelstand/discovery/Watch.java
@@ -23,9 +23,9 @@
 import petrelstand.net.EventLoop;
 
 /**
- * Follows the node list: one call after another, each waiting at the agent for something newer. The next call goes
- * out at once after an answer, and a call that got none is given up for a new one. Whatever two calls in a row fail of,
- * the third goes out 5.4 s after the first at the latest: a change counts as told 6 s after discovery could be reached.
+ * Follows the node list: one call after another, each waiting at the agent for something newer. The next call goes out
+ * at once after an answer, and a call that got none is given up for a new one. Whatever two calls in a row fail of, the
+ * third goes out 5.4 s after the first at the latest: a change counts as told 6 s after discovery could be reached.
  */
 public final class Watch {
     /** How long a call waits at the agent where calls are answered. */
@@ -40,6 +40,7 @@
     static final long SLACK_US = 600_000;
     /** Rest before a new call after one that failed: under the 200 ms within which a watch goes on. */
     static final long REST_US = 100_000;
+
     private static final int MOST_LIST = 1 << 20;
 
     private final NodePool.Dialer dialer;
@@ -55,13 +56,23 @@
     private int failures;
     /** Calls left that wait only shortly. */
     private int soon = SOON_CALLS;
+
     private UpstreamConnection connection;
     private Round round;
     /** The rest after a failed call. */
     private Timers.Timer rest;
 
-    public Watch(NodePool.Dialer dialer, LongSupplier clock, Timers timers, String address, String host,
-            List<String> zones, long version, Consumer<NodeList> heard, Counters counters, Consumer<String> log) {
+    public Watch(
+            NodePool.Dialer dialer,
+            LongSupplier clock,
+            Timers timers,
+            String address,
+            String host,
+            List<String> zones,
+            long version,
+            Consumer<NodeList> heard,
+            Counters counters,
+            Consumer<String> log) {
         this.dialer = dialer;
         this.clock = clock;
         this.timers = timers;
@@ -80,8 +91,9 @@
 
     /**
      * Goes on at another address, at once and from the version reached. What the old agent has written by now counts as
-     * told and is heard first, whatever becomes of the new one; then the call that is out ends. Guards against two loops side by side,
-     * where a failed call was resting, and against a connection to the old address that comes up late.
+     * told and is heard first, whatever becomes of the new one; then the call that is out ends. Guards against two
+     * loops side by side, where a failed call was resting, and against a connection to the old address that comes up
+     * late.
      */
     public void move(String newAddress) {
         if (newAddress.equals(address)) {
@@ -208,7 +220,9 @@
             // The wait, too, is counted from the beginning: a connection that came up late has taken its part of it.
             long leftMs = Math.max(0, waitMs - (clock.getAsLong() - begunUs) / 1000);
             String target = "/v1/endpoints" + (version >= 0 ? "?index=" + version + "&wait=" + leftMs : "");
-            return new ByteBuffer[] {Wire.request("GET", target, HttpFields.build().put(HttpHeader.HOST, host), 0)};
+            return new ByteBuffer[] {
+                Wire.request("GET", target, HttpFields.build().put(HttpHeader.HOST, host), 0)
+            };
         }
 
         @Override
@@ -221,7 +235,8 @@
                 return;
             }
             try {
-                NodeList list = NodeList.parse(StandardCharsets.UTF_8.decode(body).toString(), zones);
+                NodeList list =
+                        NodeList.parse(StandardCharsets.UTF_8.decode(body).toString(), zones);
                 counters.add("discovery.answers");
                 if (failures > 0) {
                     log.accept("discovery: answers again");
--- a/src/main/java/petrelstand/fleet/Codec.java
+++ b/src/main/java/petrelstand/fleet/Codec.java
@@ -28,6 +28,7 @@
 final class Codec {
     /** A change of the layout gets another number, and members of both refuse each other in one line. */
     static final int VERSION = 2;
+
     private static final CBORFactory CBOR = new CBORFactory();
     private static final int PING = 1, ACK = 2, ASK = 3, JOIN = 4, ANSWER = 5, DIGESTS = 6, NEWS = 7;
     private static final MemberState[] STATES = MemberState.values();
@@ -144,8 +145,13 @@
     private static Message message(CborReader from, int kind) throws IOException {
         return switch (kind) {
             case PING -> new Ping(from.whole(), from.whole(), members(from, Message.MOST_NEWS));
-            case ACK -> new Ack(from.whole(), from.whole(), from.text(Member.MOST_NAME), from.whole(),
-                    members(from, Message.MOST_NEWS));
+            case ACK ->
+                new Ack(
+                        from.whole(),
+                        from.whole(),
+                        from.text(Member.MOST_NAME),
+                        from.whole(),
+                        members(from, Message.MOST_NEWS));
             case ASK -> new Ask(from.whole(), from.text(Member.MOST_NAME), from.text(Member.MOST_ADDRESS));
             case JOIN -> {
                 long nonce = from.whole();
@@ -159,8 +165,8 @@
                 long nonce = from.whole();
                 boolean welcome = from.flag();
                 List<Member> holder = members(from, 1);
-                yield new Answer(nonce, welcome, holder.isEmpty() ? null : holder.get(0),
-                        members(from, Message.MOST_NEWS));
+                yield new Answer(
+                        nonce, welcome, holder.isEmpty() ? null : holder.get(0), members(from, Message.MOST_NEWS));
             }
             case DIGESTS -> {
                 boolean answer = from.flag();
@@ -187,8 +193,16 @@
             if (name.isEmpty() || incarnation < 0 || state < 0 || state >= STATES.length) {
                 throw new IOException("a claim without a name, or in no state");
             }
-            return new Member(name, boot, incarnation, address, STATES[(int) state], from.text(Member.MOST_NAME),
-                    from.whole(), from.text(Member.MOST_VERSION), from.texts(Member.MOST_ABILITIES, Member.MOST_NAME));
+            return new Member(
+                    name,
+                    boot,
+                    incarnation,
+                    address,
+                    STATES[(int) state],
+                    from.text(Member.MOST_NAME),
+                    from.whole(),
+                    from.text(Member.MOST_VERSION),
+                    from.texts(Member.MOST_ABILITIES, Member.MOST_NAME));
         });
     }
 }
--- a/src/main/java/petrelstand/fleet/Fleet.java
+++ b/src/main/java/petrelstand/fleet/Fleet.java
@@ -6,11 +6,11 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import petrelstand.config.FleetConfig;
@@ -34,11 +34,19 @@
 public final class Fleet implements Membership.Actions {
     /** A folder that has not answered by then is done without. */
     static final long OPEN_MS = 1_000;
+
     private static final long WALL_US = 1000;
 
     /** Makes the module; the usual one, but for tests that plant a defect in theirs. */
     public interface Maker {
-        Membership make(long nowUs, String fleet, Member self, List<String> seeds, int size, Timing timing, long seed,
+        Membership make(
+                long nowUs,
+                String fleet,
+                Member self,
+                List<String> seeds,
+                int size,
+                Timing timing,
+                long seed,
                 Membership.Actions actions);
     }
 
@@ -63,8 +71,15 @@
     private long bytesOut;
 
     /** A member as the operator's file says; its name is the gateway's where the file gives none. */
-    public Fleet(FleetConfig config, String gateway, long seed, Timers timers, LongSupplier nowUs, Executor loop,
-            Counters counters, Consumer<String> log) {
+    public Fleet(
+            FleetConfig config,
+            String gateway,
+            long seed,
+            Timers timers,
+            LongSupplier nowUs,
+            Executor loop,
+            Counters counters,
+            Consumer<String> log) {
         this.config = config;
         this.name = config.name() == null ? gateway : config.name();
         this.seed = seed;
@@ -81,7 +96,9 @@
         wallMs = wall;
     }
 
-    /** Binds its address, which ends the start where it is taken, and reads the kept incarnation, before the loop runs. */
+    /**
+     * Binds its address, which ends the start where it is taken, and reads the kept incarnation, before the loop runs.
+     */
     public void open() throws IOException {
         try {
             link = new Link(config.listen(), config.keys(), loop, this::receive, this::count);
@@ -115,10 +132,18 @@
     /** Becomes a member. */
     public void start() {
         String build = Fleet.class.getPackage().getImplementationVersion();
-        Member self = new Member(name, new SecureRandom().nextLong(), incarnation, config.advertise(),
-                MemberState.JOINING, "", wallMs.getAsLong(), build == null ? "unpacked" : build, config.abilities());
-        module = maker.make(nowUs.getAsLong(), config.fleet(), self, config.seeds(), config.size(), config.timing(), seed,
-                this);
+        Member self = new Member(
+                name,
+                new SecureRandom().nextLong(),
+                incarnation,
+                config.advertise(),
+                MemberState.JOINING,
+                "",
+                wallMs.getAsLong(),
+                build == null ? "unpacked" : build,
+                config.abilities());
+        module = maker.make(
+                nowUs.getAsLong(), config.fleet(), self, config.seeds(), config.size(), config.timing(), seed, this);
         log.accept("joining " + config.fleet() + " as " + name + ", incarnation " + incarnation + ", on "
                 + config.listen());
         note("started", about(self));
@@ -175,8 +200,10 @@
     /** Takes what may change while it runs: the keys. */
     public void reload(FleetConfig changed) {
         link.keys(changed.keys());
-        boolean other = !changed.listen().equals(config.listen()) || !changed.seeds().equals(config.seeds())
-                || !changed.fleet().equals(config.fleet()) || changed.size() != config.size();
+        boolean other = !changed.listen().equals(config.listen())
+                || !changed.seeds().equals(config.seeds())
+                || !changed.fleet().equals(config.fleet())
+                || changed.size() != config.size();
         log.accept("the keys were read anew, " + changed.keys().size() + " are good"
                 + (other ? "; only a restart takes the rest of [fleet]" : ""));
     }
@@ -344,8 +371,9 @@
         for (MemberState state : MemberState.values()) {
             figures.put(state.name().toLowerCase(java.util.Locale.ROOT), 0.0);
         }
-        module.view().forEach(line -> figures.merge(
-                line.member().state().name().toLowerCase(java.util.Locale.ROOT), 1.0, Double::sum));
+        module.view()
+                .forEach(line -> figures.merge(
+                        line.member().state().name().toLowerCase(java.util.Locale.ROOT), 1.0, Double::sum));
         return figures;
     }
 
--- a/src/main/java/petrelstand/fleet/FleetMetrics.java
+++ b/src/main/java/petrelstand/fleet/FleetMetrics.java
@@ -22,31 +22,45 @@
 
     /** The page, made on the loop. */
     public static String text(Fleet fleet) {
-        GaugeSnapshot.Builder members = GaugeSnapshot.builder().name("petrelstand_fleet_members")
+        GaugeSnapshot.Builder members = GaugeSnapshot.builder()
+                .name("petrelstand_fleet_members")
                 .help("Members that this gateway knows, by state");
-        fleet.figures().forEach((state, count) -> members.dataPoint(GaugeDataPointSnapshot.builder()
-                .labels(Labels.of("state", state)).value(count).build()));
+        fleet.figures()
+                .forEach((state, count) -> members.dataPoint(GaugeDataPointSnapshot.builder()
+                        .labels(Labels.of("state", state))
+                        .value(count)
+                        .build()));
         Standing standing = fleet.module().standing();
-        GaugeSnapshot.Builder reach = GaugeSnapshot.builder().name("petrelstand_fleet_reach")
+        GaugeSnapshot.Builder reach = GaugeSnapshot.builder()
+                .name("petrelstand_fleet_reach")
                 .help("1 for the part of the agreed size that this gateway sees");
         for (Standing.Reach one : Standing.Reach.values()) {
-            reach.dataPoint(GaugeDataPointSnapshot.builder().labels(Labels.of("reach",
-                    one.name().toLowerCase(Locale.ROOT))).value(one == standing.reach() ? 1 : 0).build());
+            reach.dataPoint(GaugeDataPointSnapshot.builder()
+                    .labels(Labels.of("reach", one.name().toLowerCase(Locale.ROOT)))
+                    .value(one == standing.reach() ? 1 : 0)
+                    .build());
         }
-        CounterSnapshot.Builder events = CounterSnapshot.builder().name("petrelstand_fleet_events")
+        CounterSnapshot.Builder events = CounterSnapshot.builder()
+                .name("petrelstand_fleet_events")
                 .help("Messages and events of membership, by kind");
         fleet.counters().text().lines().filter(line -> line.startsWith(COUNTED)).forEach(line -> {
             int space = line.indexOf(' ');
-            events.dataPoint(CounterDataPointSnapshot.builder().labels(Labels.of("kind",
-                    line.substring(COUNTED.length(), space))).value(Double.parseDouble(line.substring(space + 1))).build());
+            events.dataPoint(CounterDataPointSnapshot.builder()
+                    .labels(Labels.of("kind", line.substring(COUNTED.length(), space)))
+                    .value(Double.parseDouble(line.substring(space + 1)))
+                    .build());
         });
-        CounterSnapshot bytes = CounterSnapshot.builder().name("petrelstand_fleet_sent_bytes")
-                .help("Bytes of datagrams sent to other members").dataPoint(CounterDataPointSnapshot.builder()
-                        .value(fleet.bytesOut()).build()).build();
+        CounterSnapshot bytes = CounterSnapshot.builder()
+                .name("petrelstand_fleet_sent_bytes")
+                .help("Bytes of datagrams sent to other members")
+                .dataPoint(CounterDataPointSnapshot.builder()
+                        .value(fleet.bytesOut())
+                        .build())
+                .build();
         ByteArrayOutputStream text = new ByteArrayOutputStream();
         try {
-            PrometheusTextFormatWriter.create().write(text, new MetricSnapshots(members.build(), reach.build(),
-                    events.build(), bytes));
+            PrometheusTextFormatWriter.create()
+                    .write(text, new MetricSnapshots(members.build(), reach.build(), events.build(), bytes));
         } catch (IOException e) {
             throw new UncheckedIOException("an array in memory takes all that is written to it", e);
         }
--- a/src/main/java/petrelstand/fleet/History.java
+++ b/src/main/java/petrelstand/fleet/History.java
@@ -23,22 +23,25 @@
     private final AtomicLong dropped = new AtomicLong();
 
     History(Path file, Consumer<String> log) throws IOException {
-        BufferedWriter to = Files.newBufferedWriter(file, StandardCharsets.UTF_8, StandardOpenOption.CREATE,
-                StandardOpenOption.APPEND);
-        Thread thread = new Thread(() -> {
-            try (to) {
-                while (true) {
-                    to.write(waiting.take());
-                    if (waiting.isEmpty()) {
-                        to.flush();
+        BufferedWriter to = Files.newBufferedWriter(
+                file, StandardCharsets.UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        Thread thread = new Thread(
+                () -> {
+                    try (to) {
+                        while (true) {
+                            to.write(waiting.take());
+                            if (waiting.isEmpty()) {
+                                to.flush();
+                            }
+                        }
+                    } catch (IOException e) {
+                        log.accept("fleet: the history is not written: "
+                                + e.getClass().getSimpleName());
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
                     }
-                }
-            } catch (IOException e) {
-                log.accept("fleet: the history is not written: " + e.getClass().getSimpleName());
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "fleet-history");
+                },
+                "fleet-history");
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/main/java/petrelstand/fleet/Link.java
+++ b/src/main/java/petrelstand/fleet/Link.java
@@ -18,12 +18,14 @@
 import petrelstand.net.Addresses;
 
 /**
- * The fleet's datagrams. A thread of its own waits for them, checks their marks and decodes them; whole messages wait for
- * the loop in a bounded queue. Sending is done on the loop and never waits: what does not fit is lost, as datagrams are.
+ * The fleet's datagrams. A thread of its own waits for them, checks their marks and decodes them; whole messages wait
+ * for the loop in a bounded queue. Sending is done on the loop and never waits: what does not fit is lost, as datagrams
+ * are.
  */
 final class Link implements Closeable {
     /** Messages that wait for a loop that stands still; more are dropped and counted. */
     static final int MOST_WAITING = 512;
+
     private static final int MOST_ADDRESSES = 2048;
 
     private final DatagramChannel channel;
@@ -43,6 +45,7 @@
     };
     /** Takes contents about rules, on this link's thread, or null: then they are no fleet's. */
     private volatile Consumer<byte[]> rules;
+
     private volatile Seal incoming;
     private Seal outgoing;
 
--- a/src/main/java/petrelstand/fleet/RulesClient.java
+++ b/src/main/java/petrelstand/fleet/RulesClient.java
@@ -17,8 +17,9 @@
 import petrelstand.net.Addresses;
 
 /**
- * Proposes and orders from outside, with the fleet's key: asks the gateways at the addresses that it knows, one of which
- * leads or passes it on. Asks again until an answer comes; the same proposal twice is one version. For one thread.
+ * Proposes and orders from outside, with the fleet's key: asks the gateways at the addresses that it knows, one of
+ * which leads or passes it on. Asks again until an answer comes; the same proposal twice is one version. For one
+ * thread.
  */
 public final class RulesClient implements Closeable {
     private static final String NAME = "asker";
@@ -51,7 +52,8 @@
         long untilNs = System.nanoTime() + patienceMs * 1_000_000;
         int next = 0;
         while (System.nanoTime() < untilNs) {
-            Talk.Taken taken = ask(new Talk.Offer(id, base, who, why, wallMs, next, pieces.size(), pieces.get(next)), id);
+            Talk.Taken taken =
+                    ask(new Talk.Offer(id, base, who, why, wallMs, next, pieces.size(), pieces.get(next)), id);
             if (taken != null && taken.next() < 0) {
                 return taken;
             }
--- a/src/main/java/petrelstand/fleet/Seal.java
+++ b/src/main/java/petrelstand/fleet/Seal.java
@@ -10,17 +10,19 @@
 import javax.crypto.spec.SecretKeySpec;
 
 /**
- * Marks messages as the fleet's, and finds those that are not: a head of 8 bytes (the form, and which key), 16 bytes of an
- * HMAC-SHA-256 (RFC 2104) by the JDK over head and content, and the content. Only content whose mark is right is ever
- * decoded. Not for several threads at a time: the two that send and receive have one each.
+ * Marks messages as the fleet's, and finds those that are not: a head of 8 bytes (the form, and which key), 16 bytes of
+ * an HMAC-SHA-256 (RFC 2104) by the JDK over head and content, and the content. Only content whose mark is right is
+ * ever decoded. Not for several threads at a time: the two that send and receive have one each.
  */
 final class Seal {
     /** The longest datagram that is sent or taken. */
     static final int MOST = 1400;
+
     static final int HEAD = 8;
     static final int MARK = 16;
     /** What a datagram holds, as its first four bytes say: a member's message, or a parcel about rules. */
     static final int MEMBERS = 0x50534631; // "PSF1"
+
     static final int RULES = 0x50535231; // "PSR1"
     private static final String MAC = "HmacSHA256";
 
--- a/src/main/java/petrelstand/fleet/SealedForm.java
+++ b/src/main/java/petrelstand/fleet/SealedForm.java
@@ -6,8 +6,7 @@
 import petrelstand.members.Message.Envelope;
 
 /**
- * Members' messages as the datagrams that a gateway sends: encoded and sealed. For measurements; one
- * thread at a time.
+ * Members' messages as the datagrams that a gateway sends: encoded and sealed. For measurements; one thread at a time.
  */
 public final class SealedForm {
     private static final int KEY_BYTES = 32;
--- a/src/main/java/petrelstand/http/Arrivals.java
+++ b/src/main/java/petrelstand/http/Arrivals.java
@@ -3,11 +3,13 @@
 import java.util.ArrayDeque;
 
 /**
- * When the bytes of a connection came. A request may lie here behind another, and its time counts from its own last byte.
- * Times are microseconds of the loop's clock. Not for several threads.
+ * When the bytes of a connection came. A request may lie here behind another, and its time counts from its own last
+ * byte. Times are microseconds of the loop's clock. Not for several threads.
  */
 final class Arrivals {
-    /** Reads that are told apart; beyond them bytes count as come with those before, so that a time is never too late. */
+    /**
+     * Reads that are told apart; beyond them bytes count as come with those before, so that a time is never too late.
+     */
     static final int MOST_READS = 64;
 
     /** Bytes of one turn: the place behind the last of them in all that came, and their time. */
--- a/src/main/java/petrelstand/http/Budget.java
+++ b/src/main/java/petrelstand/http/Budget.java
@@ -1,6 +1,8 @@
 package petrelstand.http;
 
-/** Bytes that many connections together may keep: each alone is bounded too, but all of them at once would be too much. */
+/**
+ * Bytes that many connections together may keep: each alone is bounded too, but all of them at once would be too much.
+ */
 public final class Budget {
     private long left;
     /** What this one is a part of; null where it stands alone. */
--- a/src/main/java/petrelstand/http/Budgets.java
+++ b/src/main/java/petrelstand/http/Budgets.java
@@ -10,7 +10,10 @@
     /** What a plan allows. */
     public static Budgets of(MemoryPlan plan) {
         Budget all = new Budget(plan.bodyBytes());
-        return new Budgets(new Budget(plan.requestBytes(), all), new Budget(plan.bodyBytes(), all),
-                new Budget(plan.answerBytes(), all), new Budget(plan.writtenBytes(), all));
+        return new Budgets(
+                new Budget(plan.requestBytes(), all),
+                new Budget(plan.bodyBytes(), all),
+                new Budget(plan.answerBytes(), all),
+                new Budget(plan.writtenBytes(), all));
     }
 }
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -22,14 +22,20 @@
 import petrelstand.net.MessageParser;
 
 /**
- * A client's connection. It reads one request at a time; bytes of the next wait in the buffer until the answer is written.
- * It reads on meanwhile, to see at once that its client has gone: what a client sends beyond {@link #MOST_AHEAD} is dropped,
- * and the connection ends with the answer that is due. A large body passes on in pieces as it comes, and a large answer
- * too: of each, one piece is here at a time.
+ * A client's connection. It reads one request at a time; bytes of the next wait in the buffer until the answer is
+ * written. It reads on meanwhile, to see at once that its client has gone: what a client sends beyond
+ * {@link #MOST_AHEAD} is dropped, and the connection ends with the answer that is due. A large body passes on in pieces
+ * as it comes, and a large answer too: of each, one piece is here at a time.
  */
 final class ClientConnection extends LoopConnection
         implements HttpParser.RequestHandler, ClientSide, Flow.Taker, Upload.Source {
-    enum State { READING, TAKEN, ANSWERING, LINGERING, CLOSED }
+    enum State {
+        READING,
+        TAKEN,
+        ANSWERING,
+        LINGERING,
+        CLOSED
+    }
 
     /** Ranks of those that may make room, the first to go first. */
     static final int RANKS = 4;
@@ -40,7 +46,9 @@
     private final long openedUs;
     private static final int INPUT = 4096;
     private static final int INPUT_LARGE = 32 * 1024;
-    /** What may wait here before it can be used: requests behind the one in work, a body that no node is chosen for yet. */
+    /**
+     * What may wait here before it can be used: requests behind the one in work, a body that no node is chosen for yet.
+     */
     static final int MOST_AHEAD = 256 * 1024;
     /** What is kept of a large body before its request is taken: enough to choose a node and to try it again. */
     private static final int BEGINNING = 16 * 1024;
@@ -49,6 +57,7 @@
     private HttpParser parser;
     /** Without room while the connection rests or only drops what comes. */
     private ByteBuffer input = BufferUtil.EMPTY_BUFFER;
+
     private final Arrivals arrivals = new Arrivals();
     private State state = State.READING;
     private boolean parsing;
@@ -58,16 +67,20 @@
     private boolean paused;
     /** More came than may wait here: the connection ends with the answer that is due. */
     private boolean overrun;
+
     private boolean sawEnd;
     private boolean resetDue;
     /** A byte of the request being read has come. */
     private boolean begun;
+
     private long begunUs;
     /** A request has come whole on this connection. */
     private boolean used;
+
     private boolean lingerHeard;
     /** It ended between requests: it owes nothing, and nobody waits for its last bytes. */
     private boolean endedIdle;
+
     private long lingerUntilUs;
     private Timers.Timer limit;
     private Exchange exchange;
@@ -81,15 +94,18 @@
     private Upload upload;
     /** The node's side has not asked for the next piece of the body. */
     private boolean held;
+
     private long bodyUs;
     private long bodyBytes;
     /** The answer that passes in pieces, the exchange that it belongs to, and what writes it. */
     private Flow flow;
+
     private Exchange flowing;
     private PieceWriter writer;
     private boolean lastAnswer;
     /** Bytes of an answer that are not wholly written. */
     private int writing;
+
     private boolean persistent;
 
     /** One that is unwanted closes as it opens. */
@@ -137,8 +153,8 @@
 
     /**
      * Ends the connection between requests, unless it opened after a time and has not been used; a request that has
-     * arrived by now is still taken. What arrives later is read and dropped, so that no reset cuts what was written: for a
-     * while, or where its descriptor is needed only once. True where the connection has ended, or is ending.
+     * arrived by now is still taken. What arrives later is read and dropped, so that no reset cuts what was written:
+     * for a while, or where its descriptor is needed only once. True where the connection has ended, or is ending.
      */
     boolean endIfIdle(long openedByUs, boolean atOnce) {
         if (!idle() || !used && openedUs > openedByUs) {
@@ -206,7 +222,7 @@
     @Override
     public void onFillable() {
         try {
-            for (int read = 0; state != State.CLOSED;) {
+            for (int read = 0; state != State.CLOSED; ) {
                 if (read >= Front.MOST_READ) {
                     readOn();
                     return;
@@ -331,8 +347,8 @@
     }
 
     /**
-     * The client closed or broke the connection. A client that only ended its sending may still read, so what it
-     * is owed is answered as failed before the connection closes.
+     * The client closed or broke the connection. A client that only ended its sending may still read, so what it is
+     * owed is answered as failed before the connection closes.
      */
     private void ended() {
         if (state == State.TAKEN) {
@@ -419,7 +435,10 @@
             return true;
         }
         if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
-            getEndPoint().write(nonBlocking(() -> {}, cause -> close()), BufferUtil.toBuffer("HTTP/1.1 100 Continue\r\n\r\n"));
+            getEndPoint()
+                    .write(
+                            nonBlocking(() -> {}, cause -> close()),
+                            BufferUtil.toBuffer("HTTP/1.1 100 Continue\r\n\r\n"));
         }
         if (fields.getLongField(HttpHeader.CONTENT_LENGTH) > 0 || fields.contains(HttpHeader.TRANSFER_ENCODING)) {
             allowMore();
@@ -592,8 +611,19 @@
             return;
         }
         state = State.TAKEN;
-        front.broker().take(demand.within(leftUs), new Message.Ask(method, target, txn, fields.get(Wire.EFFECT_KEY),
-                fields.get(HttpHeader.CONTENT_TYPE), bytes, upload), this, taken -> exchange = taken);
+        front.broker()
+                .take(
+                        demand.within(leftUs),
+                        new Message.Ask(
+                                method,
+                                target,
+                                txn,
+                                fields.get(Wire.EFFECT_KEY),
+                                fields.get(HttpHeader.CONTENT_TYPE),
+                                bytes,
+                                upload),
+                        this,
+                        taken -> exchange = taken);
     }
 
     @Override
@@ -661,8 +691,9 @@
         flow = pieces;
         // Without a length, a client of HTTP/1.0 knows the end by the connection's.
         lastAnswer = endsHere() || version == HttpVersion.HTTP_1_0 && pieces.length() < 0;
-        writer = PieceWriter.of(getEndPoint(), Wire.response(200, version, pieces.fields().get(HttpHeader.CONTENT_TYPE),
-                lastAnswer, pieces.length()));
+        writer = PieceWriter.of(
+                getEndPoint(),
+                Wire.response(200, version, pieces.fields().get(HttpHeader.CONTENT_TYPE), lastAnswer, pieces.length()));
         pieces.take(this);
     }
 
@@ -670,20 +701,28 @@
     public void piece(ByteBuffer piece) {
         stopLimit();
         limit = front.timers().at(front.broker().nowUs() + Front.PIECE_US, this::close);
-        writer.write(piece, false, () -> {
-            if (flow != null) {
-                flow.next();
-            }
-        }, this::notWritten);
+        writer.write(
+                piece,
+                false,
+                () -> {
+                    if (flow != null) {
+                        flow.next();
+                    }
+                },
+                this::notWritten);
     }
 
     @Override
     public void whole() {
         flow = null;
-        writer.write(BufferUtil.EMPTY_BUFFER, true, () -> {
-            passed(End.SERVED);
-            written(lastAnswer);
-        }, this::notWritten);
+        writer.write(
+                BufferUtil.EMPTY_BUFFER,
+                true,
+                () -> {
+                    passed(End.SERVED);
+                    written(lastAnswer);
+                },
+                this::notWritten);
     }
 
     @Override
@@ -702,7 +741,10 @@
 
     /** Whether the connection ends with the answer that is due: also where the request's rest is still to come. */
     private boolean endsHere() {
-        return !persistent || overrun || upload != null || front.life().endsWithAnswer(front.broker().nowUs());
+        return !persistent
+                || overrun
+                || upload != null
+                || front.life().endsWithAnswer(front.broker().nowUs());
     }
 
     @Override
--- a/src/main/java/petrelstand/http/DemandReader.java
+++ b/src/main/java/petrelstand/http/DemandReader.java
@@ -88,8 +88,17 @@
         }
         // A client may say that it waits longer than its class does; the class's time is all that is promised.
         long leftUs = (long) (Math.min(leftMs, kind.deadlineMs()) * 1000);
-        return new Demand(requestClass, plan, key, volume, units, shard, Math.min(hosts, settings.hosts()), "1".equals(fields.get(Wire.RESENT)),
-                method.equals("PUT"), leftUs);
+        return new Demand(
+                requestClass,
+                plan,
+                key,
+                volume,
+                units,
+                shard,
+                Math.min(hosts, settings.hosts()),
+                "1".equals(fields.get(Wire.RESENT)),
+                method.equals("PUT"),
+                leftUs);
     }
 
     private static Map<String, String> placement(String text) {
@@ -97,7 +106,9 @@
         for (String part : List.of(text.split(","))) {
             int split = part.indexOf('=');
             if (split > 0) {
-                values.put(part.substring(0, split).strip(), part.substring(split + 1).strip());
+                values.put(
+                        part.substring(0, split).strip(),
+                        part.substring(split + 1).strip());
             }
         }
         return values;
--- a/src/main/java/petrelstand/http/Flow.java
+++ b/src/main/java/petrelstand/http/Flow.java
@@ -4,8 +4,8 @@
 import org.eclipse.jetty.http.HttpFields;
 
 /**
- * A node's answer that passes in pieces: the node's connection gives one, and reads on once it was taken. Both sides hold
- * it, and each ends the other through it; what ends first, ends it.
+ * A node's answer that passes in pieces: the node's connection gives one, and reads on once it was taken. Both sides
+ * hold it, and each ends the other through it; what ends first, ends it.
  */
 final class Flow {
     /** The client's side. */
--- a/src/main/java/petrelstand/http/Front.java
+++ b/src/main/java/petrelstand/http/Front.java
@@ -20,8 +20,8 @@
 /** The platform's front: its client connections, and what they share. */
 public final class Front {
     /**
-     * A request must have come whole within this time of its first byte, a connection's first one within this time
-     * of its opening: a client that says nothing, or half a request, is owed an end within 3 s.
+     * A request must have come whole within this time of its first byte, a connection's first one within this time of
+     * its opening: a client that says nothing, or half a request, is owed an end within 3 s.
      */
     static final long REQUEST_US = 2_500_000;
     /** A client that does not take its answer is cut after this time. */
@@ -37,6 +37,7 @@
     static final long FULL_US = 500_000;
     /** Silence after the last answer until the connection closes, and the longest that bytes are dropped there. */
     static final long LINGER_US = 500_000;
+
     static final long LINGER_MOST_US = 5_000_000;
     /** What one connection may read in a turn: one that sends without end must not hold up the others. */
     static final int MOST_READ = 64 * 1024;
@@ -60,6 +61,7 @@
     private final ByteBuffer dropped = BufferUtil.allocateDirect(MOST_READ);
     /** Pages beside those that every gateway has, by path. */
     private Map<String, Supplier<String>> pages = Map.of();
+
     private final Lifecycle life;
 
     /**
@@ -103,7 +105,10 @@
         if (connections.size() >= mostConnections) {
             makeRoom();
         }
-        ClientConnection connection = new ClientConnection(endPoint, this, connections.size() >= mostConnections,
+        ClientConnection connection = new ClientConnection(
+                endPoint,
+                this,
+                connections.size() >= mostConnections,
                 connections.size() >= mostConnections + MOST_TOLD);
         connections.add(connection);
         return connection;
@@ -145,8 +150,8 @@
     }
 
     /**
-     * At most so many connections from now on, and never more than at the start: memory bounds those. What is
-     * between requests beyond it closes, the longest unused first.
+     * At most so many connections from now on, and never more than at the start: memory bounds those. What is between
+     * requests beyond it closes, the longest unused first.
      */
     public void bound(int most) {
         mostConnections = Math.min(most, mostByMemory);
@@ -160,7 +165,9 @@
         reader = new DemandReader(settings, closed);
     }
 
-    /** Closes what is between requests, but for newcomers that may be about to speak: so many, the longest unused first. */
+    /**
+     * Closes what is between requests, but for newcomers that may be about to speak: so many, the longest unused first.
+     */
     public void closeIdle(int most) {
         long now = broker.nowUs();
         int left = most;
@@ -182,14 +189,18 @@
 
     /** Connections whose answer is not wholly written. */
     public long answering() {
-        return connections.stream().filter(c -> c.state() == ClientConnection.State.ANSWERING).count();
+        return connections.stream()
+                .filter(c -> c.state() == ClientConnection.State.ANSWERING)
+                .count();
     }
 
     Lifecycle life() {
         return life;
     }
 
-    /** A request that finds no room, or comes when nothing is taken any more: its class's figures have it as refused. */
+    /**
+     * A request that finds no room, or comes when nothing is taken any more: its class's figures have it as refused.
+     */
     void rejected(String target) {
         int end = target.indexOf('/', 1);
         broker.rejected(end < 0 ? target : target.substring(1, end));
--- a/src/main/java/petrelstand/http/Message.java
+++ b/src/main/java/petrelstand/http/Message.java
@@ -7,8 +7,8 @@
     private Message() {}
 
     /**
-     * A request as it passes on: method, target, body and the ids unchanged. Where the body passes in pieces, what is here
-     * is its beginning, and the rest comes by the upload; else that is null.
+     * A request as it passes on: method, target, body and the ids unchanged. Where the body passes in pieces, what is
+     * here is its beginning, and the rest comes by the upload; else that is null.
      */
     record Ask(String method, String target, String txn, String effectKey, String type, byte[] body, Upload upload) {}
 
--- a/src/main/java/petrelstand/http/NodePool.java
+++ b/src/main/java/petrelstand/http/NodePool.java
@@ -36,8 +36,8 @@
     /** Part of the idle limit up to which a connection is used again: the node's clock and the way take the rest. */
     private static final double REUSE_PART = 0.8;
     /**
-     * What is kept of an answer. One over 64 KiB passes in pieces instead: with
-     * what came in one read, less than twice that is kept of it before it does.
+     * What is kept of an answer. One over 64 KiB passes in pieces instead: with what came in one read, less than twice
+     * that is kept of it before it does.
      */
     static final int MOST_ANSWER = 128 * 1024;
     /** An answer that began goes on within this time: nodes write theirs in one go. */
@@ -45,8 +45,8 @@
     /** An answer or a body that passes in pieces goes on within this time, where it is the node that is waited for. */
     static final long PIECE_STALL_US = 10_000_000;
     /**
-     * What comes of a large answer within this time is kept, up to 64 KiB: one that breaks meanwhile can be tried again. It is
-     * a small part of any aim.
+     * What comes of a large answer within this time is kept, up to 64 KiB: one that breaks meanwhile can be tried
+     * again. It is a small part of any aim.
      */
     static final long GATHER_US = 20_000;
     /** Rest of a connection after an answer, where another is at hand: what follows an answer has come by then. */
@@ -67,14 +67,27 @@
     private boolean sweeping;
 
     /** A pool whose memory is not short. */
-    public NodePool(Dialer dialer, LongSupplier clock, Timers timers, Counters counters, Settings settings,
-            String host, int mostOpen) {
+    public NodePool(
+            Dialer dialer,
+            LongSupplier clock,
+            Timers timers,
+            Counters counters,
+            Settings settings,
+            String host,
+            int mostOpen) {
         this(dialer, clock, timers, counters, settings, host, mostOpen, Budgets.of(MemoryPlan.AMPLE));
     }
 
     /** A pool of so many connections at most, and the budgets' bytes of answers. */
-    public NodePool(Dialer dialer, LongSupplier clock, Timers timers, Counters counters, Settings settings,
-            String host, int mostOpen, Budgets budgets) {
+    public NodePool(
+            Dialer dialer,
+            LongSupplier clock,
+            Timers timers,
+            Counters counters,
+            Settings settings,
+            String host,
+            int mostOpen,
+            Budgets budgets) {
         this.answers = budgets.answersRead();
         this.mostByMemory = mostOpen;
         this.dialer = dialer;
@@ -164,7 +177,7 @@
 
     /** The one last used of those that have rested, else the one that has rested longest. */
     private static UpstreamConnection settled(ArrayDeque<UpstreamConnection> kept, long now) {
-        for (Iterator<UpstreamConnection> newest = kept.descendingIterator(); newest.hasNext();) {
+        for (Iterator<UpstreamConnection> newest = kept.descendingIterator(); newest.hasNext(); ) {
             UpstreamConnection connection = newest.next();
             if (now - connection.idleSinceUs() >= SETTLE_US) {
                 return connection;
@@ -213,13 +226,14 @@
 
         @Override
         public Connection connected(EndPoint endPoint) {
-            UpstreamConnection connection = new UpstreamConnection(endPoint, MOST_ANSWER, answers, NodePool.this::changed) {
-                @Override
-                public void onOpen() {
-                    super.onOpen();
-                    up(this);
-                }
-            };
+            UpstreamConnection connection =
+                    new UpstreamConnection(endPoint, MOST_ANSWER, answers, NodePool.this::changed) {
+                        @Override
+                        public void onOpen() {
+                            super.onOpen();
+                            up(this);
+                        }
+                    };
             return connection;
         }
 
@@ -399,8 +413,16 @@
 
         @Override
         public Rest rest() {
-            return ask.upload() == null ? null : new Rest(Wire.head(ask.method(), ask.target(), fields(),
-                    ask.upload().length()), ByteBuffer.wrap(ask.body()), ask.upload());
+            return ask.upload() == null
+                    ? null
+                    : new Rest(
+                            Wire.head(
+                                    ask.method(),
+                                    ask.target(),
+                                    fields(),
+                                    ask.upload().length()),
+                            ByteBuffer.wrap(ask.body()),
+                            ask.upload());
         }
 
         @Override
@@ -424,12 +446,14 @@
 
         @Override
         public ByteBuffer[] bytes() {
-            return new ByteBuffer[] {Wire.request(ask.method(), ask.target(), fields(), ask.body().length),
-                    ByteBuffer.wrap(ask.body())};
+            return new ByteBuffer[] {
+                Wire.request(ask.method(), ask.target(), fields(), ask.body().length), ByteBuffer.wrap(ask.body())
+            };
         }
 
         private HttpFields fields() {
-            HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.HOST, host).put(Wire.TXN, ask.txn());
+            HttpFields.Mutable fields =
+                    HttpFields.build().put(HttpHeader.HOST, host).put(Wire.TXN, ask.txn());
             if (ask.effectKey() != null) {
                 fields.put(Wire.EFFECT_KEY, ask.effectKey());
             }
@@ -445,8 +469,8 @@
             Map<String, Double> load = Wire.load(fields.get(Wire.PRESSURE));
             attempt.reports(Wire.use(fields));
             Outcome outcome = outcome(status, fields);
-            Object answer = outcome == Outcome.SERVED
-                    ? new Message.Answer(fields.get(HttpHeader.CONTENT_TYPE), body) : null;
+            Object answer =
+                    outcome == Outcome.SERVED ? new Message.Answer(fields.get(HttpHeader.CONTENT_TYPE), body) : null;
             attempt.ended(outcome, answer, load);
         }
 
@@ -463,8 +487,9 @@
     }
 
     /**
-     * The protocol's table: a node proves that it ran nothing only by the header that says so. With it, 504 is what it says
-     * of a request that is over: of 283 that were turned away so, none was served by a later attempt (docs/OPERATING.md).
+     * The protocol's table: a node proves that it ran nothing only by the header that says so. With it, 504 is what it
+     * says of a request that is over: of 283 that were turned away so, none was served by a later attempt
+     * (docs/OPERATING.md).
      */
     static Outcome outcome(int status, HttpFields fields) {
         if (status == 200) {
@@ -504,13 +529,15 @@
 
         @Override
         public ByteBuffer[] bytes() {
-            return new ByteBuffer[] {Wire.request("GET", "/status/load",
-                    HttpFields.build().put(HttpHeader.HOST, host), 0)};
+            return new ByteBuffer[] {
+                Wire.request("GET", "/status/load", HttpFields.build().put(HttpHeader.HOST, host), 0)
+            };
         }
 
         @Override
         public void answered(int status, HttpFields fields, ByteBuffer body) {
-            String text = java.nio.charset.StandardCharsets.US_ASCII.decode(body).toString();
+            String text =
+                    java.nio.charset.StandardCharsets.US_ASCII.decode(body).toString();
             end(status == 200 ? Outcome.SERVED : Outcome.REJECTED, Wire.load(text));
         }
 
--- a/src/main/java/petrelstand/http/PieceWriter.java
+++ b/src/main/java/petrelstand/http/PieceWriter.java
@@ -44,7 +44,8 @@
     void write(ByteBuffer piece, boolean last, Runnable written, Consumer<Throwable> failed) {
         try {
             while (true) {
-                HttpGenerator.Result next = request != null ? generator.generateRequest(request, head, chunk, piece, last)
+                HttpGenerator.Result next = request != null
+                        ? generator.generateRequest(request, head, chunk, piece, last)
                         : generator.generateResponse(response, false, head, chunk, piece, last);
                 switch (next) {
                     case NEED_HEADER -> head = BufferUtil.allocate(HEAD);
@@ -58,7 +59,7 @@
                         written.run();
                         return;
                     }
-                    case CONTINUE -> { }
+                    case CONTINUE -> {}
                     default -> throw new IOException("the message can't be written: " + next);
                 }
             }
@@ -74,10 +75,14 @@
                 due.add(buffer);
             }
         }
-        to.write(LoopConnection.nonBlocking(() -> {
-            // The head's room is not needed again; what follows may be more of this piece's frame.
-            head = generator.isCommitted() ? BufferUtil.EMPTY_BUFFER : head;
-            write(piece, last, written, failed);
-        }, failed), due.toArray(new ByteBuffer[0]));
+        to.write(
+                LoopConnection.nonBlocking(
+                        () -> {
+                            // The head's room is not needed again; what follows may be more of this piece's frame.
+                            head = generator.isCommitted() ? BufferUtil.EMPTY_BUFFER : head;
+                            write(piece, last, written, failed);
+                        },
+                        failed),
+                due.toArray(new ByteBuffer[0]));
     }
 }
--- a/src/main/java/petrelstand/http/Rehearsal.java
+++ b/src/main/java/petrelstand/http/Rehearsal.java
@@ -60,8 +60,8 @@
     private void play(int requests) {
         List<Node> nodes = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
-            nodes.add(new Node("s-0000000" + i, "127.0.0.1:" + (9000 + i),
-                    new NodeEntry(i, 0, i, NodeState.READY, 1, 0)));
+            nodes.add(new Node(
+                    "s-0000000" + i, "127.0.0.1:" + (9000 + i), new NodeEntry(i, 0, i, NodeState.READY, 1, 0)));
         }
         broker.nodes(ListKind.WHOLE, nodes);
         List<MemoryEnd> clients = new ArrayList<>();
@@ -97,9 +97,12 @@
     private String request(int number) {
         RequestClass kind = settings.classes().get(number % settings.classes().size());
         String body = kind.writes() ? "rehearsal" : "";
-        return (kind.writes() ? "PUT" : "GET") + String.format(" /%s/%016x/%016x HTTP/1.1\r\nHost: b\r\nX-Txn: %x\r\n",
-                kind.name(), number % 9, number, number)
-                + Wire.PLAN + ": " + settings.plans().get(number % settings.plans().size()).name() + "\r\n"
+        return (kind.writes() ? "PUT" : "GET")
+                + String.format(
+                        " /%s/%016x/%016x HTTP/1.1\r\nHost: b\r\nX-Txn: %x\r\n",
+                        kind.name(), number % 9, number, number)
+                + Wire.PLAN + ": "
+                + settings.plans().get(number % settings.plans().size()).name() + "\r\n"
                 + (kind.effect() == Effect.KEYED ? Wire.EFFECT_KEY + ": k" + number + "\r\n" : "")
                 + "X-Remaining-Ms: 400\r\nX-Placement: units=1,shard=" + number % NODES + ",hosts=1\r\n"
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
--- a/src/main/java/petrelstand/http/Upload.java
+++ b/src/main/java/petrelstand/http/Upload.java
@@ -3,8 +3,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * A client's body that passes in pieces behind its first ones: the node's side asks for one when it has written the last,
- * and the client's connection reads no more until then.
+ * A client's body that passes in pieces behind its first ones: the node's side asks for one when it has written the
+ * last, and the client's connection reads no more until then.
  */
 final class Upload {
     /** The client's connection. */
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -20,7 +20,12 @@
  * memory stay.
  */
 public class UpstreamConnection extends LoopConnection implements HttpParser.ResponseHandler {
-    enum State { IDLE, SENDING, WAITING, CLOSED }
+    enum State {
+        IDLE,
+        SENDING,
+        WAITING,
+        CLOSED
+    }
 
     private static final int READ = 4096;
     /** An answer with a body over this passes in pieces, where its call takes them: it is timed by its first bytes. */
@@ -38,6 +43,7 @@
     private ByteBuffer input = BufferUtil.EMPTY_BUFFER;
     /** Bytes of the input's room that count against the budget of answers being read. */
     private int enlarged;
+
     private State state = State.IDLE;
     private Call call;
     private int status;
@@ -57,13 +63,14 @@
     private Flow flow;
     /** A piece is with its taker: nothing is read until it has been taken. */
     private boolean held;
+
     private boolean giving;
     /** Bytes of a body in pieces that the node has taken. */
     private long streamed;
 
     /** A body over the bound, or for which the budget has no room, ends the connection. */
-    public UpstreamConnection(EndPoint endPoint, int mostBody, Budget budget,
-            BiConsumer<UpstreamConnection, Boolean> owner) {
+    public UpstreamConnection(
+            EndPoint endPoint, int mostBody, Budget budget, BiConsumer<UpstreamConnection, Boolean> owner) {
         super(endPoint);
         this.mostBody = mostBody;
         this.body = new Body(mostBody, budget);
@@ -164,8 +171,8 @@
     }
 
     /**
-     * True where nothing has come since the last answer, not even an end; else it closes. Guards against a second
-     * copy or noise right behind an answer, which would be read as the answer to the next request.
+     * True where nothing has come since the last answer, not even an end; else it closes. Guards against a second copy
+     * or noise right behind an answer, which would be read as the answer to the next request.
      */
     boolean quiet() {
         try {
@@ -286,7 +293,9 @@
                 return;
             }
         }
-        if (state != State.CLOSED && !whole && input.capacity() < READ_LARGE
+        if (state != State.CLOSED
+                && !whole
+                && input.capacity() < READ_LARGE
                 && (flow != null || fields != null && fields.getLongField(HttpHeader.CONTENT_LENGTH) > READ_LARGE)) {
             enlarge();
         }
@@ -375,14 +384,18 @@
 
     /**
      * Guards against answers whose end can't be told: two lengths, none at all on a connection that stays, or more than
-     * is passed on. Where the node says that it will close the connection, its end is the answer's. An interim answer has
-     * no body and no length; a change of protocol was never asked for.
+     * is passed on. Where the node says that it will close the connection, its end is the answer's. An interim answer
+     * has no body and no length; a change of protocol was never asked for.
      */
     @Override
     public boolean headerComplete() {
         boolean framed = fields.contains(HttpHeader.CONTENT_LENGTH) || fields.contains(HttpHeader.TRANSFER_ENCODING);
-        if (!Wire.speaks(version) || status == 101 || status < 200 && (framed || ++interim > MOST_INTERIM) || status == 200 && !framed && !fields.contains(HttpHeader.CONNECTION, "close")
-                || Wire.wrongFraming(fields) != null || fields.getLongField(HttpHeader.CONTENT_LENGTH) > Wire.MOST_PASSED) {
+        if (!Wire.speaks(version)
+                || status == 101
+                || status < 200 && (framed || ++interim > MOST_INTERIM)
+                || status == 200 && !framed && !fields.contains(HttpHeader.CONNECTION, "close")
+                || Wire.wrongFraming(fields) != null
+                || fields.getLongField(HttpHeader.CONTENT_LENGTH) > Wire.MOST_PASSED) {
             end(true);
             return true;
         }
@@ -407,8 +420,15 @@
     void beginPieces(Call of) {
         long length = fields == null ? -1 : fields.getLongField(HttpHeader.CONTENT_LENGTH);
         boolean large = length > PIECES_FROM || fields != null && length < 0;
-        if (call == of && state == State.WAITING && flow == null && !whole && status == 200 && large && body.size() > 0
-                && !begin(length) && !isFillInterested()) {
+        if (call == of
+                && state == State.WAITING
+                && flow == null
+                && !whole
+                && status == 200
+                && large
+                && body.size() > 0
+                && !begin(length)
+                && !isFillInterested()) {
             fillInterested();
         }
     }
@@ -474,8 +494,8 @@
     /** Closes; a call that is out hears how. */
     private void end(boolean spoilt) {
         if (state != State.CLOSED) {
-            Call.Break how = state != State.WAITING ? Call.Break.UNWRITTEN
-                    : spoilt ? Call.Break.SPOILT : Call.Break.ENDED;
+            Call.Break how =
+                    state != State.WAITING ? Call.Break.UNWRITTEN : spoilt ? Call.Break.SPOILT : Call.Break.ENDED;
             Call broken = call;
             Flow cut = flow;
             drop();
--- a/src/main/java/petrelstand/http/Wire.java
+++ b/src/main/java/petrelstand/http/Wire.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Locale;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -34,10 +34,11 @@
     public static final int MOST_BODY = 64 * 1024;
     /** The largest body that passes in pieces: over twice the largest that is known to occur. */
     static final long MOST_PASSED = 64L * 1024 * 1024;
+
     static final int MOST_HEADER = 8 * 1024;
     /**
-     * For parsers: none of the library's caches of header fields, 40 KB for each connection from its second message
-     * on. The fields that all messages share are found without.
+     * For parsers: none of the library's caches of header fields, 40 KB for each connection from its second message on.
+     * The fields that all messages share are found without.
      */
     public static final int NO_FIELD_CACHE = 0;
     /** No figure of a load report can be larger. */
@@ -51,8 +52,8 @@
     }
 
     /**
-     * What is wrong with how a message says where it ends; null where nothing is. Two ways to find the end may find
-     * two ends: a request could be hidden between them, and an answer cut short.
+     * What is wrong with how a message says where it ends; null where nothing is. Two ways to find the end may find two
+     * ends: a request could be hidden between them, and an answer cut short.
      */
     public static String wrongFraming(HttpFields fields) {
         int lengths = 0;
@@ -111,8 +112,8 @@
         if (close) {
             fields.put(HttpHeader.CONNECTION, "close");
         }
-        MetaData.Response info = new MetaData.Response(status, HttpStatus.getMessage(status), HttpVersion.HTTP_1_1,
-                fields, length);
+        MetaData.Response info =
+                new MetaData.Response(status, HttpStatus.getMessage(status), HttpVersion.HTTP_1_1, fields, length);
         ByteBuffer head = BufferUtil.allocate(1024);
         try {
             new HttpGenerator().generateResponse(info, false, head, null, BufferUtil.EMPTY_BUFFER, true);
@@ -125,7 +126,8 @@
     /** Seconds with up to three decimals, rounded up: a client that comes sooner is refused again. */
     static String seconds(long us) {
         long ms = (us + 999) / 1000;
-        return ms % 1000 == 0 ? Long.toString(ms / 1000)
+        return ms % 1000 == 0
+                ? Long.toString(ms / 1000)
                 : String.format(Locale.ROOT, "%d.%03d", ms / 1000, ms % 1000).replaceAll("0+$", "");
     }
 
--- a/src/main/java/petrelstand/lab/AccountsCost.java
+++ b/src/main/java/petrelstand/lab/AccountsCost.java
@@ -25,7 +25,9 @@
 
     private record Out(long id, long endUs) {}
 
-    /** Plays so many virtual seconds and says what a request cost; records in a folder where one is given (else null). */
+    /**
+     * Plays so many virtual seconds and says what a request cost; records in a folder where one is given (else null).
+     */
     public static String measure(int nodes, int volumes, int perSecond, int seconds, Path record)
             throws InterruptedException {
         SplittableRandom random = new SplittableRandom(1);
@@ -38,9 +40,17 @@
         long before = used();
         Book book = new Book();
         Accounts accounts = new Accounts(2, 18_000, book);
-        AccountsLog log = record == null ? null : AccountsLog.onDisk(record, new AccountsRecord.Names("lab",
-                List.of("tile-read", "survey-write", "bulk-export"), List.of("basic", "priority")), new Counters(),
-                Runnable::run, System.err::println);
+        AccountsLog log = record == null
+                ? null
+                : AccountsLog.onDisk(
+                        record,
+                        new AccountsRecord.Names(
+                                "lab",
+                                List.of("tile-read", "survey-write", "bulk-export"),
+                                List.of("basic", "priority")),
+                        new Counters(),
+                        Runnable::run,
+                        System.err::println);
         if (log != null) {
             book.keep(log);
         }
@@ -58,8 +68,20 @@
                 accounts.answered(over.id, true, nowUs);
                 accounts.forgotten(over.id, nowUs);
             }
-            accounts.taken(id, new Demand(random.nextInt(3), random.nextInt(2), id, random.nextInt(volumes), units, place, 1,
-                    false, false, 1_500_000), nowUs);
+            accounts.taken(
+                    id,
+                    new Demand(
+                            random.nextInt(3),
+                            random.nextInt(2),
+                            id,
+                            random.nextInt(volumes),
+                            units,
+                            place,
+                            1,
+                            false,
+                            false,
+                            1_500_000),
+                    nowUs);
             accounts.sent(id, 0, all[place], false, nowUs);
             accounts.written(id, 0, nowUs);
             freeUs[place] = Math.max(freeUs[place], nowUs) + (long) (units * 1_000_000L * nodes / perSecond / 4);
@@ -71,9 +93,17 @@
             book.close();
             log.close(10_000);
         }
-        return String.format(Locale.ROOT, "%d nodes, %d volumes, %d requests a second, %d s: %.2f us of CPU a request;"
-                + " %.2f MiB held; %d requests booked in the last minutes", nodes, volumes, perSecond, seconds, us,
-                held / 1048576.0, (book.running() == null ? 0 : book.running().requests())
+        return String.format(
+                Locale.ROOT,
+                "%d nodes, %d volumes, %d requests a second, %d s: %.2f us of CPU a request;"
+                        + " %.2f MiB held; %d requests booked in the last minutes",
+                nodes,
+                volumes,
+                perSecond,
+                seconds,
+                us,
+                held / 1048576.0,
+                (book.running() == null ? 0 : book.running().requests())
                         + (book.last() == null ? 0 : book.last().requests()));
     }
 
--- a/src/main/java/petrelstand/lab/CaptureCost.java
+++ b/src/main/java/petrelstand/lab/CaptureCost.java
@@ -23,8 +23,10 @@
 
     /** Fills a module with nodes and volumes that have served, takes snapshots, and says what they cost. */
     public static String measure(int nodes, int volumes, int times) {
-        Settings settings = Scenario.of(new petrelstand.config.IniFile(java.nio.file.Path.of("capture.ini"),
-                "[world]\nnodes = " + Math.min(1000, nodes) + "\n[restart]\nages = 1 s\n")).settings(0);
+        Settings settings = Scenario.of(new petrelstand.config.IniFile(
+                        java.nio.file.Path.of("capture.ini"),
+                        "[world]\nnodes = " + Math.min(1000, nodes) + "\n[restart]\nages = 1 s\n"))
+                .settings(0);
         List<long[]> sent = new ArrayList<>();
         Policy policy = new Policy(1e6, settings, 1, new Actions() {
             @Override
@@ -64,7 +66,8 @@
             now += 0.5;
             policy.request(now, new Request(i + 1, 0, i % 2, i, 1500, i % volumes, 2, i % nodes, 1, false, false));
             for (long[] one : sent) {
-                policy.attemptEnded(now + 0.2, new AttemptEnd(one[0], 0, Outcome.SERVED, 20, one[1], 0, 0, true, List.of()));
+                policy.attemptEnded(
+                        now + 0.2, new AttemptEnd(one[0], 0, Outcome.SERVED, 20, one[1], 0, 0, true, List.of()));
             }
             sent.clear();
         }
@@ -80,10 +83,18 @@
             capture.recordValue(taken - began);
             encode.recordValue(System.nanoTime() - taken);
         }
-        return String.format(Locale.ROOT, "%d nodes, %d volumes, %d bytes, %d times: capture median %.2f ms, p99 %.2f ms,"
-                + " first %.1f ms at most; encoding median %.2f ms, p99 %.2f ms", learned.nodes().size(),
-                learned.volumes().size(), bytes, times, capture.getValueAtPercentile(50) / 1e6,
-                capture.getValueAtPercentile(99) / 1e6, capture.getMaxValue() / 1e6,
-                encode.getValueAtPercentile(50) / 1e6, encode.getValueAtPercentile(99) / 1e6);
+        return String.format(
+                Locale.ROOT,
+                "%d nodes, %d volumes, %d bytes, %d times: capture median %.2f ms, p99 %.2f ms,"
+                        + " first %.1f ms at most; encoding median %.2f ms, p99 %.2f ms",
+                learned.nodes().size(),
+                learned.volumes().size(),
+                bytes,
+                times,
+                capture.getValueAtPercentile(50) / 1e6,
+                capture.getValueAtPercentile(99) / 1e6,
+                capture.getMaxValue() / 1e6,
+                encode.getValueAtPercentile(50) / 1e6,
+                encode.getValueAtPercentile(99) / 1e6);
     }
 }
--- a/src/main/java/petrelstand/lab/Day.java
+++ b/src/main/java/petrelstand/lab/Day.java
@@ -27,11 +27,16 @@
  */
 final class Day {
     /**
-     * How the gateways that the scenario names get through their restart. ALL_KEPT is the measure: nobody reaches such a
-     * gateway while the others are down, and it forgets nothing. NEVER_STOPPED serves on in that time, so its nodes are
-     * fuller afterwards.
+     * How the gateways that the scenario names get through their restart. ALL_KEPT is the measure: nobody reaches such
+     * a gateway while the others are down, and it forgets nothing. NEVER_STOPPED serves on in that time, so its nodes
+     * are fuller afterwards.
      */
-    enum Way { NEVER_STOPPED, ALL_KEPT, NOTHING_KEPT, STATE_KEPT }
+    enum Way {
+        NEVER_STOPPED,
+        ALL_KEPT,
+        NOTHING_KEPT,
+        STATE_KEPT
+    }
 
     /** What a day came to, for requests that first reached a restarted gateway in a span after the restart. */
     static final class Tally {
@@ -49,12 +54,15 @@
     static final class Outcome {
         /** The first 5 s and the first 30 s; on a day without a restart, the whole day as {@code longer}. */
         final Tally first = new Tally();
+
         final Tally longer = new Tally();
         /** The day by spans of {@link #SPAN_US}; empty on a day with a restart. */
         final List<Tally> spans = new ArrayList<>();
+
         int fallen;
         /** How near each node that was cold came to falling over: 1 falls. */
         double[] nearestToFall;
+
         int requests;
         int remembered;
     }
@@ -64,6 +72,7 @@
     static final long SPAN_US = 5_000_000;
     /** Virtual days begin at some Unix time, as real ones do: the module takes 0 for long ago. */
     private static final long EPOCH_US = 1_764_600_000_000_000L;
+
     private static final long NETWORK_US = 300;
     private static final long LIST_AT_START_US = 100_000;
 
@@ -74,6 +83,7 @@
     private final Timers timers = new Timers();
     /** The node of each shard, and all that there ever were. */
     private final List<LabNode> nodes = new ArrayList<>();
+
     private final List<LabNode> ever = new ArrayList<>();
     private final Map<String, LabNode> byName = new HashMap<>();
     private final List<Node> listed = new ArrayList<>();
@@ -88,13 +98,16 @@
             return size() > scenario.volumes() * 15;
         }
     };
+
     private final Outcome outcome = new Outcome();
     private long nowUs = EPOCH_US;
 
     Day(Scenario scenario, long seed, long ageUs, Way way) {
         this.scenario = scenario;
         this.way = way;
-        this.restartUs = scenario.restart() == null ? EPOCH_US : EPOCH_US + scenario.restart().captureUs() + ageUs;
+        this.restartUs = scenario.restart() == null
+                ? EPOCH_US
+                : EPOCH_US + scenario.restart().captureUs() + ageUs;
         this.untilUs = scenario.restart() == null ? EPOCH_US + scenario.lengthUs() : restartUs + LONGER_US;
         if (scenario.restart() == null) {
             for (long at = EPOCH_US; at < untilUs; at += SPAN_US) {
@@ -103,7 +116,8 @@
         }
         java.util.SplittableRandom random = new java.util.SplittableRandom(seed * 31 + 7);
         for (int i = 0; i < scenario.nodes(); i++) {
-            LabNode node = new LabNode(i, scenario.cores(), scenario.queue(), random.nextDouble(0.75, 1.25), timers, nowUs);
+            LabNode node =
+                    new LabNode(i, scenario.cores(), scenario.queue(), random.nextDouble(0.75, 1.25), timers, nowUs);
             nodes.add(node);
             ever.add(node);
             byName.put(node.name, node);
@@ -127,7 +141,10 @@
             int index = i;
             Snapshot[] kept = new Snapshot[1];
             timers.at(EPOCH_US + scenario.restart().captureUs(), () -> kept[0] = host[0].snapshot());
-            timers.at(Math.max(restartUs - scenario.restart().downUs(), EPOCH_US + scenario.restart().captureUs() + 1),
+            timers.at(
+                    Math.max(
+                            restartUs - scenario.restart().downUs(),
+                            EPOCH_US + scenario.restart().captureUs() + 1),
                     () -> host[0].leave(way != Way.ALL_KEPT));
             timers.at(restartUs, () -> {
                 if (way == Way.ALL_KEPT) {
@@ -157,7 +174,10 @@
             }
         }
         outcome.fallen = (int) ever.stream().filter(LabNode::fallen).count();
-        outcome.nearestToFall = ever.stream().mapToDouble(LabNode::nearestToFall).filter(part -> part > 0).toArray();
+        outcome.nearestToFall = ever.stream()
+                .mapToDouble(LabNode::nearestToFall)
+                .filter(part -> part > 0)
+                .toArray();
         return outcome;
     }
 
@@ -221,8 +241,8 @@
     private void replace(int place) {
         LabNode old = nodes.get(place);
         old.vanish(nowUs);
-        LabNode node = new LabNode(ever.size(), place, scenario.cores(), scenario.queue(), old.usualSpeed(), timers, nowUs,
-                nowUs);
+        LabNode node = new LabNode(
+                ever.size(), place, scenario.cores(), scenario.queue(), old.usualSpeed(), timers, nowUs, nowUs);
         nodes.set(place, node);
         ever.add(node);
         byName.put(node.name, node);
@@ -256,7 +276,8 @@
         Host(int index, long seed) {
             this.index = index;
             this.settings = scenario.settings(index);
-            this.broker = new Broker(settings, seed * 101 + index, () -> nowUs, timers, this, new Counters(), line -> {});
+            this.broker =
+                    new Broker(settings, seed * 101 + index, () -> nowUs, timers, this, new Counters(), line -> {});
         }
 
         void begin(Snapshot kept) {
@@ -274,7 +295,12 @@
         }
 
         Snapshot snapshot() {
-            return new Snapshot("g" + index, Snapshot.print(settings), 1, nowUs / 1000, scenario.restart().clean(),
+            return new Snapshot(
+                    "g" + index,
+                    Snapshot.print(settings),
+                    1,
+                    nowUs / 1000,
+                    scenario.restart().clean(),
                     broker.learned());
         }
 
@@ -291,12 +317,17 @@
             LabNode node = byName.get(attempt.node().name());
             Try of = (Try) attempt.exchange().message();
             long arrivesUs = nowUs + NETWORK_US;
-            timers.at(arrivesUs, () -> node.accept(arrivesUs, of.ask.workMs(), of.ask.kind() == 1, how ->
-                    timers.at(nowUs + NETWORK_US, () -> {
-                        if (!dead) {
-                            attempt.ended(how, "body", Map.of());
-                        }
-                    })));
+            timers.at(
+                    arrivesUs,
+                    () -> node.accept(
+                            arrivesUs,
+                            of.ask.workMs(),
+                            of.ask.kind() == 1,
+                            how -> timers.at(nowUs + NETWORK_US, () -> {
+                                if (!dead) {
+                                    attempt.ended(how, "body", Map.of());
+                                }
+                            })));
         }
 
         @Override
@@ -366,8 +397,21 @@
             if (host.away || leftUs <= 1000) {
                 return;
             }
-            host.broker.take(new Demand(ask.kind(), ask.plan(), ask.key(), ask.volume(), ask.units(), ask.shard(),
-                    ask.setSize(), repeated, ask.kind() == 1, leftUs), this, this, exchange -> {});
+            host.broker.take(
+                    new Demand(
+                            ask.kind(),
+                            ask.plan(),
+                            ask.key(),
+                            ask.volume(),
+                            ask.units(),
+                            ask.shard(),
+                            ask.setSize(),
+                            repeated,
+                            ask.kind() == 1,
+                            leftUs),
+                    this,
+                    this,
+                    exchange -> {});
         }
 
         private void tally(java.util.function.Consumer<Tally> of) {
@@ -421,7 +465,8 @@
 
     /** Requests of the gateways that restart, from the restart on; all of a day without one. */
     private boolean counts(int gateway, long firstUs) {
-        return scenario.restart() == null || gateway < scenario.restart().gateways() && firstUs >= restartUs && firstUs < untilUs;
+        return scenario.restart() == null
+                || gateway < scenario.restart().gateways() && firstUs >= restartUs && firstUs < untilUs;
     }
 
     private void come(Workload.Ask ask) {
@@ -429,9 +474,9 @@
         long second = ask.atUs() / 1_000_000;
         double plan = scenario.volumeUnits() * (ask.plan() == 0 ? 1 : 1.5);
         // What is due to the volume in that second over all gateways: its reserve, and as much again of its share.
-        double[] due = dues.computeIfAbsent(ask.volume() * 1_000_000 + second,
-                key -> new double[] {plan * (ask.plan() == 0 ? 0.5 : 0.8), plan, Double.MAX_VALUE,
-                    plan * (ask.plan() == 0 ? 0.5 : 0.8), plan});
+        double[] due = dues.computeIfAbsent(ask.volume() * 1_000_000 + second, key -> new double[] {
+            plan * (ask.plan() == 0 ? 0.5 : 0.8), plan, Double.MAX_VALUE, plan * (ask.plan() == 0 ? 0.5 : 0.8), plan
+        });
         Try of = new Try(ask, due);
         if (counts(ask.gateway(), nowUs)) {
             double worth = of.wanted();
--- a/src/main/java/petrelstand/lab/Experiment.java
+++ b/src/main/java/petrelstand/lab/Experiment.java
@@ -9,13 +9,12 @@
 import java.util.Map;
 import java.util.stream.LongStream;
 import org.HdrHistogram.Histogram;
-import petrelstand.lab.Day.Tally;
 import petrelstand.lab.Day.Way;
 
 /**
  * A scenario over seeds: each day is played four times with the same requests and troubles, by gateways that never
- * stopped, that forgot nothing, that kept nothing and that kept their state. Days run side by side; each depends on its seed
- * alone, so the result is the same on any machine.
+ * stopped, that forgot nothing, that kept nothing and that kept their state. Days run side by side; each depends on its
+ * seed alone, so the result is the same on any machine.
  */
 public final class Experiment {
     /** Sums over seeds of one way at one age. */
@@ -48,8 +47,10 @@
 
         static double spread(List<Double> values) {
             double mean = mean(values);
-            return Math.sqrt(values.stream().mapToDouble(v -> (v - mean) * (v - mean)).sum()
-                    / Math.max(1, values.size() - 1) / Math.max(1, values.size()));
+            return Math.sqrt(
+                    values.stream().mapToDouble(v -> (v - mean) * (v - mean)).sum()
+                            / Math.max(1, values.size() - 1)
+                            / Math.max(1, values.size()));
         }
     }
 
@@ -74,8 +75,10 @@
             for (Way way : Way.values()) {
                 Row row = new Row();
                 byWay.put(way, row);
-                List<Day.Outcome> days = LongStream.rangeClosed(from, to).parallel()
-                        .mapToObj(seed -> new Day(scenario, seed, age, way).play()).toList();
+                List<Day.Outcome> days = LongStream.rangeClosed(from, to)
+                        .parallel()
+                        .mapToObj(seed -> new Day(scenario, seed, age, way).play())
+                        .toList();
                 days.forEach(row::add);
                 requests += days.stream().mapToLong(day -> day.requests).sum();
             }
@@ -98,18 +101,53 @@
     /** The table: shares of the worth that was due, with their standard errors. */
     public String table() {
         StringBuilder text = new StringBuilder();
-        text.append(String.format(Locale.ROOT, "%s: %d nodes, %d gateways (%d restart), seeds %d-%d, %d requests%n",
-                scenario.name(), scenario.nodes(), scenario.gateways(), scenario.restart().gateways(), from, to, requests));
-        text.append(String.format(Locale.ROOT, "%-8s %-14s %17s %17s %10s %10s %9s %7s %9s%n", "file's", "", "worth, first 5 s",
-                "worth, 30 s", "late in 5s", "late in 30", "tile p99", "nodes", "loss of"));
-        text.append(String.format(Locale.ROOT, "%-8s %-14s %17s %17s %10s %10s %9s %7s %9s%n", "age s", "way", "share +- error",
-                "share +- error", "per 1000", "per 1000", "ms", "fallen", "5 s back"));
-        rows.forEach((age, byWay) -> byWay.forEach((way, row) -> text.append(String.format(Locale.ROOT,
-                "%-8s %-14s   %.4f +- %.4f   %.4f +- %.4f %10.1f %10.1f %9.0f %7d %9s%n", age / 1e6,
-                way.name().toLowerCase(Locale.ROOT), Row.mean(row.first), Row.spread(row.first), Row.mean(row.longer),
-                Row.spread(row.longer), 1000.0 * row.late / Math.max(1, row.asked),
+        text.append(String.format(
+                Locale.ROOT,
+                "%s: %d nodes, %d gateways (%d restart), seeds %d-%d, %d requests%n",
+                scenario.name(),
+                scenario.nodes(),
+                scenario.gateways(),
+                scenario.restart().gateways(),
+                from,
+                to,
+                requests));
+        text.append(String.format(
+                Locale.ROOT,
+                "%-8s %-14s %17s %17s %10s %10s %9s %7s %9s%n",
+                "file's",
+                "",
+                "worth, first 5 s",
+                "worth, 30 s",
+                "late in 5s",
+                "late in 30",
+                "tile p99",
+                "nodes",
+                "loss of"));
+        text.append(String.format(
+                Locale.ROOT,
+                "%-8s %-14s %17s %17s %10s %10s %9s %7s %9s%n",
+                "age s",
+                "way",
+                "share +- error",
+                "share +- error",
+                "per 1000",
+                "per 1000",
+                "ms",
+                "fallen",
+                "5 s back"));
+        rows.forEach((age, byWay) -> byWay.forEach((way, row) -> text.append(String.format(
+                Locale.ROOT,
+                "%-8s %-14s   %.4f +- %.4f   %.4f +- %.4f %10.1f %10.1f %9.0f %7d %9s%n",
+                age / 1e6,
+                way.name().toLowerCase(Locale.ROOT),
+                Row.mean(row.first),
+                Row.spread(row.first),
+                Row.mean(row.longer),
+                Row.spread(row.longer),
+                1000.0 * row.late / Math.max(1, row.asked),
                 1000.0 * row.lateLonger / Math.max(1, row.askedLonger),
-                row.tileReads.getValueAtPercentile(99) / 1000.0, row.fallen,
+                row.tileReads.getValueAtPercentile(99) / 1000.0,
+                row.fallen,
                 way == Way.STATE_KEPT ? String.format(Locale.ROOT, "%.0f %%", 100 * recovered(byWay)) : ""))));
         return text.toString();
     }
--- a/src/main/java/petrelstand/lab/KillWrites.java
+++ b/src/main/java/petrelstand/lab/KillWrites.java
@@ -72,36 +72,50 @@
         var pool = new java.util.concurrent.ForkJoinPool(sideBySide);
         try {
             pool.submit(() -> all.parallelStream().forEach(number -> {
-                try {
-                    Path folder = Files.createDirectories(below.resolve("w" + number));
-                    One one = once(folder, new SplittableRandom(seed * 1_000_003 + number));
-                    synchronized (sums) {
-                        sums[0] += one.corrupt ? 1 : 0;
-                        sums[1] += one.overTrusted ? 1 : 0;
-                        sums[2] += one.interrupted ? 1 : 0;
-                        written[0] += one.acknowledged;
-                        faults.add(one.faults);
-                    }
-                } catch (IOException | InterruptedException e) {
-                    throw new IllegalStateException("writer " + number + ": " + e, e);
-                }
-            })).join();
+                        try {
+                            Path folder = Files.createDirectories(below.resolve("w" + number));
+                            One one = once(folder, new SplittableRandom(seed * 1_000_003 + number));
+                            synchronized (sums) {
+                                sums[0] += one.corrupt ? 1 : 0;
+                                sums[1] += one.overTrusted ? 1 : 0;
+                                sums[2] += one.interrupted ? 1 : 0;
+                                written[0] += one.acknowledged;
+                                faults.add(one.faults);
+                            }
+                        } catch (IOException | InterruptedException e) {
+                            throw new IllegalStateException("writer " + number + ": " + e, e);
+                        }
+                    }))
+                    .join();
         } finally {
             pool.shutdownNow();
         }
-        return new Result(times, sums[0], sums[1], sums[2], written[0], faults.stream().flatMap(List::stream).toList());
+        return new Result(
+                times,
+                sums[0],
+                sums[1],
+                sums[2],
+                written[0],
+                faults.stream().flatMap(List::stream).toList());
     }
 
-    private record One(boolean corrupt, boolean overTrusted, boolean interrupted, int acknowledged, List<String> faults) {}
+    private record One(
+            boolean corrupt, boolean overTrusted, boolean interrupted, int acknowledged, List<String> faults) {}
 
     private static One once(Path folder, SplittableRandom random) throws IOException, InterruptedException {
-        Process writer = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", System.getProperty("java.class.path"),
-                "petrelstand.lab.KillWrites", folder.toString())
-                        .redirectError(new File("/dev/null")).start();
+        Process writer = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xmx64m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "petrelstand.lab.KillWrites",
+                        folder.toString())
+                .redirectError(new File("/dev/null"))
+                .start();
         int acknowledged = 0;
-        try (BufferedReader said = new BufferedReader(new InputStreamReader(writer.getInputStream(),
-                StandardCharsets.US_ASCII))) {
+        try (BufferedReader said =
+                new BufferedReader(new InputStreamReader(writer.getInputStream(), StandardCharsets.US_ASCII))) {
             if (!"writing".equals(said.readLine())) {
                 throw new IOException("it did not begin");
             }
@@ -122,7 +136,8 @@
         }
         boolean interrupted;
         try (var names = Files.list(folder)) {
-            interrupted = names.anyMatch(file -> Generations.isTemporary(file.getFileName().toString()));
+            interrupted = names.anyMatch(
+                    file -> Generations.isTemporary(file.getFileName().toString()));
         }
         List<String> faults = new ArrayList<>();
         boolean overTrusted = false;
@@ -134,7 +149,9 @@
             if (generation != acknowledged && generation != acknowledged + 1) {
                 faults.add(folder.getFileName() + ": generation " + generation + " after " + acknowledged);
             }
-            if (newest != null && !newest.learned().equals(sample((int) generation, newest.wallMs()).learned())) {
+            if (newest != null
+                    && !newest.learned()
+                            .equals(sample((int) generation, newest.wallMs()).learned())) {
                 faults.add(folder.getFileName() + ": generation " + generation + " is not what was written");
             }
             overTrusted = newest != null && overTrusted(newest);
@@ -146,8 +163,13 @@
     private static boolean overTrusted(Snapshot newest) throws IOException {
         try (StandInPlatform none = new StandInPlatform(0)) {
             var settings = TryOut.config(none, "127.0.0.1:0").settings();
-            Snapshot known = new Snapshot("tryout", Snapshot.print(settings), newest.generation(), newest.wallMs(),
-                    newest.clean(), newest.learned());
+            Snapshot known = new Snapshot(
+                    "tryout",
+                    Snapshot.print(settings),
+                    newest.generation(),
+                    newest.wallMs(),
+                    newest.clean(),
+                    newest.learned());
             Trust.Verdict verdict = new Trust("tryout", settings).weigh(known, newest.wallMs() + 1000.0);
             return verdict.refused() != null
                     || verdict.learned().nodes().stream().anyMatch(node -> node.slots() > MOST_SLOTS)
--- a/src/main/java/petrelstand/lab/LabNode.java
+++ b/src/main/java/petrelstand/lab/LabNode.java
@@ -22,6 +22,7 @@
     static final double FALL_MULTIPLE = 2;
     /** Part of a write's work that is put off, and how often that is done in one go. */
     static final double PUT_OFF = 0.33;
+
     static final long FLUSH_US = 2_500_000;
     private static final long WARM_STEP_US = 250_000;
 
@@ -65,7 +66,14 @@
     }
 
     /** A node with a number of its own, and with a start time (0: long ago) from which it is cold. */
-    LabNode(int number, int shard, int cores, int queueLimit, double usualSpeed, Timers timers, long nowUs,
+    LabNode(
+            int number,
+            int shard,
+            int cores,
+            int queueLimit,
+            double usualSpeed,
+            Timers timers,
+            long nowUs,
             long startedUs) {
         this.name = String.format("s-%08x", 0x1000 + number * 7919);
         this.shard = shard;
@@ -81,8 +89,16 @@
 
     /** The node as discovery lists it. */
     Node listed() {
-        return new Node(name, "127.0.0.1:1", new NodeEntry(Node.numberOf(name), 0, shard,
-                fallen ? NodeState.GONE : NodeState.READY, 1, startedUs / 1000.0));
+        return new Node(
+                name,
+                "127.0.0.1:1",
+                new NodeEntry(
+                        Node.numberOf(name),
+                        0,
+                        shard,
+                        fallen ? NodeState.GONE : NodeState.READY,
+                        1,
+                        startedUs / 1000.0));
     }
 
     boolean fallen() {
@@ -99,8 +115,7 @@
     }
 
     private double warmth(long nowUs) {
-        return startedUs == 0 ? 1
-                : Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (nowUs - startedUs) / 1000.0 / WARM_MS);
+        return startedUs == 0 ? 1 : Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (nowUs - startedUs) / 1000.0 / WARM_MS);
     }
 
     /** What each request in work gets: a cold node does less in all, its cores shared by what runs. */
@@ -121,7 +136,8 @@
                 coldSent.removeFirst();
             }
             double sent = coldSent.stream().mapToDouble(Sent::workMs).sum();
-            double part = sent / (FALL_MULTIPLE * cores * warmth(nowUs) * FALL_MS * usualSpeed / slowness * (1 - taken));
+            double part =
+                    sent / (FALL_MULTIPLE * cores * warmth(nowUs) * FALL_MS * usualSpeed / slowness * (1 - taken));
             nearestToFall = Math.max(nearestToFall, part);
             if (part > 1) {
                 fall();
@@ -180,7 +196,8 @@
         }
         double speed = speed(nowUs);
         if (!running.isEmpty() && speed > 0) {
-            double leastMs = running.stream().mapToDouble(job -> job.leftMs).min().orElseThrow();
+            double leastMs =
+                    running.stream().mapToDouble(job -> job.leftMs).min().orElseThrow();
             long atUs = nowUs + Math.max(1, (long) Math.ceil(leastMs / speed * 1000));
             // While it warms its speed changes, so it is looked at often.
             long lookUs = warmth(nowUs) < 1 ? Math.min(atUs, nowUs + WARM_STEP_US) : atUs;
--- a/src/main/java/petrelstand/lab/StandInPlatform.java
+++ b/src/main/java/petrelstand/lab/StandInPlatform.java
@@ -16,8 +16,9 @@
 import java.util.concurrent.Semaphore;
 
 /**
- * Storage nodes and discovery on loopback sockets, on the JDK's own HTTP server, for trying a gateway by hand: each node
- * serves two requests at a time in 20 ms a unit and says in its body what it served. Discovery's list never changes.
+ * Storage nodes and discovery on loopback sockets, on the JDK's own HTTP server, for trying a gateway by hand: each
+ * node serves two requests at a time in 20 ms a unit and says in its body what it served. Discovery's list never
+ * changes.
  */
 public final class StandInPlatform implements AutoCloseable {
     private static final int CORES = 2;
@@ -104,8 +105,11 @@
         } finally {
             cores.release();
         }
-        answer(exchange, "text/plain", "node " + name + " (shard " + shard + ") served "
-                + exchange.getRequestMethod() + " " + exchange.getRequestURI() + "\n");
+        answer(
+                exchange,
+                "text/plain",
+                "node " + name + " (shard " + shard + ") served " + exchange.getRequestMethod() + " "
+                        + exchange.getRequestURI() + "\n");
     }
 
     /** A call that may wait waits to its end: nothing ever changes. */
--- a/src/main/java/petrelstand/lab/WaitTrial.java
+++ b/src/main/java/petrelstand/lab/WaitTrial.java
@@ -19,13 +19,21 @@
 import petrelstand.decision.Scheduling.ListKind;
 
 /**
- * Is the right one blamed? Reads come to a few nodes through one gateway with its accounts on; for ten seconds one known
- * thing goes wrong at one node, and the waits of the reads there are compared with the same day without it. Virtual
- * time; each trial depends on its seed alone.
+ * Is the right one blamed? Reads come to a few nodes through one gateway with its accounts on; for ten seconds one
+ * known thing goes wrong at one node, and the waits of the reads there are compared with the same day without it.
+ * Virtual time; each trial depends on its seed alone.
  */
 public final class WaitTrial {
     /** What goes wrong: an export team's surge through this gateway, and things that are not its fault. */
-    public enum Trouble { NONE, SMALL_SURGE, SURGE, LARGE_SURGE, PAUSES, SLOW, UNSEEN }
+    public enum Trouble {
+        NONE,
+        SMALL_SURGE,
+        SURGE,
+        LARGE_SURGE,
+        PAUSES,
+        SLOW,
+        UNSEEN
+    }
 
     /** The waits of the reads at the troubled node in the measured span, us, by kind of cause; the team's is apart. */
     public static final class Waits {
@@ -61,7 +69,8 @@
     private static final long UNTIL_US = FROM_US + 10_000_000;
     private static final long END_US = UNTIL_US + 4_000_000;
     private static final long NETWORK_US = 300;
-    private static final Scenario WORLD = Scenario.of(new IniFile(java.nio.file.Path.of("waits.ini"),
+    private static final Scenario WORLD = Scenario.of(new IniFile(
+            java.nio.file.Path.of("waits.ini"),
             "[world]\nnodes = 4\ngateways = 1\nvolumes = 20\nload = 0.5\n[restart]\nages = 1 s\n"));
 
     private final Trouble trouble;
@@ -86,10 +95,13 @@
             nodes[i] = new LabNode(i, WORLD.cores(), WORLD.queue(), random.nextDouble(0.8, 1.2), timers, nowUs);
             byNumber.put(nodes[i].listed().number(), nodes[i]);
         }
-        this.broker = new Broker(WORLD.settings(0), seed, () -> nowUs, timers, new Server(), new Counters(), line -> {});
+        this.broker =
+                new Broker(WORLD.settings(0), seed, () -> nowUs, timers, new Server(), new Counters(), line -> {});
         Accounts accounts = new Accounts(WORLD.cores(), LabNode.WARM_MS, this::over);
         broker.watch(accounts);
-        broker.nodes(ListKind.WHOLE, java.util.Arrays.stream(nodes).map(LabNode::listed).toList());
+        broker.nodes(
+                ListKind.WHOLE,
+                java.util.Arrays.stream(nodes).map(LabNode::listed).toList());
     }
 
     /** Plays one day. */
@@ -101,7 +113,12 @@
         every(reads, 14, START_US, END_US, () -> ask(0, 0xa0 + reads.nextInt(10), 0, reads.nextInt(1, 3), reads));
         for (int i = 1; i < NODES; i++) {
             int shard = i;
-            every(reads, 14, START_US, END_US, () -> ask(0, 0xa0 + reads.nextInt(10), shard, reads.nextInt(1, 3), reads));
+            every(
+                    reads,
+                    14,
+                    START_US,
+                    END_US,
+                    () -> ask(0, 0xa0 + reads.nextInt(10), shard, reads.nextInt(1, 3), reads));
         }
         // The team's usual work is there on every day, at the troubled node too: it is there to be blamed.
         every(exports, 1, START_US, END_US, () -> ask(2, TEAM, 0, exports.nextInt(2, 6), exports));
@@ -109,8 +126,13 @@
             case SMALL_SURGE -> surge(8);
             case SURGE -> surge(16);
             case LARGE_SURGE -> surge(32);
-            case UNSEEN -> every(others, 16, FROM_US, UNTIL_US, () -> nodes[0].accept(nowUs,
-                    others.nextInt(3, 6) * WORLD.unitMs(), false, how -> {}));
+            case UNSEEN ->
+                every(
+                        others,
+                        16,
+                        FROM_US,
+                        UNTIL_US,
+                        () -> nodes[0].accept(nowUs, others.nextInt(3, 6) * WORLD.unitMs(), false, how -> {}));
             case SLOW -> {
                 timers.at(FROM_US, () -> nodes[0].slow(nowUs, 3));
                 timers.at(UNTIL_US, () -> nodes[0].slow(nowUs, 1));
@@ -121,7 +143,7 @@
                     timers.at(at + 250_000, () -> nodes[0].pause(nowUs, false));
                 }
             }
-            default -> { }
+            default -> {}
         }
         while (timers.nextUs() <= END_US + 8_000_000) {
             nowUs = Math.max(nowUs, timers.nextUs());
@@ -148,8 +170,11 @@
     private void ask(int kind, long volume, int shard, double units, SplittableRandom random) {
         double work = units * WORLD.unitMs() * random.nextDouble(0.85, 1.15);
         boolean counts = kind == 0 && shard == 0 && nowUs >= FROM_US && nowUs < UNTIL_US + 2_000_000;
-        broker.take(new Demand(kind, 1, random.nextLong(), volume, units, shard, 1, false, false,
-                (long) (WORLD.settings(0).classes().get(kind).deadlineMs() * 1000)), work, new ClientSide() {
+        broker.take(
+                new Demand(kind, 1, random.nextLong(), volume, units, shard, 1, false, false, (long)
+                        (WORLD.settings(0).classes().get(kind).deadlineMs() * 1000)),
+                work,
+                new ClientSide() {
                     @Override
                     public boolean served(Object answer) {
                         return true;
@@ -160,7 +185,8 @@
 
                     @Override
                     public void failed(Attempt last) {}
-                }, exchange -> measured.put(exchange.id(), counts));
+                },
+                exchange -> measured.put(exchange.id(), counts));
     }
 
     private void over(Accounts.Account account) {
@@ -186,8 +212,11 @@
             long arrivesUs = nowUs + NETWORK_US;
             timers.at(arrivesUs, () -> {
                 attempt.written();
-                node.accept(arrivesUs, work, false, how -> timers.at(nowUs + NETWORK_US, () ->
-                        attempt.ended(how, "body", Map.of())));
+                node.accept(
+                        arrivesUs,
+                        work,
+                        false,
+                        how -> timers.at(nowUs + NETWORK_US, () -> attempt.ended(how, "body", Map.of())));
             });
         }
 
@@ -203,8 +232,16 @@
 
     /** The table of what was added to the reads' waits, and on whom it was laid, over seeds. */
     public static String table(long from, long to) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-12s %12s %8s %8s %8s %8s %8s%n", "trouble",
-                "added ms", "team", "others", "node", "unseen", "window"));
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%-12s %12s %8s %8s %8s %8s %8s%n",
+                "trouble",
+                "added ms",
+                "team",
+                "others",
+                "node",
+                "unseen",
+                "window"));
         for (Trouble trouble : Trouble.values()) {
             long[] sums = new long[2 + Cause.Kind.values().length];
             for (long seed = from; seed <= to; seed++) {
@@ -218,10 +255,16 @@
                 }
             }
             double all = Math.max(1, sums[0]);
-            text.append(String.format(Locale.ROOT, "%-12s %12.0f %7.1f%% %7.1f%% %7.1f%% %7.1f%% %7.1f%%%n",
-                    trouble.name().toLowerCase(Locale.ROOT), sums[0] / 1000.0, 100 * sums[1] / all,
-                    100 * sums[2 + Cause.Kind.WORK.ordinal()] / all, 100 * sums[2 + Cause.Kind.NODE.ordinal()] / all,
-                    100 * sums[2 + Cause.Kind.UNSEEN.ordinal()] / all, 100 * sums[2 + Cause.Kind.WINDOW.ordinal()] / all));
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%-12s %12.0f %7.1f%% %7.1f%% %7.1f%% %7.1f%% %7.1f%%%n",
+                    trouble.name().toLowerCase(Locale.ROOT),
+                    sums[0] / 1000.0,
+                    100 * sums[1] / all,
+                    100 * sums[2 + Cause.Kind.WORK.ordinal()] / all,
+                    100 * sums[2 + Cause.Kind.NODE.ordinal()] / all,
+                    100 * sums[2 + Cause.Kind.UNSEEN.ordinal()] / all,
+                    100 * sums[2 + Cause.Kind.WINDOW.ordinal()] / all));
         }
         return text.toString();
     }
--- a/src/main/java/petrelstand/lab/Workload.java
+++ b/src/main/java/petrelstand/lab/Workload.java
@@ -6,12 +6,21 @@
 import java.util.SplittableRandom;
 
 /**
- * What clients ask, drawn from a seed and nothing else, so that the same requests come whatever the gateways do. Volumes
- * ask at their usual rate, some of them many times that in surges; the gateway that leads for a volume changes.
+ * What clients ask, drawn from a seed and nothing else, so that the same requests come whatever the gateways do.
+ * Volumes ask at their usual rate, some of them many times that in surges; the gateway that leads for a volume changes.
  */
 final class Workload {
     /** A request before any gateway has seen it; {@code shard} is -1 for a new object. */
-    record Ask(long atUs, int gateway, int kind, int plan, long volume, long key, double units, double workMs, int shard,
+    record Ask(
+            long atUs,
+            int gateway,
+            int kind,
+            int plan,
+            long volume,
+            long key,
+            double units,
+            double workMs,
+            int shard,
             int setSize) {}
 
     private static final double[] SHARES = {0.55, 0.85, 1};
@@ -80,8 +89,8 @@
     }
 
     private final Scenario scenario;
-    private final PriorityQueue<Volume> volumes = new PriorityQueue<>((a, b) ->
-            a.nextUs != b.nextUs ? Long.compare(a.nextUs, b.nextUs) : Long.compare(a.id, b.id));
+    private final PriorityQueue<Volume> volumes = new PriorityQueue<>(
+            (a, b) -> a.nextUs != b.nextUs ? Long.compare(a.nextUs, b.nextUs) : Long.compare(a.id, b.id));
 
     /** Requests from time 0 on, with surges drawn up to a time. */
     Workload(Scenario scenario, long seed, long untilUs) {
@@ -93,7 +102,7 @@
         }
         // Surges: as many as, together, ask the stated share of what the nodes can do.
         double wantedUnits = scenario.surges() * scenario.nodes() * scenario.nodeUnits() * untilUs / 1e6;
-        for (double asked = 0; asked < wantedUnits;) {
+        for (double asked = 0; asked < wantedUnits; ) {
             Volume volume = all.get(random.nextInt(all.size()));
             long fromUs = random.nextLong(untilUs);
             long forUs = random.nextLong(5_700_000, 15_000_000);
--- a/src/main/java/petrelstand/lab/capacity/CapacityPage.java
+++ b/src/main/java/petrelstand/lab/capacity/CapacityPage.java
@@ -19,7 +19,9 @@
 
     /** The page. */
     public String html() {
-        String plots = report.curves().stream().filter(curve -> curve.law().isPresent()).map(CapacityPage::plot)
+        String plots = report.curves().stream()
+                .filter(curve -> curve.law().isPresent())
+                .map(CapacityPage::plot)
                 .collect(Collectors.joining("\n"));
         return "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Capacity</title>\n"
                 + "<style>body{font:14px sans-serif}figure{display:inline-block;margin:8px;width:" + WIDTH + "px}"
@@ -42,16 +44,26 @@
         double to = curve.law().orElseThrow().at(frame.mostX);
         svg.append(line(frame.x(frame.leastX), frame.y(from), frame.x(frame.mostX), frame.y(to), "#06c"));
         for (Point point : curve.points()) {
-            svg.append(String.format(Locale.ROOT, "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"3\"/>", frame.x(point.size()),
+            svg.append(String.format(
+                    Locale.ROOT,
+                    "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"3\"/>",
+                    frame.x(point.size()),
                     frame.y(point.cost())));
         }
-        String exponent = String.format(Locale.ROOT, "exponent %.3f", curve.law().get().exponent());
+        String exponent =
+                String.format(Locale.ROOT, "exponent %.3f", curve.law().get().exponent());
         return svg + "</svg><figcaption>" + escape(curve.title()) + "; " + exponent + "</figcaption></figure>";
     }
 
     private static String line(double x1, double y1, double x2, double y2, String colour) {
-        return String.format(Locale.ROOT, "<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>",
-                x1, y1, x2, y2, colour);
+        return String.format(
+                Locale.ROOT,
+                "<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>",
+                x1,
+                y1,
+                x2,
+                y2,
+                colour);
     }
 
     private static String label(int x, int y, double value) {
--- a/src/main/java/petrelstand/lab/capacity/CapacityPlan.java
+++ b/src/main/java/petrelstand/lab/capacity/CapacityPlan.java
@@ -17,6 +17,7 @@
     public static final int LEAST = 10;
     /** A gateway's view holds no more members. */
     public static final int MOST = Membership.MOST_MEMBERS;
+
     private static final int MOST_SIZES = 12;
 
     /**
@@ -56,9 +57,11 @@
         }
         List<Event> events = new ArrayList<>();
         for (String word : text.split(",", -1)) {
-            Event event = role.events().stream().filter(one -> one.word().equals(word)).findFirst()
-                    .orElseThrow(() -> new IllegalArgumentException("--events must be all or some of " + words(role)
-                            + ", not '" + word + "'"));
+            Event event = role.events().stream()
+                    .filter(one -> one.word().equals(word))
+                    .findFirst()
+                    .orElseThrow(() -> new IllegalArgumentException(
+                            "--events must be all or some of " + words(role) + ", not '" + word + "'"));
             if (events.contains(event)) {
                 throw new IllegalArgumentException("--events has " + word + " twice");
             }
--- a/src/main/java/petrelstand/lab/capacity/CapacityReport.java
+++ b/src/main/java/petrelstand/lab/capacity/CapacityReport.java
@@ -32,12 +32,20 @@
     /** One line a cost: the curve, and then each point as size:cost. */
     public String table() {
         StringBuilder text = new StringBuilder(plan.command()).append('\n');
-        text.append(String.format(Locale.ROOT, "%-74s %10s %9s %9s %12s  %s%n", "cost a member", "slope", "exponent",
-                "residual", "worst", "size:cost"));
+        text.append(String.format(
+                Locale.ROOT,
+                "%-74s %10s %9s %9s %12s  %s%n",
+                "cost a member",
+                "slope",
+                "exponent",
+                "residual",
+                "worst",
+                "size:cost"));
         for (Curve curve : curves) {
             text.append(String.format(Locale.ROOT, "%-74s %s  %s%n", curve.title(), law(curve), points(curve)));
         }
-        return text.append(String.format(Locale.ROOT, "played in %.1f s%n", playedSeconds)).toString();
+        return text.append(String.format(Locale.ROOT, "played in %.1f s%n", playedSeconds))
+                .toString();
     }
 
     private static String law(Curve curve) {
@@ -45,19 +53,25 @@
             return String.format("%10s %9s %9s %12s", "-", "no curve", "-", "-");
         }
         PowerLaw law = curve.law().get();
-        return String.format(Locale.ROOT, "%10.4g %9.3f %9.3f %12s", law.slope(), law.exponent(), law.residual(),
+        return String.format(
+                Locale.ROOT,
+                "%10.4g %9.3f %9.3f %12s",
+                law.slope(),
+                law.exponent(),
+                law.residual(),
                 String.format(Locale.ROOT, "%.0f x%.2f", law.worst().size(), law.worstRatio()));
     }
 
     private static String points(Curve curve) {
-        return curve.points().stream().map(point -> String.format(Locale.ROOT, "%.0f:%s", point.size(),
-                number(point.cost()))).collect(Collectors.joining(" "));
+        return curve.points().stream()
+                .map(point -> String.format(Locale.ROOT, "%.0f:%s", point.size(), number(point.cost())))
+                .collect(Collectors.joining(" "));
     }
 
     /** Three digits, or all of a larger number's whole ones. */
     static String number(double value) {
-        return String.format(Locale.ROOT, Math.abs(value) >= 100 ? "%.0f" : Math.abs(value) >= 10 ? "%.1f" : "%.2f",
-                value);
+        return String.format(
+                Locale.ROOT, Math.abs(value) >= 100 ? "%.0f" : Math.abs(value) >= 10 ? "%.1f" : "%.2f", value);
     }
 
     /** The same as JSON, with every point. */
--- a/src/main/java/petrelstand/lab/capacity/Curve.java
+++ b/src/main/java/petrelstand/lab/capacity/Curve.java
@@ -21,8 +21,8 @@
             points.computeIfAbsent(key, k -> new ArrayList<>()).add(new Point(sample.size(), sample.value()));
         }
         List<Curve> curves = new ArrayList<>();
-        points.forEach((key, of) -> curves.add(new Curve(key.event, key.group, key.cost, key.axis, List.copyOf(of),
-                PowerLaw.fit(of))));
+        points.forEach((key, of) ->
+                curves.add(new Curve(key.event, key.group, key.cost, key.axis, List.copyOf(of), PowerLaw.fit(of))));
         return curves;
     }
 
--- a/src/main/java/petrelstand/lab/capacity/Experiment.java
+++ b/src/main/java/petrelstand/lab/capacity/Experiment.java
@@ -16,14 +16,16 @@
     private static final long S = Play.S;
     private static final long LOOK_US = 100_000;
     /**
-     * Virtual time after all agree, before a fleet counts as at rest. News of a start of all are told on for a while: 5 s
-     * are enough up to 200 gateways, not at 400.
+     * Virtual time after all agree, before a fleet counts as at rest. News of a start of all are told on for a while: 5
+     * s are enough up to 200 gateways, not at 400.
      */
     private static final long CALM_US = 60 * S;
+
     private static final int REST_SECONDS = 10;
     private static final int CUT_SECONDS = 20;
     /** Virtual time that all may take to agree after an event; later counts as not at all. */
     static final long MOST_SETTLING_US = 60 * S;
+
     private static final int RESTARTS_A_MINUTE = 60;
     private static final int CHANGES_A_MINUTE = 60;
     private static final int LOSS_PERCENT = 5;
@@ -33,8 +35,8 @@
             Event.RESTARTS, List.of(12, 30, 60, 120, 240),
             Event.CHANGES, List.of(6, 12, 30, 60, 120),
             Event.LOSS, List.of(1, 2, 5, 10, 20));
-    private static final Map<Event, Axis> AXES = Map.of(Event.RESTARTS, Axis.RESTARTS, Event.CHANGES, Axis.CHANGES,
-            Event.LOSS, Axis.LOSS);
+    private static final Map<Event, Axis> AXES =
+            Map.of(Event.RESTARTS, Axis.RESTARTS, Event.CHANGES, Axis.CHANGES, Event.LOSS, Axis.LOSS);
     private static final Set<Cost> SWEPT_COSTS = Set.of(Cost.MESSAGES_OUT, Cost.BYTES_OUT, Cost.CPU);
 
     private final CapacityPlan plan;
@@ -60,7 +62,10 @@
         samples.clear();
         plan.sizes().forEach(this::course);
         if (plan.sweeps()) {
-            SWEPT.keySet().stream().filter(plan.role().events()::contains).sorted().forEach(this::sweep);
+            SWEPT.keySet().stream()
+                    .filter(plan.role().events()::contains)
+                    .sorted()
+                    .forEach(this::sweep);
         }
         return List.copyOf(samples);
     }
@@ -107,7 +112,7 @@
             case RESTARTS -> steady(play, meter, event, RESTARTS_A_MINUTE, size);
             case CHANGES -> steady(play, meter, event, CHANGES_A_MINUTE, size);
             case LOSS -> steady(play, meter, event, LOSS_PERCENT, size);
-            default -> { }
+            default -> {}
         }
         if (event == Event.ZONE || event == Event.CUT) {
             long began = play.nowUs();
@@ -132,7 +137,9 @@
         long took = play.nowUs() - from;
         Reading reading = record(play, meter, event, size, (play.nowUs() - beganUs) / (double) S);
         if (agreed && plan.events().contains(event)) {
-            Group group = play.groups().keySet().stream().min(Comparator.naturalOrder()).orElseThrow();
+            Group group = play.groups().keySet().stream()
+                    .min(Comparator.naturalOrder())
+                    .orElseThrow();
             samples.add(reading.sample(group, Cost.SETTLED, Math.max(took, LOOK_US) / (double) S));
         }
         return agreed;
@@ -177,11 +184,13 @@
         for (int amount : SWEPT.get(event)) {
             play.begin(event, amount, REST_SECONDS);
             Map<String, Double> with = swept(play, meter, event, amount);
-            play.groups().keySet().forEach(group -> SWEPT_COSTS.forEach(cost -> {
-                String key = key(group, cost);
-                double above = with.getOrDefault(key, 0.0) - rest.getOrDefault(key, 0.0);
-                samples.add(new Sample(event, group, cost, AXES.get(event), amount, above));
-            }));
+            play.groups()
+                    .keySet()
+                    .forEach(group -> SWEPT_COSTS.forEach(cost -> {
+                        String key = key(group, cost);
+                        double above = with.getOrDefault(key, 0.0) - rest.getOrDefault(key, 0.0);
+                        samples.add(new Sample(event, group, cost, AXES.get(event), amount, above));
+                    }));
             settled(play, meter);
             play.run(play.nowUs() + CALM_US);
         }
@@ -192,8 +201,9 @@
         seconds(play, meter, REST_SECONDS);
         Reading reading = new Reading(meter, event, AXES.get(event), amount, REST_SECONDS);
         Map<String, Double> values = new HashMap<>();
-        play.groups().forEach((group, who) -> reading.of(group, who)
-                .forEach(sample -> values.put(key(sample.group(), sample.cost()), sample.value())));
+        play.groups()
+                .forEach((group, who) -> reading.of(group, who)
+                        .forEach(sample -> values.put(key(sample.group(), sample.cost()), sample.value())));
         return values;
     }
 
--- a/src/main/java/petrelstand/lab/capacity/MembersPlay.java
+++ b/src/main/java/petrelstand/lab/capacity/MembersPlay.java
@@ -55,10 +55,10 @@
         switch (event) {
             case RESTARTS -> restarts(amount, seconds);
             case LOSS -> strike(Kind.LOSS, 0, 0, seconds * S, amount);
-            case ZONE -> IntStream.range(size - size / amount, size)
-                    .forEach(who -> strike(Kind.KILL, who, 0, seconds * S, 0));
+            case ZONE ->
+                IntStream.range(size - size / amount, size).forEach(who -> strike(Kind.KILL, who, 0, seconds * S, 0));
             case CUT -> strike(Kind.CUT, size / amount, 0, seconds * S, 0);
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/petrelstand/lab/capacity/Meter.java
+++ b/src/main/java/petrelstand/lab/capacity/Meter.java
@@ -15,6 +15,7 @@
         long cpuNs;
         /** Bytes out and in of the second under way, and of the worst second. */
         private long bytesThisSecond;
+
         long worstSecond;
     }
 
--- a/src/main/java/petrelstand/lab/capacity/Reading.java
+++ b/src/main/java/petrelstand/lab/capacity/Reading.java
@@ -30,12 +30,18 @@
                 mean(group, Cost.BYTES_OUT, members, counts -> counts.bytesOut),
                 mean(group, Cost.BYTES_IN, members, counts -> counts.bytesIn),
                 mean(group, Cost.CPU, members, counts -> counts.cpuNs / NS_A_US),
-                sample(group, Cost.PEAK_BYTES,
-                        members.stream().mapToLong(i -> meter.of(i).worstSecond).max().orElse(0)));
+                sample(
+                        group,
+                        Cost.PEAK_BYTES,
+                        members.stream()
+                                .mapToLong(i -> meter.of(i).worstSecond)
+                                .max()
+                                .orElse(0)));
     }
 
     private Sample mean(Group group, Cost cost, List<Integer> members, ToDoubleFunction<Counts> of) {
-        double all = members.stream().mapToDouble(i -> of.applyAsDouble(meter.of(i))).sum();
+        double all =
+                members.stream().mapToDouble(i -> of.applyAsDouble(meter.of(i))).sum();
         return sample(group, cost, all / Math.max(1, members.size()) / seconds);
     }
 
--- a/src/main/java/petrelstand/lab/capacity/Role.java
+++ b/src/main/java/petrelstand/lab/capacity/Role.java
@@ -31,7 +31,9 @@
 
     /** The role of a word; an IllegalArgumentException names the field where there is none. */
     static Role of(String word) {
-        return Arrays.stream(values()).filter(role -> role.word().equals(word)).findFirst()
+        return Arrays.stream(values())
+                .filter(role -> role.word().equals(word))
+                .findFirst()
                 .orElseThrow(() -> new IllegalArgumentException("ROLE must be one of "
                         + Arrays.stream(values()).map(Role::word).collect(Collectors.joining(", "))
                         + ", not '" + word + "'"));
--- a/src/main/java/petrelstand/lab/capacity/RulesPlay.java
+++ b/src/main/java/petrelstand/lab/capacity/RulesPlay.java
@@ -51,7 +51,9 @@
         Map<Group, List<Integer>> groups = new EnumMap<>(Group.class);
         int leader = sim.leaderNow();
         groups.put(Group.HOLDER, IntStream.range(VOTERS, size).boxed().toList());
-        groups.put(Group.VOTER, IntStream.range(0, VOTERS).filter(i -> i != leader).boxed().toList());
+        groups.put(
+                Group.VOTER,
+                IntStream.range(0, VOTERS).filter(i -> i != leader).boxed().toList());
         if (leader >= 0) {
             groups.put(Group.LEADER, List.of(leader));
         }
@@ -63,11 +65,13 @@
         switch (event) {
             case RESTARTS -> restarts(amount, seconds);
             case LOSS -> strike(Kind.LOSS, 0, 0, seconds * S, amount);
-            case ZONE -> IntStream.range(size - size / amount, size)
-                    .forEach(who -> strike(Kind.KILL, who, 0, seconds * S, 0));
-            case CHANGES -> sim.proposeAt(LongStream.range(0, (long) amount * seconds / 60)
-                    .map(i -> nowUs() + 1 + i * 60 * S / amount).toArray());
-            default -> { }
+            case ZONE ->
+                IntStream.range(size - size / amount, size).forEach(who -> strike(Kind.KILL, who, 0, seconds * S, 0));
+            case CHANGES ->
+                sim.proposeAt(LongStream.range(0, (long) amount * seconds / 60)
+                        .map(i -> nowUs() + 1 + i * 60 * S / amount)
+                        .toArray());
+            default -> {}
         }
     }
 
--- a/src/main/java/petrelstand/lab/capacity/fit/Bound.java
+++ b/src/main/java/petrelstand/lab/capacity/fit/Bound.java
@@ -23,13 +23,23 @@
         }
         List<String> lines = new ArrayList<>();
         if (!(curve.get().exponent() <= mostExponent)) {
-            lines.add(String.format(Locale.ROOT, "%s: exponent %.3f, at most %.3f", what, curve.get().exponent(),
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%s: exponent %.3f, at most %.3f",
+                    what,
+                    curve.get().exponent(),
                     mostExponent));
         }
-        Point largest = points.stream().max(Comparator.comparingDouble(Point::size)).orElseThrow();
+        Point largest =
+                points.stream().max(Comparator.comparingDouble(Point::size)).orElseThrow();
         if (!(largest.cost() <= mostAtLargest)) {
-            lines.add(String.format(Locale.ROOT, "%s: %.1f at size %.0f, at most %.1f", what, largest.cost(),
-                    largest.size(), mostAtLargest));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%s: %.1f at size %.0f, at most %.1f",
+                    what,
+                    largest.cost(),
+                    largest.size(),
+                    mostAtLargest));
         }
         return lines;
     }
--- a/src/main/java/petrelstand/lab/capacity/fit/PowerLaw.java
+++ b/src/main/java/petrelstand/lab/capacity/fit/PowerLaw.java
@@ -30,8 +30,14 @@
         if (!positive || points.stream().mapToDouble(Point::size).distinct().count() < FEWEST_POINTS) {
             return Optional.empty();
         }
-        double meanX = points.stream().mapToDouble(point -> Math.log(point.size)).average().orElseThrow();
-        double meanY = points.stream().mapToDouble(point -> Math.log(point.cost)).average().orElseThrow();
+        double meanX = points.stream()
+                .mapToDouble(point -> Math.log(point.size))
+                .average()
+                .orElseThrow();
+        double meanY = points.stream()
+                .mapToDouble(point -> Math.log(point.cost))
+                .average()
+                .orElseThrow();
         double covariance = 0;
         double variance = 0;
         for (Point point : points) {
