--- a/src/main/java/petrelstand/lab/check/HistoryCheck.java
+++ b/src/main/java/petrelstand/lab/check/HistoryCheck.java
@@ -25,6 +25,7 @@
     static final long SLOW_US = 600_000;
     /** A start takes up to so long until the process is a member. */
     private static final long START_US = 5_000_000;
+
     private static final long NEVER_US = Long.MAX_VALUE / 2;
     private static final Set<String> GONE = Set.of("FAILED", "LEFT");
     private static final Set<String> THERE = Set.of("ALIVE", "SUSPECT", "LEAVING");
@@ -109,10 +110,11 @@
             switch (line.get("event")) {
                 case "start" -> open.put(number, line);
                 case "kill", "term" -> close(open.remove(number), line.us(), line.get("event"));
-                default -> { }
+                default -> {}
             }
         }
-        open.values().stream().sorted(java.util.Comparator.comparingLong(Line::us))
+        open.values().stream()
+                .sorted(java.util.Comparator.comparingLong(Line::us))
                 .forEach(start -> close(start, NEVER_US, ""));
     }
 
@@ -128,7 +130,8 @@
         boolean guest = guest(number);
         String file = (guest ? "guest-" : "") + start.get("process");
         List<Line> begun = histories.getOrDefault(file, List.of()).stream()
-                .filter(l -> l.get("event").equals("started") && l.us() >= start.us()).toList();
+                .filter(l -> l.get("event").equals("started") && l.us() >= start.us())
+                .toList();
         String boot = begun.isEmpty() ? "" : begun.get(0).get("boot");
         lives.add(new Life(start.get("process"), number, boot, start.us(), untilUs, end, guest));
     }
@@ -155,14 +158,22 @@
                 case "link" -> {
                     String kind = line.get("kind");
                     boolean all = Set.of("CUT", "LOSS", "REPEAT", "REORDER").contains(kind);
-                    troubles.add(new Trouble(kind, all ? "" : "g" + line.number("who"), line.us(), line.number("until_us"),
+                    troubles.add(new Trouble(
+                            kind,
+                            all ? "" : "g" + line.number("who"),
+                            line.us(),
+                            line.number("until_us"),
                             line.number("amount")));
                     if (kind.equals("PAIR")) {
-                        troubles.add(new Trouble(kind, "g" + (line.number("who") + 1) % trial.get(0).number("processes"),
-                                line.us(), line.number("until_us"), 0));
+                        troubles.add(new Trouble(
+                                kind,
+                                "g" + (line.number("who") + 1) % trial.get(0).number("processes"),
+                                line.us(),
+                                line.number("until_us"),
+                                0));
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -179,16 +190,23 @@
     }
 
     private boolean troubled(String process, long from, long until, boolean graveOnly) {
-        return troubles.stream().anyMatch(t -> (t.process.isEmpty() || t.process.equals(process))
-                && (!graveOnly || grave(t)) && t.within(from, until));
+        return troubles.stream()
+                .anyMatch(t -> (t.process.isEmpty() || t.process.equals(process))
+                        && (!graveOnly || grave(t))
+                        && t.within(from, until));
     }
 
     private Life life(String process, long us) {
-        return lives.stream().filter(l -> !l.guest && l.process.equals(process) && l.up(us)).findFirst().orElse(null);
+        return lives.stream()
+                .filter(l -> !l.guest && l.process.equals(process) && l.up(us))
+                .findFirst()
+                .orElse(null);
     }
 
     private List<Line> views(String process) {
-        return histories.getOrDefault(process, List.of()).stream().filter(l -> l.get("event").equals("view")).toList();
+        return histories.getOrDefault(process, List.of()).stream()
+                .filter(l -> l.get("event").equals("view"))
+                .toList();
     }
 
     // ---- The machine ----
@@ -196,21 +214,32 @@
     private Verdict slow() throws IOException {
         Line end = Lines.one(trial, "end");
         if (end.number("late_us") > SLOW_US) {
-            return new Verdict(Outcome.INCONCLUSIVE, "too slow: the harness was " + end.number("late_us") / 1000
-                    + " ms late", List.of(), List.of());
+            return new Verdict(
+                    Outcome.INCONCLUSIVE,
+                    "too slow: the harness was " + end.number("late_us") / 1000 + " ms late",
+                    List.of(),
+                    List.of());
         }
         for (Map.Entry<String, List<Line>> history : histories.entrySet()) {
             for (Line line : history.getValue()) {
-                boolean asked = troubles.stream().anyMatch(t -> t.process.equals(line.get("process"))
-                        && (t.kind.equals("STOP") || t.kind.equals("START"))
-                        && t.within(line.us() - line.number("us") - SLACK_US, line.us()));
+                boolean asked = troubles.stream()
+                        .anyMatch(t -> t.process.equals(line.get("process"))
+                                && (t.kind.equals("STOP") || t.kind.equals("START"))
+                                && t.within(line.us() - line.number("us") - SLACK_US, line.us()));
                 if (line.get("event").equals("stalled") && line.number("us") > SLOW_US && !asked) {
-                    return new Verdict(Outcome.INCONCLUSIVE, "too slow: " + history.getKey() + " was "
-                            + line.number("us") / 1000 + " ms late", List.of(line.text()), List.of());
+                    return new Verdict(
+                            Outcome.INCONCLUSIVE,
+                            "too slow: " + history.getKey() + " was " + line.number("us") / 1000 + " ms late",
+                            List.of(line.text()),
+                            List.of());
                 }
                 if (line.number("dropped") > 0) {
-                    return new Verdict(Outcome.INCONCLUSIVE, "too slow: " + history.getKey() + " dropped "
-                            + line.number("dropped") + " lines of its history", List.of(line.text()), List.of());
+                    return new Verdict(
+                            Outcome.INCONCLUSIVE,
+                            "too slow: " + history.getKey() + " dropped " + line.number("dropped")
+                                    + " lines of its history",
+                            List.of(line.text()),
+                            List.of());
                 }
             }
         }
@@ -223,21 +252,33 @@
     private void known() {
         for (Life ended : lives) {
             long bound = ended.untilUs + detectUs + SLACK_US;
-            boolean again = lives.stream().anyMatch(l -> l != ended && l.process.equals(ended.process)
-                    && l.fromUs >= ended.untilUs && l.fromUs < bound + START_US);
+            boolean again = lives.stream()
+                    .anyMatch(l -> l != ended
+                            && l.process.equals(ended.process)
+                            && l.fromUs >= ended.untilUs
+                            && l.fromUs < bound + START_US);
             if (ended.guest || ended.untilUs == NEVER_US || again || bound > endUs) {
                 continue;
             }
             for (Life other : lives) {
-                if (other == ended || other.guest || other.fromUs + START_US > ended.untilUs || other.untilUs < bound
+                if (other == ended
+                        || other.guest
+                        || other.fromUs + START_US > ended.untilUs
+                        || other.untilUs < bound
                         || troubled(other.process, ended.untilUs - silenceUs, bound, true)) {
                     continue;
                 }
-                Line first = views(other.process).stream().filter(l -> l.get("boot").equals(ended.boot)
-                        && GONE.contains(l.get("state")) && l.us() >= ended.untilUs).findFirst().orElse(null);
+                Line first = views(other.process).stream()
+                        .filter(l -> l.get("boot").equals(ended.boot)
+                                && GONE.contains(l.get("state"))
+                                && l.us() >= ended.untilUs)
+                        .findFirst()
+                        .orElse(null);
                 if (first == null || first.us() > bound) {
-                    breaks(other.process + " did not hold " + ended.process + " to be gone within "
-                            + (detectUs + SLACK_US) / 1000 + " ms of its end", doing(ended.end, ended.process, ended.untilUs),
+                    breaks(
+                            other.process + " did not hold " + ended.process + " to be gone within "
+                                    + (detectUs + SLACK_US) / 1000 + " ms of its end",
+                            doing(ended.end, ended.process, ended.untilUs),
                             first);
                 } else {
                     detected.add(first.us() - ended.untilUs);
@@ -247,17 +288,26 @@
     }
 
     private Line doing(String event, String process, long us) {
-        return trial.stream().filter(l -> l.get("event").equals(event) && l.get("process").equals(process) && l.us() == us)
-                .findFirst().orElse(null);
+        return trial.stream()
+                .filter(l -> l.get("event").equals(event) && l.get("process").equals(process) && l.us() == us)
+                .findFirst()
+                .orElse(null);
     }
 
     /** Nobody that runs and is not gravely troubled is held to be failed by one who is not either. */
     private void neverFalse() {
         for (String process : histories.keySet()) {
             for (Line line : views(process)) {
-                Life of = lives.stream().filter(l -> l.boot.equals(line.get("boot"))).findFirst().orElse(null);
+                Life of = lives.stream()
+                        .filter(l -> l.boot.equals(line.get("boot")))
+                        .findFirst()
+                        .orElse(null);
                 long from = line.us() - silenceUs - SLACK_US;
-                if (line.get("state").equals("FAILED") && of != null && !of.guest && of.up(line.us()) && of.fromUs < from
+                if (line.get("state").equals("FAILED")
+                        && of != null
+                        && !of.guest
+                        && of.up(line.us())
+                        && of.fromUs < from
                         && !troubled(of.process, from, line.us(), true)
                         && !troubled(line.get("process"), from, line.us(), true)) {
                     breaks(process + " held " + of.process + " to be failed while it ran", line);
@@ -273,9 +323,15 @@
                 continue;
             }
             Life life = life(stop.process, stop.untilUs);
-            Line next = histories.getOrDefault(stop.process, List.of()).stream().filter(l -> l.us() > stop.untilUs
-                    && !l.get("event").equals("stalled") && !l.get("event").equals("said")).findFirst().orElse(null);
-            boolean first = next != null && next.get("member").equals(stop.process) && next.get("state").equals("JOINING");
+            Line next = histories.getOrDefault(stop.process, List.of()).stream()
+                    .filter(l -> l.us() > stop.untilUs
+                            && !l.get("event").equals("stalled")
+                            && !l.get("event").equals("said"))
+                    .findFirst()
+                    .orElse(null);
+            boolean first = next != null
+                    && next.get("member").equals(stop.process)
+                    && next.get("state").equals("JOINING");
             if (life != null && life.untilUs > stop.untilUs + SLACK_US && !first) {
                 breaks(stop.process + " acted as a member after " + stop.amount / 1000 + " ms away", next);
             }
@@ -308,7 +364,10 @@
                     gone.clear();
                 }
                 String boot = line.get("boot");
-                Life of = lives.stream().filter(l -> l.boot.equals(boot)).findFirst().orElse(null);
+                Life of = lives.stream()
+                        .filter(l -> l.boot.equals(boot))
+                        .findFirst()
+                        .orElse(null);
                 boolean over = of != null && line.us() > of.untilUs + SLACK_US;
                 if (GONE.contains(line.get("state")) && !line.get("cause").equals("nobody is heard here")) {
                     gone.put(boot, line);
@@ -326,19 +385,30 @@
                 continue;
             }
             List<Line> own = views("guest-" + guest.process);
-            Line joined = own.stream().filter(l -> l.get("member").equals(guest.process)
-                    && l.get("state").equals("ALIVE")).findFirst().orElse(null);
+            Line joined = own.stream()
+                    .filter(l -> l.get("member").equals(guest.process)
+                            && l.get("state").equals("ALIVE"))
+                    .findFirst()
+                    .orElse(null);
             Life holder = joined == null ? null : life(guest.process, joined.us());
-            Line after = joined == null ? null : own.stream().filter(l -> l.us() > joined.us()
-                    && l.get("member").equals(guest.process)).findFirst().orElse(null);
+            Line after = joined == null
+                    ? null
+                    : own.stream()
+                            .filter(l -> l.us() > joined.us() && l.get("member").equals(guest.process))
+                            .findFirst()
+                            .orElse(null);
             boolean both = holder != null && (after == null ? guest.untilUs : after.us()) - joined.us() > SLACK_US;
             if (both && !troubled(guest.process, joined.us() - silenceUs, joined.us() + SLACK_US, true)) {
                 breaks("two processes were " + guest.process + " at one time", joined, after);
             }
             boolean stranger = guest.process.equals("stranger");
             for (String process : histories.keySet()) {
-                Line taken = stranger ? views(process).stream().filter(l -> l.get("member").equals("stranger")
-                        && !process.startsWith("guest-")).findFirst().orElse(null) : null;
+                Line taken = stranger
+                        ? views(process).stream()
+                                .filter(l -> l.get("member").equals("stranger") && !process.startsWith("guest-"))
+                                .findFirst()
+                                .orElse(null)
+                        : null;
                 if (taken != null) {
                     breaks(process + " took a process with another key for a member", taken);
                 }
@@ -348,8 +418,14 @@
 
     /** A stated time after the last fault all that run hold just those that run to be there. */
     private void oneView() {
-        long at = Math.max(calmUs, lives.stream().mapToLong(l -> l.fromUs + START_US - oneViewUs).max().orElse(0))
-                + oneViewUs + SLACK_US;
+        long at = Math.max(
+                        calmUs,
+                        lives.stream()
+                                .mapToLong(l -> l.fromUs + START_US - oneViewUs)
+                                .max()
+                                .orElse(0))
+                + oneViewUs
+                + SLACK_US;
         if (at > endUs) {
             at = endUs;
         }
@@ -371,14 +447,20 @@
             }
             for (Map.Entry<String, String> member : there.entrySet()) {
                 Line line = last.get(member.getKey());
-                if (line == null || !line.get("state").equals("ALIVE") || !line.get("boot").equals(member.getValue())) {
-                    breaks(process + " did not hold " + member.getKey() + " to be there "
-                            + (oneViewUs + SLACK_US) / 1000 + " ms after the last fault", line == null ? trial.get(0) : line);
+                if (line == null
+                        || !line.get("state").equals("ALIVE")
+                        || !line.get("boot").equals(member.getValue())) {
+                    breaks(
+                            process + " did not hold " + member.getKey() + " to be there "
+                                    + (oneViewUs + SLACK_US) / 1000 + " ms after the last fault",
+                            line == null ? trial.get(0) : line);
                 }
             }
             for (Line line : last.values()) {
                 if (THERE.contains(line.get("state")) && !there.containsKey(line.get("member"))) {
-                    breaks(process + " held " + line.get("member") + " to be there after the last fault, and it was not",
+                    breaks(
+                            process + " held " + line.get("member")
+                                    + " to be there after the last fault, and it was not",
                             line);
                 }
             }
@@ -401,9 +483,11 @@
             }
             String process = line.get("process");
             long from = line.number("from_us");
-            boolean struck = troubles.stream().anyMatch(t -> t.process.equals(process)
-                    && (t.kind.equals("STOP") || t.kind.equals("DOWN") || t.kind.equals("START"))
-                    && t.within(from - 2_000_000, from + 3_000_000)) || life(process, from) == null;
+            boolean struck = troubles.stream()
+                            .anyMatch(t -> t.process.equals(process)
+                                    && (t.kind.equals("STOP") || t.kind.equals("DOWN") || t.kind.equals("START"))
+                                    && t.within(from - 2_000_000, from + 3_000_000))
+                    || life(process, from) == null;
             if (!struck) {
                 asked += line.number("asked");
                 served += answered(line);
--- a/src/main/java/petrelstand/lab/check/Lines.java
+++ b/src/main/java/petrelstand/lab/check/Lines.java
@@ -34,7 +34,9 @@
         for (int i = 0; i < texts.size(); i++) {
             try {
                 JsonObject json = JsonParser.parseString(texts.get(i)).getAsJsonObject();
-                lines.add(new Line(file.getFileName() + ":" + (i + 1) + " " + texts.get(i), json,
+                lines.add(new Line(
+                        file.getFileName() + ":" + (i + 1) + " " + texts.get(i),
+                        json,
                         json.has("mono_us") ? json.get("mono_us").getAsLong() : 0));
             } catch (JsonSyntaxException | IllegalStateException e) {
                 // The next life of the process begins a new line.
@@ -59,7 +61,9 @@
 
     /** The first line of an event, without which a trial did not end. */
     static Line one(List<Line> trial, String event) throws IOException {
-        return trial.stream().filter(l -> l.get("event").equals(event)).findFirst()
+        return trial.stream()
+                .filter(l -> l.get("event").equals(event))
+                .findFirst()
                 .orElseThrow(() -> new IOException("the trial has no line '" + event + "': it did not end"));
     }
 }
--- a/src/main/java/petrelstand/lab/check/RulesCheck.java
+++ b/src/main/java/petrelstand/lab/check/RulesCheck.java
@@ -16,10 +16,10 @@
 import petrelstand.lab.check.Verdict.Outcome;
 
 /**
- * Reads what a harness did ({@code trial.jsonl}), on which version each process acted ({@code history-*.jsonl}) and what
- * voters showed at the end ({@code rules-*.json}), and says whether the promises of agreed rules held. It shares no code
- * with the program or the harness. All times are of the machine's monotonic clock, µs. A process does not act while it
- * is stopped; when it goes on it has {@link #TURN_US} for its first turn.
+ * Reads what a harness did ({@code trial.jsonl}), on which version each process acted ({@code history-*.jsonl}) and
+ * what voters showed at the end ({@code rules-*.json}), and says whether the promises of agreed rules held. It shares
+ * no code with the program or the harness. All times are of the machine's monotonic clock, µs. A process does not act
+ * while it is stopped; when it goes on it has {@link #TURN_US} for its first turn.
  */
 public final class RulesCheck {
     /** After SIGCONT a process's first turn, and its line, come within this time. */
@@ -30,6 +30,7 @@
     static final long SLOW_US = 600_000;
     /** Until all that run act on the last version, after the faults: an election, a promise, a start. */
     static final long SETTLE_US = 8_000_000;
+
     private static final long NEVER_US = Long.MAX_VALUE / 2;
 
     /** A stretch in which a process acted on a version under a lease. */
@@ -54,7 +55,8 @@
             for (Path file : files.sorted().toList()) {
                 String name = file.getFileName().toString();
                 if (name.startsWith("rules-") && name.endsWith(".json")) {
-                    pages.put(name, JsonParser.parseString(Files.readString(file)).getAsJsonObject());
+                    pages.put(
+                            name, JsonParser.parseString(Files.readString(file)).getAsJsonObject());
                 }
             }
         }
@@ -78,10 +80,16 @@
         check.kept();
         check.settled();
         check.admitted();
-        Verdict verdict = slow != null ? slow : check.broken != null ? check.broken
-                : new Verdict(Outcome.PASSED, "", List.of(), List.of());
-        return new Found(verdict, (int) check.trial.stream().filter(l -> l.get("event").equals("agreed")).count(),
-                check.took, check.contradictions);
+        Verdict verdict = slow != null
+                ? slow
+                : check.broken != null ? check.broken : new Verdict(Outcome.PASSED, "", List.of(), List.of());
+        return new Found(
+                verdict,
+                (int) check.trial.stream()
+                        .filter(l -> l.get("event").equals("agreed"))
+                        .count(),
+                check.took,
+                check.contradictions);
     }
 
     private void breaks(String rule, Line... lines) {
@@ -120,7 +128,7 @@
                         }
                         downUs = -1;
                     }
-                    default -> { }
+                    default -> {}
                 }
             }
             if (downUs >= 0 || stoppedUs >= 0) {
@@ -129,7 +137,9 @@
             Line acting = null;
             for (Line line : history.getValue()) {
                 boolean rules = line.get("event").equals("rules");
-                if (rules || line.get("event").equals("started") || line.get("event").equals("ended")) {
+                if (rules
+                        || line.get("event").equals("started")
+                        || line.get("event").equals("ended")) {
                     if (acting != null) {
                         add(process, acting, acting.us(), line.us(), away);
                     }
@@ -162,11 +172,15 @@
     private Verdict slow() {
         for (Line line : trial) {
             if (line.get("event").equals("end") && line.number("late_us") > SLOW_US) {
-                return new Verdict(Outcome.INCONCLUSIVE, "too slow: the harness was " + line.number("late_us") / 1000
-                        + " ms late", List.of(), List.of());
+                return new Verdict(
+                        Outcome.INCONCLUSIVE,
+                        "too slow: the harness was " + line.number("late_us") / 1000 + " ms late",
+                        List.of(),
+                        List.of());
             }
             if (line.get("event").equals("driver failed")) {
-                return new Verdict(Outcome.INCONCLUSIVE, "the driver failed: " + line.get("fault"), List.of(), List.of());
+                return new Verdict(
+                        Outcome.INCONCLUSIVE, "the driver failed: " + line.get("fault"), List.of(), List.of());
             }
         }
         for (Map.Entry<String, List<Line>> history : histories.entrySet()) {
@@ -174,12 +188,18 @@
             for (Line line : history.getValue()) {
                 startedUs = line.get("event").equals("started") ? line.us() : startedUs;
                 long us = line.us();
-                boolean asked = us - startedUs < 5_000_000 || trial.stream().anyMatch(l -> l.get("event").equals("cont")
-                        && l.get("process").equals(history.getKey()) && Math.abs(us - l.us()) < SLACK_US);
+                boolean asked = us - startedUs < 5_000_000
+                        || trial.stream()
+                                .anyMatch(l -> l.get("event").equals("cont")
+                                        && l.get("process").equals(history.getKey())
+                                        && Math.abs(us - l.us()) < SLACK_US);
                 if (line.get("event").equals("stalled") && line.number("us") > SLOW_US && !asked
                         || line.number("dropped") > 0) {
-                    return new Verdict(Outcome.INCONCLUSIVE, "too slow: " + history.getKey() + " was "
-                            + line.number("us") / 1000 + " ms late", List.of(line.text()), List.of());
+                    return new Verdict(
+                            Outcome.INCONCLUSIVE,
+                            "too slow: " + history.getKey() + " was " + line.number("us") / 1000 + " ms late",
+                            List.of(line.text()),
+                            List.of());
                 }
             }
         }
@@ -199,7 +219,8 @@
                 if (a.process.equals(b.process) || until <= from || a.limits.equals(b.limits)) {
                     continue;
                 }
-                String pair = a.process.compareTo(b.process) < 0 ? a.process + " " + b.process : b.process + " " + a.process;
+                String pair =
+                        a.process.compareTo(b.process) < 0 ? a.process + " " + b.process : b.process + " " + a.process;
                 overlaps.computeIfAbsent(pair, p -> new ArrayList<>()).add(new long[] {from, until});
                 proof.put(pair + " " + from, new Act[] {a, b});
             }
@@ -228,8 +249,11 @@
         contradictions.add(until - from);
         if (until - from >= promiseUs) {
             Act[] both = proof.get(pair + " " + from);
-            breaks(pair.replace(" ", " and ") + " contradicted each other for " + (until - from) / 1000 + " ms, the promise is "
-                    + promiseUs / 1000, both[0].line, both[1].line);
+            breaks(
+                    pair.replace(" ", " and ") + " contradicted each other for " + (until - from) / 1000
+                            + " ms, the promise is " + promiseUs / 1000,
+                    both[0].line,
+                    both[1].line);
         }
     }
 
@@ -242,9 +266,13 @@
         for (Act act : acts) {
             for (Act later : first.tailMap(act.version, false).values()) {
                 if (act.untilUs > later.fromUs + promiseUs) {
-                    breaks(act.process + " acted on version " + act.version + " until "
-                            + (act.untilUs - later.fromUs) / 1000 + " ms after " + later.process + " acted on version "
-                            + later.version, act.line, later.line);
+                    breaks(
+                            act.process + " acted on version " + act.version + " until "
+                                    + (act.untilUs - later.fromUs) / 1000 + " ms after " + later.process
+                                    + " acted on version "
+                                    + later.version,
+                            act.line,
+                            later.line);
                 }
             }
         }
@@ -259,8 +287,11 @@
                     last = null;
                 } else if (line.get("event").equals("rules")) {
                     if (last != null && line.number("version") < last.number("version")) {
-                        breaks(line.get("process") + " went back from version " + last.get("version") + " to "
-                                + line.get("version"), last, line);
+                        breaks(
+                                line.get("process") + " went back from version " + last.get("version") + " to "
+                                        + line.get("version"),
+                                last,
+                                line);
                     }
                     last = line;
                 }
@@ -295,14 +326,17 @@
                 String text = version.get("base") + " " + version.get("why") + " " + version.get("text");
                 String other = told.putIfAbsent(number, text);
                 if (other != null && !other.equals(text)) {
-                    breaks("version " + number + " is not the same at all voters: " + page.getKey(), agreed.get(number));
+                    breaks(
+                            "version " + number + " is not the same at all voters: " + page.getKey(),
+                            agreed.get(number));
                 }
             }
             eldest = Math.min(eldest, first);
         }
         for (Map.Entry<Long, Line> one : agreed.entrySet()) {
-            boolean kept = told.containsKey(one.getKey()) && told.get(one.getKey()).contains("\"change "
-                    + one.getValue().get("change") + "\"");
+            boolean kept = told.containsKey(one.getKey())
+                    && told.get(one.getKey())
+                            .contains("\"change " + one.getValue().get("change") + "\"");
             if (!pages.isEmpty() && newest > 0 && (one.getKey() > newest || one.getKey() >= eldest && !kept)) {
                 breaks("version " + one.getKey() + " was acknowledged and is not in the history", one.getValue());
             }
@@ -311,21 +345,38 @@
 
     /** In the end all that run act on one version, no older than the last that was acknowledged. */
     private void settled() {
-        long last = trial.stream().filter(l -> l.get("event").equals("agreed")).mapToLong(l -> l.number("version")).max()
+        long last = trial.stream()
+                .filter(l -> l.get("event").equals("agreed"))
+                .mapToLong(l -> l.number("version"))
+                .max()
+                .orElse(0);
+        long lastUs = trial.stream()
+                .filter(l -> l.get("event").equals("agreed")
+                        || l.get("event").equals("unknown")
+                        || l.get("event").equals("start"))
+                .mapToLong(Line::us)
+                .max()
                 .orElse(0);
-        long lastUs = trial.stream().filter(l -> l.get("event").equals("agreed") || l.get("event").equals("unknown")
-                || l.get("event").equals("start")).mapToLong(Line::us).max().orElse(0);
         long dueUs = Math.max(calmUs, lastUs) + promiseUs + SETTLE_US + SLACK_US;
         if (dueUs <= endUs && last > 0) {
             for (String process : histories.keySet()) {
-                Act at = acts.stream().filter(a -> a.process.equals(process) && a.fromUs <= dueUs && a.untilUs >= dueUs)
-                        .findFirst().orElse(null);
-                boolean up = trial.stream().filter(l -> l.get("process").equals(process) && (l.get("event").equals("start")
-                        || l.get("event").equals("kill") || l.get("event").equals("term"))).reduce((a, b) -> b)
-                        .map(l -> l.get("event").equals("start")).orElse(false);
+                Act at = acts.stream()
+                        .filter(a -> a.process.equals(process) && a.fromUs <= dueUs && a.untilUs >= dueUs)
+                        .findFirst()
+                        .orElse(null);
+                boolean up = trial.stream()
+                        .filter(l -> l.get("process").equals(process)
+                                && (l.get("event").equals("start")
+                                        || l.get("event").equals("kill")
+                                        || l.get("event").equals("term")))
+                        .reduce((a, b) -> b)
+                        .map(l -> l.get("event").equals("start"))
+                        .orElse(false);
                 if (up && (at == null || at.version < last)) {
-                    breaks(process + " did not act on version " + last + " " + (dueUs - Math.max(calmUs, lastUs)) / 1000
-                            + " ms after the last fault", at == null ? null : at.line);
+                    breaks(
+                            process + " did not act on version " + last + " "
+                                    + (dueUs - Math.max(calmUs, lastUs)) / 1000 + " ms after the last fault",
+                            at == null ? null : at.line);
                 }
             }
         }
@@ -334,14 +385,21 @@
             if (!line.get("event").equals("agreed")) {
                 continue;
             }
-            long proposedUs = trial.stream().filter(l -> l.get("event").equals("proposed")
-                    && l.number("change") == line.number("change")).mapToLong(Line::us).findFirst().orElse(line.us());
-            long processes = acts.stream().filter(a -> a.version == line.number("version")).map(Act::process).distinct()
+            long proposedUs = trial.stream()
+                    .filter(l -> l.get("event").equals("proposed") && l.number("change") == line.number("change"))
+                    .mapToLong(Line::us)
+                    .findFirst()
+                    .orElse(line.us());
+            long processes = acts.stream()
+                    .filter(a -> a.version == line.number("version"))
+                    .map(Act::process)
+                    .distinct()
                     .count();
             if (processes == histories.size()) {
                 Map<String, Long> each = new HashMap<>();
-                acts.stream().filter(a -> a.version == line.number("version")).forEach(a ->
-                        each.merge(a.process, a.fromUs, Math::min));
+                acts.stream()
+                        .filter(a -> a.version == line.number("version"))
+                        .forEach(a -> each.merge(a.process, a.fromUs, Math::min));
                 took.add(each.values().stream().mapToLong(Long::longValue).max().orElse(0) - proposedUs);
             }
         }
@@ -360,12 +418,19 @@
         for (long second : bySecond.keySet()) {
             long from = second * 1_000_000;
             long until = from + 10_000_000;
-            long served = bySecond.subMap(second, second + 10).values().stream().mapToLong(s -> s[1]).sum();
-            long limit = acts.stream().filter(a -> a.fromUs < until + SLACK_US && a.untilUs > from - SLACK_US)
-                    .mapToLong(a -> a.limits.has("basic") ? a.limits.get("basic").getAsLong() : NEVER_US).max().orElse(NEVER_US);
-            // Before all act on some version nothing is limited; a store of one largest request each is full at a start.
-            boolean all = histories.keySet().stream().allMatch(p -> acts.stream().anyMatch(a -> a.process.equals(p)
-                    && a.fromUs <= from - SLACK_US));
+            long served = bySecond.subMap(second, second + 10).values().stream()
+                    .mapToLong(s -> s[1])
+                    .sum();
+            long limit = acts.stream()
+                    .filter(a -> a.fromUs < until + SLACK_US && a.untilUs > from - SLACK_US)
+                    .mapToLong(
+                            a -> a.limits.has("basic") ? a.limits.get("basic").getAsLong() : NEVER_US)
+                    .max()
+                    .orElse(NEVER_US);
+            // Before all act on some version nothing is limited; a store of one largest request each is full at a
+            // start.
+            boolean all = histories.keySet().stream()
+                    .allMatch(p -> acts.stream().anyMatch(a -> a.process.equals(p) && a.fromUs <= from - SLACK_US));
             if (all && limit < NEVER_US && served > limit * 11 + histories.size() * 8L) {
                 breaks("from " + second + " s on " + served + " units were admitted in 10 s, and the highest limit was "
                         + limit + " a second");
--- a/src/main/java/petrelstand/lab/check/Verdict.java
+++ b/src/main/java/petrelstand/lab/check/Verdict.java
@@ -12,11 +12,16 @@
  */
 public record Verdict(Outcome outcome, String rule, List<String> excerpt, List<Long> detectUs) {
     /** The three ends of a trial. */
-    public enum Outcome { PASSED, FAILED, INCONCLUSIVE }
+    public enum Outcome {
+        PASSED,
+        FAILED,
+        INCONCLUSIVE
+    }
 
     @Override
     public String toString() {
-        return outcome.name().toLowerCase(java.util.Locale.ROOT) + (rule.isEmpty() ? "" : ": " + rule)
+        return outcome.name().toLowerCase(java.util.Locale.ROOT)
+                + (rule.isEmpty() ? "" : ": " + rule)
                 + (excerpt.isEmpty() ? "" : "\n  " + String.join("\n  ", excerpt));
     }
 }
--- a/src/main/java/petrelstand/lab/faults/FaultPoint.java
+++ b/src/main/java/petrelstand/lab/faults/FaultPoint.java
@@ -29,8 +29,8 @@
     private final Map<InetSocketAddress, Integer> from = new HashMap<>();
     private final Selector selector = Selector.open();
     private final Links links;
-    private final PriorityQueue<Late> waiting = new PriorityQueue<>(
-            java.util.Comparator.comparingLong(Late::atUs).thenComparingLong(Late::order));
+    private final PriorityQueue<Late> waiting =
+            new PriorityQueue<>(java.util.Comparator.comparingLong(Late::atUs).thenComparingLong(Late::order));
     private long order;
     private long passed;
     private long bytes;
--- a/src/main/java/petrelstand/lab/faults/FaultScenario.java
+++ b/src/main/java/petrelstand/lab/faults/FaultScenario.java
@@ -25,8 +25,19 @@
  * @param promiseUs for how long two gateways may contradict each other
  * @param faults in the file, the same for every seed
  */
-public record FaultScenario(String name, int processes, int loadPerSecond, int nodes, long lengthUs, boolean drawn,
-        Timing timing, boolean fleet, int voters, long changeUs, long promiseUs, List<FleetPlan.Fault> faults) {
+public record FaultScenario(
+        String name,
+        int processes,
+        int loadPerSecond,
+        int nodes,
+        long lengthUs,
+        boolean drawn,
+        Timing timing,
+        boolean fleet,
+        int voters,
+        long changeUs,
+        long promiseUs,
+        List<FleetPlan.Fault> faults) {
     /** Reads a scenario; what is wrong is one line that names file, line and key. */
     public static FaultScenario read(Path file) {
         return of(IniFile.read(file));
@@ -39,27 +50,40 @@
         }
         int processes = trial.whole("processes", 5, 2, 15);
         Timing usual = Timing.USUAL;
-        Timing timing = new Timing(trial.durationUs("ping", usual.pingUs(), 100_000, 10_000_000),
+        Timing timing = new Timing(
+                trial.durationUs("ping", usual.pingUs(), 100_000, 10_000_000),
                 trial.durationUs("suspect_after", usual.suspectAfterUs(), 500_000, 60_000_000),
-                trial.durationUs("fail_after", usual.failAfterUs(), 500_000, 60_000_000), usual.retryUs());
+                trial.durationUs("fail_after", usual.failAfterUs(), 500_000, 60_000_000),
+                usual.retryUs());
         List<FleetPlan.Fault> faults = new ArrayList<>();
         long last = 0;
         for (IniFile.Section section : ini.sections("fault")) {
-            List<String> kinds = Arrays.stream(FleetPlan.Kind.values()).map(k -> k.name().toLowerCase(Locale.ROOT)).toList();
+            List<String> kinds = Arrays.stream(FleetPlan.Kind.values())
+                    .map(k -> k.name().toLowerCase(Locale.ROOT))
+                    .toList();
             FleetPlan.Kind kind = FleetPlan.Kind.values()[section.place("kind", kinds)];
-            FleetPlan.Fault fault = new FleetPlan.Fault(kind, section.whole("who", 0, 0, processes - 1),
+            FleetPlan.Fault fault = new FleetPlan.Fault(
+                    kind,
+                    section.whole("who", 0, 0, processes - 1),
                     section.durationUs("at", 1_000_000, 0, 3_600_000_000L),
-                    section.durationUs("for", 0, 0, 3_600_000_000L), section.whole("amount", 0, 0, 1_000_000));
+                    section.durationUs("for", 0, 0, 3_600_000_000L),
+                    section.whole("amount", 0, 0, 1_000_000));
             faults.add(fault);
             last = Math.max(last, fault.atUs() + fault.lengthUs());
         }
-        FaultScenario scenario = new FaultScenario(ini.file().getFileName().toString().replaceFirst("\\.ini$", ""),
-                processes, trial.whole("load", 20, 0, 1000), trial.whole("nodes", 4, 1, 100),
+        FaultScenario scenario = new FaultScenario(
+                ini.file().getFileName().toString().replaceFirst("\\.ini$", ""),
+                processes,
+                trial.whole("load", 20, 0, 1000),
+                trial.whole("nodes", 4, 1, 100),
                 trial.durationUs("length", last + FleetSim.ONE_VIEW_US + 3_000_000, 1_000_000, 3_600_000_000L),
-                trial.has("draw") && trial.place("draw", List.of("no", "yes")) == 1, timing,
+                trial.has("draw") && trial.place("draw", List.of("no", "yes")) == 1,
+                timing,
                 !trial.has("fleet") || trial.place("fleet", List.of("off", "on")) == 1,
-                trial.whole("voters", 0, 0, Math.min(9, processes)), trial.durationUs("change", 0, 0, 3_600_000_000L),
-                trial.durationUs("promise", Promise.USUAL.withinUs(), 500_000, 60_000_000), List.copyOf(faults));
+                trial.whole("voters", 0, 0, Math.min(9, processes)),
+                trial.durationUs("change", 0, 0, 3_600_000_000L),
+                trial.durationUs("promise", Promise.USUAL.withinUs(), 500_000, 60_000_000),
+                List.copyOf(faults));
         ini.refuseUnread();
         return scenario;
     }
@@ -70,8 +94,9 @@
         long length = lengthUs;
         if (drawn) {
             FleetPlan more = FleetPlan.draw(processes, seed);
-            more.faults().forEach(f -> all.add(new FleetPlan.Fault(f.kind(), f.who(), f.atUs() - 4_000_000, f.lengthUs(),
-                    f.amount())));
+            more.faults()
+                    .forEach(f -> all.add(
+                            new FleetPlan.Fault(f.kind(), f.who(), f.atUs() - 4_000_000, f.lengthUs(), f.amount())));
             length = Math.max(length, more.lengthUs() - 4_000_000);
         }
         all.sort(java.util.Comparator.comparingLong(FleetPlan.Fault::atUs));
--- a/src/main/java/petrelstand/lab/faults/FaultTrial.java
+++ b/src/main/java/petrelstand/lab/faults/FaultTrial.java
@@ -32,6 +32,7 @@
     private static final long START_MS = 30_000;
     /** The harness looks that often whether it runs in time. */
     private static final long BEAT_MS = 20;
+
     private static final String KEY = "00112233445566778899aabbccddeeff\n";
     private static final String OTHER_KEY = "ffeeddccbbaa99887766554433221100\n";
 
@@ -76,16 +77,33 @@
             boolean guest = number >= scenario.processes();
             Path ini = trial.resolve("operator-" + number + ".ini");
             Timing timing = scenario.timing();
-            Files.writeString(ini, !scenario.fleet() ? "[log]\nform = text\n" : "[fleet]\nname = trial\nmember = " + name + "\nlisten = " + listen + "\nadvertise = "
-                    + point.front(number) + "\nseeds = " + point.front(0) + " " + point.front(1) + "\nkey = " + keyFile
-                    + "\nfolder = " + folder.getFileName() + "\nhistory = history-" + (guest ? "guest-" : "") + name
-                    + ".jsonl\nmetrics = on\nping = " + timing.pingUs() + " us\nsuspect_after = " + timing.suspectAfterUs()
-                    + " us\nfail_after = " + timing.failAfterUs() + " us\n" + (guest || scenario.voters() == 0 ? ""
-                            : "[rules]\nvoters = " + voters() + "\nfolder = rules-" + name + "\npromise = "
-                                    + scenario.promiseUs() + " us\n"));
-            List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                    .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xms16m", "-Xmx64m",
-                    "-Xss512k", "-cp", System.getProperty("java.class.path"), program));
+            Files.writeString(
+                    ini,
+                    !scenario.fleet()
+                            ? "[log]\nform = text\n"
+                            : "[fleet]\nname = trial\nmember = " + name + "\nlisten = " + listen + "\nadvertise = "
+                                    + point.front(number) + "\nseeds = " + point.front(0) + " " + point.front(1)
+                                    + "\nkey = " + keyFile
+                                    + "\nfolder = " + folder.getFileName() + "\nhistory = history-"
+                                    + (guest ? "guest-" : "") + name
+                                    + ".jsonl\nmetrics = on\nping = " + timing.pingUs() + " us\nsuspect_after = "
+                                    + timing.suspectAfterUs()
+                                    + " us\nfail_after = " + timing.failAfterUs() + " us\n"
+                                    + (guest || scenario.voters() == 0
+                                            ? ""
+                                            : "[rules]\nvoters = " + voters() + "\nfolder = rules-" + name
+                                                    + "\npromise = " + scenario.promiseUs() + " us\n"));
+            List<String> command = new ArrayList<>(List.of(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-XX:-UsePerfData",
+                    "-Xms16m",
+                    "-Xmx64m",
+                    "-Xss512k",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    program));
             command.addAll(arguments);
             ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
             builder.environment().put("RELAY_CONFIG", config.toString());
@@ -95,9 +113,12 @@
             Process started = process;
             Path said = trial.resolve("log-" + number + ".txt");
             Thread reader = new Thread(() -> {
-                try (BufferedReader out = new BufferedReader(new InputStreamReader(started.getInputStream(),
-                        StandardCharsets.UTF_8)); Writer to = Files.newBufferedWriter(said,
-                                java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND)) {
+                try (BufferedReader out = new BufferedReader(
+                                new InputStreamReader(started.getInputStream(), StandardCharsets.UTF_8));
+                        Writer to = Files.newBufferedWriter(
+                                said,
+                                java.nio.file.StandardOpenOption.CREATE,
+                                java.nio.file.StandardOpenOption.APPEND)) {
                     for (String line = out.readLine(); line != null; line = out.readLine()) {
                         to.write(line + "\n");
                         to.flush();
@@ -117,7 +138,9 @@
         void signal(String what) throws IOException, InterruptedException {
             // Told before it is done: what the process does upon it must not look earlier than its cause.
             note(what.toLowerCase(java.util.Locale.ROOT), name, number);
-            new ProcessBuilder("kill", "-" + what, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + what, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
     }
 
@@ -139,6 +162,7 @@
     private long lateUs;
     /** After so much of the load a process's CPU is measured from: its code is compiled by then. */
     private static final long WARM_US = 8_000_000;
+
     private long cpuUs;
 
     /** A trial in a folder of its own; the program is the gateway's, or a test's with a planted defect. */
@@ -155,8 +179,9 @@
         }
         journal = Files.newBufferedWriter(trial.resolve("trial.jsonl"));
         platform = new StandInPlatform(scenario.nodes());
-        int guests = (int) plan.faults().stream().filter(f -> f.kind() == FleetPlan.Kind.NAMESAKE
-                || f.kind() == FleetPlan.Kind.STRANGER).count();
+        int guests = (int) plan.faults().stream()
+                .filter(f -> f.kind() == FleetPlan.Kind.NAMESAKE || f.kind() == FleetPlan.Kind.STRANGER)
+                .count();
         List<InetSocketAddress> real = new ArrayList<>();
         for (int i = 0; i < scenario.processes() + guests; i++) {
             try (DatagramChannel free = DatagramChannel.open().bind(new InetSocketAddress(own(i), 0))) {
@@ -174,7 +199,10 @@
         for (FleetPlan.Fault fault : plan.faults()) {
             if (fault.kind() == FleetPlan.Kind.NAMESAKE || fault.kind() == FleetPlan.Kind.STRANGER) {
                 boolean stranger = fault.kind() == FleetPlan.Kind.STRANGER;
-                gateways.add(new Gateway(next, stranger ? "stranger" : "g" + fault.who(), text(real.get(next)),
+                gateways.add(new Gateway(
+                        next,
+                        stranger ? "stranger" : "g" + fault.who(),
+                        text(real.get(next)),
                         stranger ? "other.key" : "fleet.key"));
                 next++;
             }
@@ -186,7 +214,9 @@
     }
 
     private String voters() {
-        return String.join(" ", gateways.subList(0, scenario.voters()).stream().map(g -> g.name).toList());
+        return String.join(
+                " ",
+                gateways.subList(0, scenario.voters()).stream().map(g -> g.name).toList());
     }
 
     private static String text(InetSocketAddress address) {
@@ -230,10 +260,14 @@
         }
         long untilMs = System.currentTimeMillis() + START_MS;
         while (fleet.stream().anyMatch(g -> g.ready.get() == 0)) {
-            Gateway dead = fleet.stream().filter(g -> !g.process.isAlive()).findFirst().orElse(null);
+            Gateway dead =
+                    fleet.stream().filter(g -> !g.process.isAlive()).findFirst().orElse(null);
             if (dead != null || System.currentTimeMillis() > untilMs) {
-                throw new IOException(dead == null ? "not all processes were ready in " + START_MS / 1000 + " s"
-                        : dead.name + " ended at its start, see " + trial.resolve("log-" + dead.number + ".txt"));
+                throw new IOException(
+                        dead == null
+                                ? "not all processes were ready in " + START_MS / 1000 + " s"
+                                : dead.name + " ended at its start, see "
+                                        + trial.resolve("log-" + dead.number + ".txt"));
             }
             Thread.sleep(50);
         }
@@ -250,13 +284,19 @@
             due.add(new Due(zeroUs + WARM_US, () -> cpuUs = -cpu()));
         }
         due.sort(java.util.Comparator.comparingLong(Due::atUs));
-        try (LoadDriver load = new LoadDriver(this::write); RulesDriver rules = new RulesDriver(this::write)) {
+        try (LoadDriver load = new LoadDriver(this::write);
+                RulesDriver rules = new RulesDriver(this::write)) {
             for (Gateway gateway : fleet) {
                 load.ask(gateway.name, gateway.serve, scenario.loadPerSecond(), scenario.nodes());
             }
             if (scenario.changeUs() > 0) {
-                rules.change("trial", KEY, fleet.stream().map(g -> g.listen).toList(), scenario.changeUs(),
-                        scenario.loadPerSecond() * scenario.processes(), scenario.processes());
+                rules.change(
+                        "trial",
+                        KEY,
+                        fleet.stream().map(g -> g.listen).toList(),
+                        scenario.changeUs(),
+                        scenario.loadPerSecond() * scenario.processes(),
+                        scenario.processes());
             }
             for (Due next : due) {
                 await(next.atUs);
@@ -282,8 +322,15 @@
     }
 
     private long cpu() {
-        return gateways.stream().filter(g -> g.process != null).mapToLong(g -> g.process.toHandle().info()
-                .totalCpuDuration().map(d -> d.toNanos() / 1000).orElse(0L)).sum();
+        return gateways.stream()
+                .filter(g -> g.process != null)
+                .mapToLong(g -> g.process
+                        .toHandle()
+                        .info()
+                        .totalCpuDuration()
+                        .map(d -> d.toNanos() / 1000)
+                        .orElse(0L))
+                .sum();
     }
 
     /** CPU that a process took a second, on the mean, µs, from {@link #WARM_US} on; of a trial without restarts. */
@@ -308,56 +355,68 @@
                 due.add(new Due(at, () -> gateway.signal("STOP")));
                 due.add(new Due(until, () -> gateway.signal("CONT")));
             }
-            case TERM -> again(due, fault, at, until, gateway, "TERM", () -> { });
-            case KILL -> again(due, fault, at, until, gateway, "KILL", () -> { });
-            case CLOCK -> again(due, fault, at, until, gateway, "KILL", () -> {
-                gateway.program = LabGateway.class.getName();
-                gateway.arguments = List.of(Integer.toString(-fault.amount()));
-            });
+            case TERM -> again(due, fault, at, until, gateway, "TERM", () -> {});
+            case KILL -> again(due, fault, at, until, gateway, "KILL", () -> {});
+            case CLOCK ->
+                again(due, fault, at, until, gateway, "KILL", () -> {
+                    gateway.program = LabGateway.class.getName();
+                    gateway.arguments = List.of(Integer.toString(-fault.amount()));
+                });
             case EMPTY -> again(due, fault, at, until, gateway, "KILL", () -> clear(gateway.folder));
             case COPY -> {
                 Path rules = trial.resolve("rules-" + gateway.name);
                 Path old = trial.resolve("old-rules-" + gateway.name);
                 due.add(new Due(zeroUs, () -> {
-                    Files.copy(gateway.folder.resolve("incarnation"), trial.resolve("old-" + gateway.name),
+                    Files.copy(
+                            gateway.folder.resolve("incarnation"),
+                            trial.resolve("old-" + gateway.name),
                             java.nio.file.StandardCopyOption.REPLACE_EXISTING);
                     copyAll(rules, old);
                 }));
                 again(due, fault, at, until, gateway, "KILL", () -> {
-                    Files.copy(trial.resolve("old-" + gateway.name), gateway.folder.resolve("incarnation"),
+                    Files.copy(
+                            trial.resolve("old-" + gateway.name),
+                            gateway.folder.resolve("incarnation"),
                             java.nio.file.StandardCopyOption.REPLACE_EXISTING);
                     copyAll(old, rules);
                 });
             }
-            case FOLDER -> again(due, fault, at, until, gateway, "KILL", () -> {
-                clear(gateway.folder);
-                if (fault.amount() == 1) {
-                    // Reading a pipe that nobody writes to waits for ever.
-                    new ProcessBuilder("mkfifo", gateway.folder.resolve("incarnation").toString()).start().waitFor();
-                } else {
-                    Files.createDirectories(gateway.folder.resolve("incarnation.new").resolve("in-the-way"));
-                }
-            });
+            case FOLDER ->
+                again(due, fault, at, until, gateway, "KILL", () -> {
+                    clear(gateway.folder);
+                    if (fault.amount() == 1) {
+                        // Reading a pipe that nobody writes to waits for ever.
+                        new ProcessBuilder(
+                                        "mkfifo",
+                                        gateway.folder.resolve("incarnation").toString())
+                                .start()
+                                .waitFor();
+                    } else {
+                        Files.createDirectories(
+                                gateway.folder.resolve("incarnation.new").resolve("in-the-way"));
+                    }
+                });
             case NAMESAKE, STRANGER -> {
                 due.add(new Due(at, gateway::start));
                 due.add(new Due(until, () -> gateway.signal("TERM")));
             }
-            default -> due.add(new Due(at, () -> {
-                point.begin(fault);
-                JsonObject line = new JsonObject();
-                line.addProperty("event", "link");
-                line.addProperty("kind", fault.kind().name());
-                line.addProperty("mono_us", FaultPoint.nowUs());
-                line.addProperty("until_us", FaultPoint.nowUs() + fault.lengthUs());
-                line.addProperty("who", fault.who());
-                line.addProperty("amount", fault.amount());
-                write(line);
-            }));
+            default ->
+                due.add(new Due(at, () -> {
+                    point.begin(fault);
+                    JsonObject line = new JsonObject();
+                    line.addProperty("event", "link");
+                    line.addProperty("kind", fault.kind().name());
+                    line.addProperty("mono_us", FaultPoint.nowUs());
+                    line.addProperty("until_us", FaultPoint.nowUs() + fault.lengthUs());
+                    line.addProperty("who", fault.who());
+                    line.addProperty("amount", fault.amount());
+                    write(line);
+                }));
         }
     }
 
-    private void again(List<Due> due, FleetPlan.Fault fault, long at, long until, Gateway gateway, String signal,
-            Deed before) {
+    private void again(
+            List<Due> due, FleetPlan.Fault fault, long at, long until, Gateway gateway, String signal, Deed before) {
         due.add(new Due(at, () -> gateway.signal(signal)));
         if (fault.lengthUs() > 0) {
             due.add(new Due(until, () -> {
--- a/src/main/java/petrelstand/lab/faults/FleetCost.java
+++ b/src/main/java/petrelstand/lab/faults/FleetCost.java
@@ -21,9 +21,14 @@
         for (int pair = 0; pair < pairs; pair++) {
             for (int i = 0; i < kinds.length; i++) {
                 int kind = (i + pair) % kinds.length;
-                FaultScenario scenario = FaultScenario.of(new IniFile(Path.of("cost.ini"), THREE + load + "\n" + kinds[kind]));
-                try (FaultTrial trial = new FaultTrial(folder.resolve("cost-" + pair + "-" + kind), scenario, pair + 1,
-                        "petrelstand.Main", List.of("serve"))) {
+                FaultScenario scenario =
+                        FaultScenario.of(new IniFile(Path.of("cost.ini"), THREE + load + "\n" + kinds[kind]));
+                try (FaultTrial trial = new FaultTrial(
+                        folder.resolve("cost-" + pair + "-" + kind),
+                        scenario,
+                        pair + 1,
+                        "petrelstand.Main",
+                        List.of("serve"))) {
                     trial.play();
                     costs.get(kind).add(trial.cpuUsASecond() / 1000);
                 }
@@ -32,7 +37,11 @@
         StringBuilder text = new StringBuilder("CPU of a gateway at " + load
                 + " requests a second, ms a second: off, with the fleet, with the fleet and rules\n");
         for (int pair = 0; pair < pairs; pair++) {
-            text.append(String.format(Locale.ROOT, "%5.1f %5.1f %5.1f%n", costs.get(0).get(pair), costs.get(1).get(pair),
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%5.1f %5.1f %5.1f%n",
+                    costs.get(0).get(pair),
+                    costs.get(1).get(pair),
                     costs.get(2).get(pair)));
         }
         for (int kind = 1; kind < kinds.length; kind++) {
@@ -41,8 +50,12 @@
                 more.add(costs.get(kind).get(pair) - costs.get(0).get(pair));
             }
             Collections.sort(more);
-            text.append(String.format(Locale.ROOT, "%s: %+.1f ms a second in the median pair (%.1f to %.1f)%n",
-                    kind == 1 ? "fleet" : "fleet and rules", more.get(more.size() / 2), more.get(0),
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%s: %+.1f ms a second in the median pair (%.1f to %.1f)%n",
+                    kind == 1 ? "fleet" : "fleet and rules",
+                    more.get(more.size() / 2),
+                    more.get(0),
                     more.get(more.size() - 1)));
         }
         return text.toString();
--- a/src/main/java/petrelstand/lab/faults/FleetMeasure.java
+++ b/src/main/java/petrelstand/lab/faults/FleetMeasure.java
@@ -10,8 +10,9 @@
 import petrelstand.members.Timing;
 
 /**
- * What membership costs and how fast it is, in virtual time: a crash until each of the others and all of them know, false
- * alarms while messages are lost or processes stall, messages a second, and how long a fleet cut in two needs to be one.
+ * What membership costs and how fast it is, in virtual time: a crash until each of the others and all of them know,
+ * false alarms while messages are lost or processes stall, messages a second, and how long a fleet cut in two needs to
+ * be one.
  */
 public final class FleetMeasure {
     private static final long S = 1_000_000;
@@ -30,9 +31,19 @@
 
     /** The table for a size over seeds 1 to {@code seeds}; alarms are counted over so many seconds of each. */
     public static String table(int size, int seeds, int seconds) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%d gateways, seeds 1-%d, %d s of trouble each%n"
-                + "%-22s %12s %12s %12s %14s %16s %12s%n", size, seeds, seconds, "trouble", "known p50", "known p99",
-                "by all worst", "suspected/h", "failed, alive/h", "messages/s"));
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%d gateways, seeds 1-%d, %d s of trouble each%n" + "%-22s %12s %12s %12s %14s %16s %12s%n",
+                size,
+                seeds,
+                seconds,
+                "trouble",
+                "known p50",
+                "known p99",
+                "by all worst",
+                "suspected/h",
+                "failed, alive/h",
+                "messages/s"));
         for (int loss : LOSSES) {
             text.append(row("loss " + loss + "%", size, seeds, seconds, loss / 100.0, 0));
         }
@@ -47,8 +58,11 @@
             healed.add(fleet.until(FleetSim::agreed, 30 * S));
         }
         Collections.sort(healed);
-        text.append(String.format(Locale.ROOT, "a cut of two fifths for 10 s: one view again after p50 %.2f s, worst %.2f s%n",
-                healed.get(seeds / 2) / 1e6, healed.get(seeds - 1) / 1e6));
+        text.append(String.format(
+                Locale.ROOT,
+                "a cut of two fifths for 10 s: one view again after p50 %.2f s, worst %.2f s%n",
+                healed.get(seeds / 2) / 1e6,
+                healed.get(seeds - 1) / 1e6));
         return text.toString();
     }
 
@@ -75,7 +89,9 @@
             suspected += fleet.counts().getOrDefault("fleet.suspected", 0L) - before;
             falsely += fleet.seen().subList(from, fleet.seen().size()).stream()
                     .filter(s -> s.change().member().state() == MemberState.FAILED)
-                    .map(s -> s.change().member().name() + s.change().member().incarnation()).distinct().count();
+                    .map(s -> s.change().member().name() + s.change().member().incarnation())
+                    .distinct()
+                    .count();
             fleet.until(FleetSim::agreed, 10 * S);
             int mark = fleet.seen().size();
             long killed = fleet.nowUs();
@@ -84,7 +100,8 @@
             fleet.until(FleetSim::agreed, 15 * S);
             String name = FleetSim.name(victim);
             for (FleetSim.Seen seen : fleet.seen().subList(mark, fleet.seen().size())) {
-                if (seen.change().member().name().equals(name) && seen.change().member().state() == MemberState.FAILED) {
+                if (seen.change().member().name().equals(name)
+                        && seen.change().member().state() == MemberState.FAILED) {
                     known.add(seen.change().atUs() - killed);
                     byAll = Math.max(byAll, seen.change().atUs() - killed);
                 }
@@ -92,9 +109,15 @@
         }
         Collections.sort(known);
         double hours = seeds * seconds / 3600.0;
-        return String.format(Locale.ROOT, "%-22s %10.2f s %10.2f s %10.2f s %14.1f %16.1f %12.1f%n", what,
+        return String.format(
+                Locale.ROOT,
+                "%-22s %10.2f s %10.2f s %10.2f s %14.1f %16.1f %12.1f%n",
+                what,
                 known.isEmpty() ? -1 : known.get(known.size() / 2) / 1e6,
-                known.isEmpty() ? -1 : known.get((known.size() - 1) * 99 / 100) / 1e6, byAll / 1e6, suspected / hours,
-                falsely / hours, sent);
+                known.isEmpty() ? -1 : known.get((known.size() - 1) * 99 / 100) / 1e6,
+                byAll / 1e6,
+                suspected / hours,
+                falsely / hours,
+                sent);
     }
 }
--- a/src/main/java/petrelstand/lab/faults/FleetPlan.java
+++ b/src/main/java/petrelstand/lab/faults/FleetPlan.java
@@ -63,8 +63,14 @@
     public record Fault(Kind kind, int who, long atUs, long lengthUs, int amount) {
         @Override
         public String toString() {
-            return String.format(Locale.ROOT, "%s who=%d at=%.1fs for=%.1fs amount=%d", kind, who, atUs / 1e6,
-                    lengthUs / 1e6, amount);
+            return String.format(
+                    Locale.ROOT,
+                    "%s who=%d at=%.1fs for=%.1fs amount=%d",
+                    kind,
+                    who,
+                    atUs / 1e6,
+                    lengthUs / 1e6,
+                    amount);
         }
     }
 
--- a/src/main/java/petrelstand/lab/faults/FleetSearch.java
+++ b/src/main/java/petrelstand/lab/faults/FleetSearch.java
@@ -7,13 +7,15 @@
 
 /**
  * All faults among three gateways, up to a number of them, in every combination of kind, place and one of the moments:
- * crash with and without a restart, order to end, a stop of two lengths, each cut, each one-way link, and a change of the
- * messages' order and number (reversed within a window, held and let go, each twice). Messages of the calm stretches come
- * in one order a seed; within a fault's window every later one may overtake. Three seeds give three such orders.
+ * crash with and without a restart, order to end, a stop of two lengths, each cut, each one-way link, and a change of
+ * the messages' order and number (reversed within a window, held and let go, each twice). Messages of the calm
+ * stretches come in one order a seed; within a fault's window every later one may overtake. Three seeds give three such
+ * orders.
  */
 public final class FleetSearch {
     /** Moments at which a fault may begin: one ping is between two of them. */
     static final int MOMENTS = 8;
+
     private static final long FIRST_US = 4_000_000;
     private static final long STEP_US = 275_000;
     private static final int ORDERS = 3;
@@ -60,10 +62,12 @@
         for (int first = 0; first < alphabet.size(); first++) {
             for (int second = faults > 1 ? first : alphabet.size() - 1; second < alphabet.size(); second++) {
                 List<Fault> chosen = faults > 1 && second != first
-                        ? List.of(alphabet.get(first), alphabet.get(second)) : List.of(alphabet.get(first));
+                        ? List.of(alphabet.get(first), alphabet.get(second))
+                        : List.of(alphabet.get(first));
                 for (int order = 1; order <= ORDERS; order++) {
                     FleetPlan calm = new FleetPlan(SIZE, order, 0, chosen);
-                    FleetPlan plan = new FleetPlan(SIZE, order, calm.calmUs() + FleetSim.ONE_VIEW_US + 1_000_000, chosen);
+                    FleetPlan plan =
+                            new FleetPlan(SIZE, order, calm.calmUs() + FleetSim.ONE_VIEW_US + 1_000_000, chosen);
                     String fault = FleetSim.play(plan, maker);
                     played++;
                     if (!fault.isEmpty()) {
--- a/src/main/java/petrelstand/lab/faults/FleetSim.java
+++ b/src/main/java/petrelstand/lab/faults/FleetSim.java
@@ -56,8 +56,16 @@
             long of = ++life;
             waiting.clear();
             long boot = random.nextLong();
-            Member self = new Member(name(number), boot, 1_000_000 + time.nowUs(), address(number), MemberState.JOINING, "",
-                    time.nowUs() / 1000, "lab", List.of());
+            Member self = new Member(
+                    name(number),
+                    boot,
+                    1_000_000 + time.nowUs(),
+                    address(number),
+                    MemberState.JOINING,
+                    "",
+                    time.nowUs() / 1000,
+                    "lab",
+                    List.of());
             probe.entered(number);
             module = maker.make(time.nowUs(), self, seeds, random.nextLong(), this);
             probe.left(number);
@@ -129,6 +137,7 @@
     private final Probe probe;
     /** Makes datagrams of messages, or null where the messages themselves are handed over. */
     private final SealedForm form;
+
     private final SplittableRandom random;
     private final List<String> seeds = new ArrayList<>();
     private final Map<String, Integer> addresses = new HashMap<>();
@@ -309,7 +318,10 @@
 
     /** The processes that run. */
     public List<Integer> running() {
-        return java.util.stream.IntStream.range(0, processes.size()).filter(i -> module(i) != null).boxed().toList();
+        return java.util.stream.IntStream.range(0, processes.size())
+                .filter(i -> module(i) != null)
+                .boxed()
+                .toList();
     }
 
     /** Whether all that run hold the same members to be there, and just those that run. */
@@ -318,7 +330,8 @@
         long digest = 0;
         for (int i = 0; i < running.size(); i++) {
             Membership module = module(running.get(i));
-            if (module.self().state() != MemberState.ALIVE || module.standing().seen() != running.size()
+            if (module.self().state() != MemberState.ALIVE
+                    || module.standing().seen() != running.size()
                     || i > 0 && module.digest() != digest) {
                 return false;
             }
@@ -377,8 +390,12 @@
         for (int i : running) {
             Membership module = module(i);
             if (module.standing().seen() != running.size() && shown++ < MOST_SHOWN) {
-                text.append(text.isEmpty() ? "" : ", ").append(name(i)).append(' ').append(module.self().state())
-                        .append(" sees ").append(module.standing().seen());
+                text.append(text.isEmpty() ? "" : ", ")
+                        .append(name(i))
+                        .append(' ')
+                        .append(module.self().state())
+                        .append(" sees ")
+                        .append(module.standing().seen());
             }
         }
         return shown + " of " + running.size() + " do not see all: " + text;
@@ -391,7 +408,8 @@
             Member member = one.change().member();
             String key = one.process() + " " + one.boot() + " " + member.name() + " " + member.boot();
             boolean quiet = one.change().cause().equals("nobody is heard here")
-                    || one.change().cause().equals("heard again") || one.change().cause().startsWith("stood still");
+                    || one.change().cause().equals("heard again")
+                    || one.change().cause().startsWith("stood still");
             if (one.change().member().boot() == one.boot() || quiet) {
                 continue;
             }
--- a/src/main/java/petrelstand/lab/faults/Links.java
+++ b/src/main/java/petrelstand/lab/faults/Links.java
@@ -13,6 +13,7 @@
 public final class Links {
     /** Messages that wait on a link that is slow to a trickle; more are lost. */
     private static final int MOST_TRICKLING = 64;
+
     private static final long HELD_SPREAD_US = 50_000;
 
     private record On(FleetPlan.Fault fault, long untilUs) {}
@@ -86,7 +87,7 @@
                         delay += free - nowUs;
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
         return copy < 0 ? List.of(delay) : List.of(delay, delay + copy);
--- a/src/main/java/petrelstand/lab/faults/RulesDriver.java
+++ b/src/main/java/petrelstand/lab/faults/RulesDriver.java
@@ -19,6 +19,7 @@
 final class RulesDriver implements AutoCloseable {
     /** No change is proposed in the last stretch of a trial, so that all can come to act on the last one. */
     static final long SETTLE_US = 13_000_000;
+
     private static final long PATIENCE_MS = 3_000;
 
     private final Consumer<JsonObject> record;
@@ -31,30 +32,37 @@
 
     /** Proposes a version each pause: limits of a half and of four fifths of what is asked a second, in turn. */
     void change(String fleet, String key, List<String> gateways, long everyUs, int askedPerSecond, int among) {
-        thread = new Thread(() -> {
-            try (RulesClient client = new RulesClient(fleet, List.of(HexFormat.of().parseHex(key.strip())), gateways,
-                    "127.0.0.1")) {
-                long base = 0;
-                for (int n = 1; !ended; n++) {
-                    long units = Math.max(1, askedPerSecond * (n % 2 == 0 ? 5L : 8L) / 10);
-                    String text = "# change " + n + "\n[fleet]\ngateways = " + among + "\n[limit basic]\nunits = " + units
-                            + "\nfloor = " + Math.max(1, units / 10) + "\n";
-                    JsonObject line = line("proposed", n, base, "");
-                    record.accept(line);
-                    Talk.Taken taken = client.propose(base, "trial", "change " + n, text, PATIENCE_MS);
-                    record.accept(line(taken == null ? "unknown" : taken.fault().isEmpty() ? "agreed" : "refused", n,
-                            taken == null ? 0 : taken.version(), taken == null ? "" : taken.fault()));
-                    if (taken != null && (taken.fault().isEmpty() || taken.fault().startsWith("it is based on"))) {
-                        base = taken.version();
+        thread = new Thread(
+                () -> {
+                    try (RulesClient client = new RulesClient(
+                            fleet, List.of(HexFormat.of().parseHex(key.strip())), gateways, "127.0.0.1")) {
+                        long base = 0;
+                        for (int n = 1; !ended; n++) {
+                            long units = Math.max(1, askedPerSecond * (n % 2 == 0 ? 5L : 8L) / 10);
+                            String text =
+                                    "# change " + n + "\n[fleet]\ngateways = " + among + "\n[limit basic]\nunits = "
+                                            + units + "\nfloor = " + Math.max(1, units / 10) + "\n";
+                            JsonObject line = line("proposed", n, base, "");
+                            record.accept(line);
+                            Talk.Taken taken = client.propose(base, "trial", "change " + n, text, PATIENCE_MS);
+                            record.accept(line(
+                                    taken == null ? "unknown" : taken.fault().isEmpty() ? "agreed" : "refused",
+                                    n,
+                                    taken == null ? 0 : taken.version(),
+                                    taken == null ? "" : taken.fault()));
+                            if (taken != null
+                                    && (taken.fault().isEmpty() || taken.fault().startsWith("it is based on"))) {
+                                base = taken.version();
+                            }
+                            Thread.sleep(everyUs / 1000);
+                        }
+                    } catch (IOException e) {
+                        record.accept(line("driver failed", 0, 0, String.valueOf(e.getMessage())));
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
                     }
-                    Thread.sleep(everyUs / 1000);
-                }
-            } catch (IOException e) {
-                record.accept(line("driver failed", 0, 0, String.valueOf(e.getMessage())));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "rules-driver");
+                },
+                "rules-driver");
         thread.setDaemon(true);
         thread.start();
     }
@@ -72,9 +80,14 @@
     /** Keeps what a gateway says of its rules at the end, in a file; nothing where it is not there. */
     void keep(String process, String address, Path file) throws InterruptedException {
         try {
-            HttpResponse<String> answer = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build().send(
-                    HttpRequest.newBuilder(URI.create("http://" + address + "/rules")).timeout(Duration.ofSeconds(2)).build(),
-                    HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> answer = HttpClient.newBuilder()
+                    .connectTimeout(Duration.ofSeconds(1))
+                    .build()
+                    .send(
+                            HttpRequest.newBuilder(URI.create("http://" + address + "/rules"))
+                                    .timeout(Duration.ofSeconds(2))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString());
             if (answer.statusCode() == 200) {
                 Files.writeString(file, answer.body());
             }
--- a/src/main/java/petrelstand/lab/rules/RulesMeasure.java
+++ b/src/main/java/petrelstand/lab/rules/RulesMeasure.java
@@ -40,14 +40,19 @@
                 // One that does not lead falls silent just before the change.
                 one.run(9_999_000 + seed * 37_000L);
                 int who = one.leaderNow() == 0 ? 1 : 0;
-                one.arm(new FleetPlan(size[0], seed, 0, List.of(new Fault(Kind.STOP, who, one.nowUs() + 1, MOST_US, 0))));
+                one.arm(new FleetPlan(
+                        size[0], seed, 0, List.of(new Fault(Kind.STOP, who, one.nowUs() + 1, MOST_US, 0))));
                 one.run(20_000_000);
-                silent.addAll(one.tookUs().subList(Math.min(1, one.tookUs().size()), one.tookUs().size()));
+                silent.addAll(one.tookUs()
+                        .subList(Math.min(1, one.tookUs().size()), one.tookUs().size()));
             }
             row(text, size[0] + " gateways, " + size[1] + " vote: acted on by all", calm);
             row(text, "  the same, one silent", silent);
-            text.append("  messages and bytes a second and gateway, two changes a second: ").append(messages).append(", ")
-                    .append(bytes).append('\n');
+            text.append("  messages and bytes a second and gateway, two changes a second: ")
+                    .append(messages)
+                    .append(", ")
+                    .append(bytes)
+                    .append('\n');
         }
         for (Kind kind : List.of(Kind.KILL, Kind.STOP, Kind.TERM)) {
             List<Long> without = new ArrayList<>();
@@ -64,7 +69,8 @@
         sim.run(9_000_000 + seed * 7_000L);
         int leader = sim.leaderNow();
         long from = sim.nowUs();
-        sim.arm(new FleetPlan(5, seed, 0, List.of(new Fault(kind, leader, from + 1, kind == Kind.STOP ? MOST_US : 0, 0))));
+        sim.arm(new FleetPlan(
+                5, seed, 0, List.of(new Fault(kind, leader, from + 1, kind == Kind.STOP ? MOST_US : 0, 0))));
         sim.run(from + 1);
         while ((sim.leaderNow() < 0 || sim.leaderNow() == leader) && sim.nowUs() - from < MOST_US) {
             sim.run(sim.nowUs() + 1_000);
@@ -77,8 +83,13 @@
         if (us.isEmpty()) {
             text.append(what).append(": never\n");
         } else {
-            text.append(String.format(Locale.ROOT, "%s: p50 %d ms, p99 %d ms, worst %d ms (%d)%n", what,
-                    us.get(us.size() / 2) / 1000, us.get((us.size() - 1) * 99 / 100) / 1000, us.get(us.size() - 1) / 1000,
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%s: p50 %d ms, p99 %d ms, worst %d ms (%d)%n",
+                    what,
+                    us.get(us.size() / 2) / 1000,
+                    us.get((us.size() - 1) * 99 / 100) / 1000,
+                    us.get(us.size() - 1) / 1000,
                     us.size()));
         }
     }
--- a/src/main/java/petrelstand/lab/rules/RulesSearch.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSearch.java
@@ -3,21 +3,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import petrelstand.agreement.Promise;
+import petrelstand.lab.faults.FleetPlan;
 import petrelstand.lab.faults.FleetPlan.Fault;
 import petrelstand.lab.faults.FleetPlan.Kind;
-import petrelstand.lab.faults.FleetPlan;
 
 /**
  * All faults among three voters round one change of rules, up to a number of them, in every combination of kind, place
  * and one of the moments: crash with and without a restart, stops shorter and longer than a lease, cuts, one-way links,
- * messages held and let go late, all reordered, all twice. Messages of calm stretches come in one order a seed; within a
- * fault's window every later one may overtake.
+ * messages held and let go late, all reordered, all twice. Messages of calm stretches come in one order a seed; within
+ * a fault's window every later one may overtake.
  */
 public final class RulesSearch {
     private static final int SIZE = 3;
     private static final long CHANGE_US = 8_000_000;
     /** Moments before and after the change: about it, messages are some hundreds of microseconds apart. */
     private static final long[] MOMENTS_US = {-3_500_000, -1_000_000, -100_000, 500, 1_000, 2_000, 4_000, 1_000_000};
+
     private static final Promise SHORT = new Promise(2_000_000, 0.05);
 
     /** How many courses were played, the first broken promise in words, its faults, and the longest contradiction. */
@@ -25,7 +26,8 @@
         @Override
         public String toString() {
             return played + " courses played, longest contradiction " + longestUs / 1000 + " ms of "
-                    + SHORT.withinUs() / 1000 + "; " + (fault.isEmpty() ? "no promise broken" : fault + " in " + faults);
+                    + SHORT.withinUs() / 1000 + "; "
+                    + (fault.isEmpty() ? "no promise broken" : fault + " in " + faults);
         }
     }
 
@@ -61,7 +63,8 @@
         for (int first = 0; first < alphabet.size(); first++) {
             for (int second = faults > 1 ? first : alphabet.size() - 1; second < alphabet.size(); second++) {
                 List<Fault> chosen = faults > 1 && second != first
-                        ? List.of(alphabet.get(first), alphabet.get(second)) : List.of(alphabet.get(first));
+                        ? List.of(alphabet.get(first), alphabet.get(second))
+                        : List.of(alphabet.get(first));
                 for (int seed = 1; seed <= seeds; seed++) {
                     RulesSim sim = new RulesSim(SIZE, SIZE, SHORT, seed, maker);
                     sim.arm(new FleetPlan(SIZE, seed, 0, chosen));
--- a/src/main/java/petrelstand/lab/rules/RulesSim.java
+++ b/src/main/java/petrelstand/lab/rules/RulesSim.java
@@ -45,8 +45,8 @@
     /** The modules as the gateway has them. */
     public static final Maker USUAL = new Maker() {
         @Override
-        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
-                Holder.Actions actions) {
+        public Holder holder(
+                long nowUs, long life, List<String> voters, Promise promise, long seed, Holder.Actions actions) {
             return new Holder(nowUs, life, voters, promise, seed, RulesSim::load, actions);
         }
 
@@ -108,7 +108,7 @@
             voter = null;
             if (number < mayVote) {
                 try {
-                    files = new RaftFiles(folder.opened(), line -> { });
+                    files = new RaftFiles(folder.opened(), line -> {});
                     if (voters.contains(name) || files.restored() != null) {
                         vote();
                     }
@@ -121,8 +121,17 @@
         }
 
         private void vote() {
-            voter = new Voter(name, voters, promise, files, maker::grantor, this, this::clock, random.nextLong(),
-                    RulesSim::load, this);
+            voter = new Voter(
+                    name,
+                    voters,
+                    promise,
+                    files,
+                    maker::grantor,
+                    this,
+                    this::clock,
+                    random.nextLong(),
+                    RulesSim::load,
+                    this);
             voter.start();
         }
 
@@ -197,8 +206,7 @@
 
         @Override
         public void send(String to, RaftMessage message) {
-            carry(this, to, new Parcel("lab", name, name, files.generation(), voter.epoch(), message,
-                    null));
+            carry(this, to, new Parcel("lab", name, name, files.generation(), voter.epoch(), message, null));
         }
 
         @Override
@@ -239,8 +247,10 @@
                 if (voter != null) {
                     voter.receive(parcel.raft(), parcel.epoch());
                 }
-            } else if (parcel.talk() instanceof Talk.Renew || parcel.talk() instanceof Talk.Fetch
-                    || parcel.talk() instanceof Talk.Offer || parcel.talk() instanceof Talk.Order) {
+            } else if (parcel.talk() instanceof Talk.Renew
+                    || parcel.talk() instanceof Talk.Fetch
+                    || parcel.talk() instanceof Talk.Offer
+                    || parcel.talk() instanceof Talk.Order) {
                 if (voter != null) {
                     voter.hear(from, parcel.talk());
                 }
@@ -460,8 +470,20 @@
     private void order(long id, String verb, long version, String name) {
         if (!ordersDone.contains(id)) {
             for (Process there : byNumber.subList(0, mayVote)) {
-                at(time.nowUs() + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator", new Parcel("lab",
-                        "operator", "operator", 0, 0, null, new Talk.Order(id, verb, version, name, "operator", "day")))));
+                at(
+                        time.nowUs() + LEAST_DELAY_US,
+                        () -> there.run(
+                                there.life,
+                                () -> there.receive(
+                                        "operator",
+                                        new Parcel(
+                                                "lab",
+                                                "operator",
+                                                "operator",
+                                                0,
+                                                0,
+                                                null,
+                                                new Talk.Order(id, verb, version, name, "operator", "day")))));
             }
             at(time.nowUs() + 1_000_000, () -> order(id, verb, version, name));
         }
@@ -475,8 +497,8 @@
     /** A process that is down has its folder made the beginning of a new epoch, and starts again. */
     public void recover(int number, int drawn) throws IOException, StateFault {
         Process process = byNumber.get(number);
-        base = new Recovery(new RaftFiles(process.folder.opened(), line -> { })).write("operator", "day",
-                time.nowUs() / 1000, drawn);
+        base = new Recovery(new RaftFiles(process.folder.opened(), line -> {}))
+                .write("operator", "day", time.nowUs() / 1000, drawn);
         proposal = 0;
         process.start();
     }
@@ -488,20 +510,32 @@
 
     /** How many processes act under a lease on a version. */
     public int leasedOn(long version) {
-        return (int) byNumber.stream().filter(p -> p.up && !p.stopped).map(p -> p.holder.acting(p.clock()))
-                .filter(a -> a.mode() == Holder.Mode.LEASED && a.version() == version).count();
+        return (int) byNumber.stream()
+                .filter(p -> p.up && !p.stopped)
+                .map(p -> p.holder.acting(p.clock()))
+                .filter(a -> a.mode() == Holder.Mode.LEASED && a.version() == version)
+                .count();
     }
 
     /** The process that leads, or -1. */
     public int leaderNow() {
-        return byNumber.stream().filter(p -> p.up && !p.stopped && p.voter != null && p.voter.grantor().leads())
-                .mapToInt(p -> p.number).max().orElse(-1);
+        return byNumber.stream()
+                .filter(p -> p.up
+                        && !p.stopped
+                        && p.voter != null
+                        && p.voter.grantor().leads())
+                .mapToInt(p -> p.number)
+                .max()
+                .orElse(-1);
     }
 
     /** Who votes, as the process that leads holds it; empty where none does. */
     public List<String> votersNow() {
-        return byNumber.stream().filter(p -> p.up && p.voter != null && p.voter.grantor().leads()).findFirst()
-                .map(p -> p.voter.voters()).orElse(List.of());
+        return byNumber.stream()
+                .filter(p -> p.up && p.voter != null && p.voter.grantor().leads())
+                .findFirst()
+                .map(p -> p.voter.voters())
+                .orElse(List.of());
     }
 
     private void propose(long pauseUs) {
@@ -512,11 +546,16 @@
                 proposedUs = time.nowUs();
             }
             // Asked of every voter: whoever leads takes it.
-            String text = "[fleet]\ngateways = 2\n[limit basic]\nunits = " + (base + 1) % RuleBook.EPOCH + "\nfloor = 0\n";
+            String text =
+                    "[fleet]\ngateways = 2\n[limit basic]\nunits = " + (base + 1) % RuleBook.EPOCH + "\nfloor = 0\n";
             Talk.Offer offer = new Talk.Offer(proposal, base, "operator", "day", proposedUs / 1000, 0, 1, text);
             for (Process there : byNumber.subList(0, mayVote)) {
-                at(time.nowUs() + LEAST_DELAY_US, () -> there.run(there.life, () -> there.receive("operator",
-                        new Parcel("lab", "operator", "operator", 0, 0, null, offer))));
+                at(
+                        time.nowUs() + LEAST_DELAY_US,
+                        () -> there.run(
+                                there.life,
+                                () -> there.receive(
+                                        "operator", new Parcel("lab", "operator", "operator", 0, 0, null, offer))));
             }
         }
         if (pauseUs > 0) {
@@ -585,8 +624,8 @@
             Holder.Acting there = other.holder.acting(other.clock());
             boolean old = there.mode() == Holder.Mode.LEASED && there.version() < version;
             if (old && other.holder.prepared() < version) {
-                breaks(first.name + " acted on version " + version + " while " + other.name
-                        + " acted on version " + there.version() + " and had not confirmed it");
+                breaks(first.name + " acted on version " + version + " while " + other.name + " acted on version "
+                        + there.version() + " and had not confirmed it");
             }
         }
     }
@@ -596,9 +635,13 @@
             int pair = Math.min(number, other.number) * byNumber.size() + Math.max(number, other.number);
             Holder.Acting a = acting[number];
             Holder.Acting b = acting[other.number];
-            boolean contradicts = other.number != number && a != null && b != null
-                    && a.mode() == Holder.Mode.LEASED && b.mode() == Holder.Mode.LEASED
-                    && a.version() != b.version() && !a.rules().contradictions(b.rules()).isEmpty();
+            boolean contradicts = other.number != number
+                    && a != null
+                    && b != null
+                    && a.mode() == Holder.Mode.LEASED
+                    && b.mode() == Holder.Mode.LEASED
+                    && a.version() != b.version()
+                    && !a.rules().contradictions(b.rules()).isEmpty();
             Long since = contradictsSinceUs.get(pair);
             if (contradicts && since == null) {
                 contradictsSinceUs.put(pair, time.nowUs());
@@ -627,8 +670,9 @@
         }
         for (Process process : byNumber) {
             Holder.Acting there = acting[process.number];
-            if (process.up && !process.stopped && (there == null || there.mode() != Holder.Mode.LEASED
-                    || there.version() != version)) {
+            if (process.up
+                    && !process.stopped
+                    && (there == null || there.mode() != Holder.Mode.LEASED || there.version() != version)) {
                 return;
             }
         }
@@ -654,7 +698,10 @@
                 }
             }
         }
-        long newest = byNumber.stream().filter(p -> p.up && p.voter != null).mapToLong(p -> p.voter.book().newest()).max()
+        long newest = byNumber.stream()
+                .filter(p -> p.up && p.voter != null)
+                .mapToLong(p -> p.voter.book().newest())
+                .max()
                 .orElse(Long.MAX_VALUE);
         if (!acknowledged.isEmpty() && newest < acknowledged.lastKey()) {
             return "version " + acknowledged.lastKey() + " was acknowledged and is lost";
--- a/src/main/java/petrelstand/lifecycle/Lifecycle.java
+++ b/src/main/java/petrelstand/lifecycle/Lifecycle.java
@@ -4,9 +4,9 @@
 import petrelstand.decision.Scheduling.Settings;
 
 /**
- * What a gateway's process does with connections and requests in each part of its life, from the start to the end:
- * a function of what was asked of it, and when, and of the time. No timer belongs to it, so nothing of a former phase
- * is left behind where phases cross: whoever carries it out asks at the turn's time, and again at {@link #nextUs}.
+ * What a gateway's process does with connections and requests in each part of its life, from the start to the end: a
+ * function of what was asked of it, and when, and of the time. No timer belongs to it, so nothing of a former phase is
+ * left behind where phases cross: whoever carries it out asks at the turn's time, and again at {@link #nextUs}.
  *
  * <p>Times are microseconds of the loop's clock. Not for several threads, but for {@link #forcedEndUs}.
  */
@@ -38,6 +38,7 @@
         static final long DRAINED_US = 1_900_000;
         /** Connections come for up to 0.4 s after SIGTERM; the rest is margin. */
         static final long LAST_OPEN_US = 550_000;
+
         static final long LEAST_DEADLINE_US = 3_000_000;
         static final long KILL_AFTER_US = 700_000;
         /** Before the kill: what has not ended by itself is ended then, so that it says so. */
@@ -45,8 +46,8 @@
 
         public Times {
             if (notedUs < 0 || drainedUs < notedUs || lastOpenUs < 0 || killUs < lastOpenUs) {
-                throw new IllegalArgumentException("times out of order: " + notedUs + ", " + drainedUs + ", "
-                        + lastOpenUs + ", " + killUs);
+                throw new IllegalArgumentException(
+                        "times out of order: " + notedUs + ", " + drainedUs + ", " + lastOpenUs + ", " + killUs);
             }
         }
 
@@ -57,13 +58,17 @@
 
         /** The platform's, under settings. */
         public static Times of(Settings settings) {
-            return of((long) (1000 * settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElseThrow()));
+            return of((long) (1000
+                    * settings.classes().stream()
+                            .mapToDouble(RequestClass::deadlineMs)
+                            .max()
+                            .orElseThrow()));
         }
 
         /** The platform's, where the longest deadline is so long. */
         public static Times of(long longestDeadlineUs) {
-            return new Times(NOTED_US, DRAINED_US, LAST_OPEN_US,
-                    Math.max(LEAST_DEADLINE_US, longestDeadlineUs) + KILL_AFTER_US);
+            return new Times(
+                    NOTED_US, DRAINED_US, LAST_OPEN_US, Math.max(LEAST_DEADLINE_US, longestDeadlineUs) + KILL_AFTER_US);
         }
     }
 
@@ -72,10 +77,12 @@
     static final long LAST_ANSWER_US = 200_000;
     /** With less time than this left a request is not begun. */
     static final long LEAST_GRANT_US = 100_000;
+
     private static final long AGAIN_US = 500_000;
 
     /** Replaced on the loop's thread alone. */
     private volatile Times times;
+
     private Phase phase = Phase.STARTING;
     /** When the phase began. */
     private long sinceUs;
@@ -172,8 +179,8 @@
     }
 
     /**
-     * Whether idle connections close some at a time: their clients come back at once, to a process that has just begun or to
-     * other gateways. Where nobody takes them yet, the sooner this process is gone the better.
+     * Whether idle connections close some at a time: their clients come back at once, to a process that has just begun
+     * or to other gateways. Where nobody takes them yet, the sooner this process is gone the better.
      */
     public boolean spreads() {
         return phase == Phase.DRAINED || hotRestart;
@@ -199,12 +206,16 @@
         };
     }
 
-    /** When the last answer has to be given, once the process ends: what was taken before under longer deadlines too. */
+    /**
+     * When the last answer has to be given, once the process ends: what was taken before under longer deadlines too.
+     */
     public long lastAnswerUs() {
         return phase == Phase.ENDING ? sinceUs + times.killUs() - LAST_ANSWER_US : NEVER;
     }
 
-    /** When a request that is not taken may come again, µs: another gateway is told by then, or the next process serves. */
+    /**
+     * When a request that is not taken may come again, µs: another gateway is told by then, or the next process serves.
+     */
     public long retryAfterUs(long nowUs) {
         return phase == Phase.ENDING && !hotRestart ? Math.max(AGAIN_US, sinceUs + times.killUs() - nowUs) : AGAIN_US;
     }
@@ -212,7 +223,8 @@
     /** The next moment at which one of the answers above changes by time alone; Long.MAX_VALUE: none does. */
     public long nextUs(long nowUs) {
         long next = NEVER;
-        long[] moments = phase == Phase.DRAINED ? new long[] {times.notedUs(), times.drainedUs()}
+        long[] moments = phase == Phase.DRAINED
+                ? new long[] {times.notedUs(), times.drainedUs()}
                 : phase == Phase.ENDING ? new long[] {times.lastOpenUs()} : new long[0];
         for (long moment : moments) {
             next = sinceUs + moment > nowUs ? Math.min(next, sinceUs + moment) : next;
--- a/src/main/java/petrelstand/lifecycle/MemoryPlan.java
+++ b/src/main/java/petrelstand/lifecycle/MemoryPlan.java
@@ -2,9 +2,9 @@
 
 /**
  * What a gateway may hold at once, derived at its start from its heap and its descriptors. Each kind of thing has a
- * size, measured or estimated; what is of a bounded number (connections, volumes, nodes) is set aside whole, and the bytes of bodies
- * share what is left. Bodies of all kinds together never hold more than {@link #bodyBytes}, and no kind that is read or
- * written more than half of it.
+ * size, measured or estimated; what is of a bounded number (connections, volumes, nodes) is set aside whole, and the
+ * bytes of bodies share what is left. Bodies of all kinds together never hold more than {@link #bodyBytes}, and no kind
+ * that is read or written more than half of it.
  *
  * @param clients connections of clients
  * @param nodes connections to storage nodes
@@ -13,8 +13,8 @@
  * @param answerBytes answers that are being read
  * @param writtenBytes answers that are being written
  */
-public record MemoryPlan(int clients, int nodes, long bodyBytes, long requestBytes, long answerBytes,
-        long writtenBytes) {
+public record MemoryPlan(
+        int clients, int nodes, long bodyBytes, long requestBytes, long answerBytes, long writtenBytes) {
     private static final long MIB = 1 << 20;
     /** Live after a start and its first requests (4.4 MB were measured), and as much again for what is garbage soon. */
     static final long BASE_BYTES = 9 * MIB;
@@ -29,12 +29,14 @@
 
     /** Bounds that more memory does not raise: what waits beyond them only waits longer. */
     private static final long MOST_REQUESTS = 8 * MIB;
+
     private static final long MOST_ANSWERS = 12 * MIB;
     private static final long MOST_WRITTEN = 16 * MIB;
     private static final long MOST_BODIES = MOST_REQUESTS + MOST_ANSWERS + MOST_WRITTEN;
 
     /** Below these a gateway serves nobody. */
     static final int LEAST_CONNECTIONS = 8;
+
     static final long LEAST_BODIES = MIB;
 
     /** The bounds where memory is not short. */
@@ -52,8 +54,8 @@
      * @param volumes volumes that are remembered at most
      * @throws IllegalArgumentException where not even the least fits; its text names the field
      */
-    public static MemoryPlan of(long heapBytes, long memoryBytes, int sockets, int clients, int nodes, int listedNodes,
-            int volumes) {
+    public static MemoryPlan of(
+            long heapBytes, long memoryBytes, int sockets, int clients, int nodes, int listedNodes, int volumes) {
         if (Math.min(clients, nodes) < LEAST_CONNECTIONS) {
             throw new IllegalArgumentException("limits.sockets: " + sockets + " leave " + Math.max(0, clients)
                     + " connections for clients and " + Math.max(0, nodes) + " for nodes; " + LEAST_CONNECTIONS
@@ -75,8 +77,13 @@
     }
 
     private static MemoryPlan bodies(int clients, int nodes, long bytes) {
-        return new MemoryPlan(clients, nodes, bytes, Math.min(MOST_REQUESTS, bytes / 2),
-                Math.min(MOST_ANSWERS, bytes / 2), Math.min(MOST_WRITTEN, bytes / 2));
+        return new MemoryPlan(
+                clients,
+                nodes,
+                bytes,
+                Math.min(MOST_REQUESTS, bytes / 2),
+                Math.min(MOST_ANSWERS, bytes / 2),
+                Math.min(MOST_WRITTEN, bytes / 2));
     }
 
     /** The bounds as one line of the log. */
--- a/src/main/java/petrelstand/lifecycle/ProcessShare.java
+++ b/src/main/java/petrelstand/lifecycle/ProcessShare.java
@@ -5,8 +5,8 @@
  * process of the same gateway may live beside it. The parts of all processes never add up to more than the whole:
  *
  * <ul>
- *   <li>What a process knows of others is a lease. It ends {@link #LEASE_US} after the look that it rests on began; from
- *       then on the process shares with one more than it saw.
+ *   <li>What a process knows of others is a lease. It ends {@link #LEASE_US} after the look that it rests on began;
+ *       from then on the process shares with one more than it saw.
  *   <li>A process that finds another at its start spends nothing until each lease that was taken before its own mark
  *       could be seen has ended.
  * </ul>
--- a/src/main/java/petrelstand/logging/JsonLog.java
+++ b/src/main/java/petrelstand/logging/JsonLog.java
@@ -52,7 +52,8 @@
     public void accept(String line) {
         int colon = line.indexOf(':');
         String component = colon > 0 ? line.substring(0, colon) : "gateway";
-        LoggingEventBuilder event = logger.atInfo().addKeyValue("component", component.split(" ")[0]);
+        LoggingEventBuilder event =
+                logger.atInfo().addKeyValue("component", component.split(" ")[0]);
         (view == null ? event : event.addKeyValue("view", view.getAsLong())).log(line);
     }
 }
--- a/src/main/java/petrelstand/members/AntiEntropy.java
+++ b/src/main/java/petrelstand/members/AntiEntropy.java
@@ -82,8 +82,9 @@
                 differ.add(member);
             }
         }
-        differ.sort((a, b) ->
-                a.state() != b.state() ? a.state().compareTo(b.state()) : a.name().compareTo(b.name()));
+        differ.sort((a, b) -> a.state() != b.state()
+                ? a.state().compareTo(b.state())
+                : a.name().compareTo(b.name()));
         return differ;
     }
 }
--- a/src/main/java/petrelstand/members/ClaimIntake.java
+++ b/src/main/java/petrelstand/members/ClaimIntake.java
@@ -60,7 +60,8 @@
             }
             take(nowUs, peer, claim, "told by " + teller);
         } else if (supersedes.test(claim, peer.member)) {
-            boolean restarted = claim.boot() != peer.member.boot() && claim.state().present();
+            boolean restarted =
+                    claim.boot() != peer.member.boot() && claim.state().present();
             take(nowUs, peer, claim, restarted ? "restarted, told by " + teller : "told by " + teller);
         } else if (suspicion.corroborates(claim, peer)) {
             dissemination.spread(claim);
@@ -94,7 +95,8 @@
         view.refuted();
         actions.count("fleet.refuted");
         if (claim.state() == MemberState.FAILED) {
-            actions.say("held to be failed by others; incarnation is now " + view.self().incarnation());
+            actions.say("held to be failed by others; incarnation is now "
+                    + view.self().incarnation());
         }
         dissemination.spread(view.self());
     }
--- a/src/main/java/petrelstand/members/Dissemination.java
+++ b/src/main/java/petrelstand/members/Dissemination.java
@@ -63,7 +63,9 @@
 
     private boolean isSecondAccusation(Member member) {
         Rumour told = rumours.get(member.name());
-        return member.state() == MemberState.SUSPECT && told != null && !told.member.by().equals(member.by());
+        return member.state() == MemberState.SUSPECT
+                && told != null
+                && !told.member.by().equals(member.by());
     }
 
     /** What a message to a peer takes along: first what is claimed of itself, so that it can refute it. */
--- a/src/main/java/petrelstand/members/FailureDetector.java
+++ b/src/main/java/petrelstand/members/FailureDetector.java
@@ -18,8 +18,7 @@
     private final SplittableRandom random;
     private final Set<Peer> watched = new LinkedHashSet<>();
 
-    FailureDetector(
-            Timing timing, MembershipView view, Prober prober, Suspicion suspicion, SplittableRandom random) {
+    FailureDetector(Timing timing, MembershipView view, Prober prober, Suspicion suspicion, SplittableRandom random) {
         this.timing = timing;
         this.view = view;
         this.prober = prober;
@@ -94,8 +93,9 @@
                 relays.add(other);
             }
         }
-        relays.sort((a, b) ->
-                a.heardUs != b.heardUs ? Long.compare(b.heardUs, a.heardUs) : a.name().compareTo(b.name()));
+        relays.sort((a, b) -> a.heardUs != b.heardUs
+                ? Long.compare(b.heardUs, a.heardUs)
+                : a.name().compareTo(b.name()));
         return relays;
     }
 
--- a/src/main/java/petrelstand/members/Member.java
+++ b/src/main/java/petrelstand/members/Member.java
@@ -15,8 +15,16 @@
  * @param version of the program
  * @param abilities what it can do, in words that later parts define
  */
-public record Member(String name, long boot, long incarnation, String address, MemberState state, String by,
-        long startMs, String version, List<String> abilities) {
+public record Member(
+        String name,
+        long boot,
+        long incarnation,
+        String address,
+        MemberState state,
+        String by,
+        long startMs,
+        String version,
+        List<String> abilities) {
     /** Bounds on what a claim holds, characters and entries; a claim beyond them is malformed. */
     public static final int MOST_NAME = 64, MOST_ADDRESS = 64, MOST_VERSION = 40, MOST_ABILITIES = 16;
 
--- a/src/main/java/petrelstand/members/Membership.java
+++ b/src/main/java/petrelstand/members/Membership.java
@@ -100,10 +100,28 @@
         departure = new Departure(view, dissemination, outbox);
         AntiEntropy antiEntropy = new AntiEntropy(nowUs, view, outbox, actions);
         NameClaim nameClaim = new NameClaim(view, dissemination, outbox, actions);
-        ClaimIntake claims = new ClaimIntake(view, dissemination, suspicion, detector, nameClaim,
-                (claim, known) -> supersedes(claim, known), above -> raise(above), actions);
-        Parts parts = new Parts(view, proven, pending, prober, outbox, dissemination,
-                detector, health, departure, antiEntropy, nameClaim, claims);
+        ClaimIntake claims = new ClaimIntake(
+                view,
+                dissemination,
+                suspicion,
+                detector,
+                nameClaim,
+                (claim, known) -> supersedes(claim, known),
+                above -> raise(above),
+                actions);
+        Parts parts = new Parts(
+                view,
+                proven,
+                pending,
+                prober,
+                outbox,
+                dissemination,
+                detector,
+                health,
+                departure,
+                antiEntropy,
+                nameClaim,
+                claims);
         join = new JoinProtocol(seeds, timing, random, parts, above -> raise(above), actions);
         receiver = new Receiver(fleet, parts, join, actions);
     }
--- a/src/main/java/petrelstand/members/Message.java
+++ b/src/main/java/petrelstand/members/Message.java
@@ -4,8 +4,12 @@
 
 /** What members say to each other. News are claims that ride along, as many as {@link #fits} lets in. */
 public sealed interface Message {
-    /** Claims in one message at most, and what they may take together, so that it stays within a datagram of 1,400 bytes. */
+    /**
+     * Claims in one message at most, and what they may take together, so that it stays within a datagram of 1,400
+     * bytes.
+     */
     int MOST_NEWS = 16;
+
     int MOST_NEWS_BYTES = 1100;
     /** What a claim takes beside its texts: numbers of up to 9 bytes, and a head of up to 2 for each text and list. */
     int CLAIM_BYTES = 42;
@@ -52,7 +56,10 @@
 
     /** Bytes that a claim takes at most; names and addresses are ASCII. */
     static int size(Member claim) {
-        int bytes = CLAIM_BYTES + claim.name().length() + claim.address().length() + claim.by().length()
+        int bytes = CLAIM_BYTES
+                + claim.name().length()
+                + claim.address().length()
+                + claim.by().length()
                 + claim.version().length();
         for (String ability : claim.abilities()) {
             bytes += 2 + ability.length();
@@ -65,6 +72,6 @@
      *
      * @param sequence grows with each message of a life; a smaller or known one is a repeat
      */
-    record Envelope(String fleet, String name, long boot, long incarnation, String address, long sequence,
-            Message message) {}
+    record Envelope(
+            String fleet, String name, long boot, long incarnation, String address, long sequence, Message message) {}
 }
--- a/src/main/java/petrelstand/members/Outbox.java
+++ b/src/main/java/petrelstand/members/Outbox.java
@@ -41,8 +41,8 @@
         }
         budget -= 1;
         Member self = view.self();
-        Envelope envelope = new Envelope(
-                fleet, self.name(), self.boot(), self.incarnation(), self.address(), ++sequence, message);
+        Envelope envelope =
+                new Envelope(fleet, self.name(), self.boot(), self.incarnation(), self.address(), ++sequence, message);
         actions.send(address, envelope);
     }
 }
--- a/src/main/java/petrelstand/members/Standing.java
+++ b/src/main/java/petrelstand/members/Standing.java
@@ -10,7 +10,12 @@
  */
 public record Standing(Reach reach, int seen, int of, long sinceUs) {
     /** Parts of the agreed size. */
-    public enum Reach { WHOLE, MAJORITY, MINORITY, NOBODY }
+    public enum Reach {
+        WHOLE,
+        MAJORITY,
+        MINORITY,
+        NOBODY
+    }
 
     static Reach reach(int seen, int of) {
         if (seen >= of && seen > 0) {
--- a/src/main/java/petrelstand/members/Timing.java
+++ b/src/main/java/petrelstand/members/Timing.java
@@ -1,8 +1,9 @@
 package petrelstand.members;
 
 /**
- * The times of membership, in microseconds. A crash is known by all within {@code pingUs + suspectAfterUs + failAfterUs}
- * and the time that news takes; a member silent for less than {@code suspectAfterUs + failAfterUs} never fails.
+ * The times of membership, in microseconds. A crash is known by all within {@code pingUs + suspectAfterUs +
+ * failAfterUs} and the time that news takes; a member silent for less than {@code suspectAfterUs + failAfterUs} never
+ * fails.
  *
  * @param pingUs between pings of a member that is watched
  * @param suspectAfterUs silence, to direct and relayed pings, that makes a suspect
--- a/src/main/java/petrelstand/net/Errors.java
+++ b/src/main/java/petrelstand/net/Errors.java
@@ -1,11 +1,11 @@
 package petrelstand.net;
 
 /**
- * What the loop's thread does with an {@link Error}. Jetty catches and logs errors, or hands them on as the fault
- * of one connection, and goes on; a process out of memory or classes must not. So wherever Jetty calls this
- * program's code, and wherever it hands on a failure, an error is told to the thread's handler of uncaught
- * exceptions, as if it had ended the thread. In a serving process that handler ends the process; without one the
- * error is printed, and goes where it would have gone.
+ * What the loop's thread does with an {@link Error}. Jetty catches and logs errors, or hands them on as the fault of
+ * one connection, and goes on; a process out of memory or classes must not. So wherever Jetty calls this program's
+ * code, and wherever it hands on a failure, an error is told to the thread's handler of uncaught exceptions, as if it
+ * had ended the thread. In a serving process that handler ends the process; without one the error is printed, and goes
+ * where it would have gone.
  */
 public final class Errors {
     /** Causes of causes that are looked at. */
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -31,9 +31,9 @@
 import petrelstand.core.Timers;
 
 /**
- * The one event loop: Jetty's selector, with the timers run between its selects and every task that Jetty would hand
- * to a pool run on the same thread. The clock is read once a turn, right after the select, and the timers run when all that
- * was selected has been read: what had come by a timer's time goes before it, however long the loop stood still.
+ * The one event loop: Jetty's selector, with the timers run between its selects and every task that Jetty would hand to
+ * a pool run on the same thread. The clock is read once a turn, right after the select, and the timers run when all
+ * that was selected has been read: what had come by a timer's time goes before it, however long the loop stood still.
  */
 public final class EventLoop extends SelectorManager {
     /** Someone who wants a connection out, and hears if it does not come up. */
@@ -83,8 +83,8 @@
     }
 
     /**
-     * Who hears of an exception or error that has ended the loop's thread, of errors that Jetty would swallow, and of an
-     * end of the thread that nobody asked for. Before the start.
+     * Who hears of an exception or error that has ended the loop's thread, of errors that Jetty would swallow, and of
+     * an end of the thread that nobody asked for. Before the start.
      */
     public void whenBroken(Thread.UncaughtExceptionHandler handler) {
         executor.whenBroken = handler;
@@ -119,7 +119,8 @@
     }
 
     /** Listens; each accepted connection is made by the front. A port of 0 takes a free one. */
-    public ServerSocketChannel listen(InetSocketAddress address, Function<EndPoint, Connection> front) throws IOException {
+    public ServerSocketChannel listen(InetSocketAddress address, Function<EndPoint, Connection> front)
+            throws IOException {
         return listen(address, false, front);
     }
 
@@ -143,9 +144,9 @@
     }
 
     /**
-     * Ends listening, in later turns: what the system holds for the listener is taken first, a few in each turn, so that
-     * what there is no room for is closed before the next come. A listener that closes while it is registered stays open to
-     * the system until the next select, and what comes up meanwhile would be reset.
+     * Ends listening, in later turns: what the system holds for the listener is taken first, a few in each turn, so
+     * that what there is no room for is closed before the next come. A listener that closes while it is registered
+     * stays open to the system until the next select, and what comes up meanwhile would be reset.
      */
     public void unlisten(ServerSocketChannel server) {
         unlistening++;
@@ -232,8 +233,8 @@
     }
 
     /**
-     * Runs what must not end the loop: Jetty would take an exception here for a broken selector and close it, and
-     * with it every connection. An error is another matter, see {@link Errors}.
+     * Runs what must not end the loop: Jetty would take an exception here for a broken selector and close it, and with
+     * it every connection. An error is another matter, see {@link Errors}.
      */
     private static void guarded(Runnable task) {
         try {
@@ -277,8 +278,11 @@
         Function<EndPoint, Connection> front = fronts.get(at);
         if (front == null) {
             // One that listens on all of the machine's addresses is known by none of them.
-            front = fronts.entrySet().stream().filter(one -> ((InetSocketAddress) one.getKey()).getPort() == at.getPort())
-                    .findFirst().orElseThrow(() -> new IOException("nobody listens at " + at)).getValue();
+            front = fronts.entrySet().stream()
+                    .filter(one -> ((InetSocketAddress) one.getKey()).getPort() == at.getPort())
+                    .findFirst()
+                    .orElseThrow(() -> new IOException("nobody listens at " + at))
+                    .getValue();
         }
         socket.configureBlocking(false);
         socket.socket().setTcpNoDelay(true);
@@ -291,8 +295,8 @@
     }
 
     /**
-     * Tells a reset as an exception, each time it is asked. Jetty's own makes an end of it, and an answer that has no length
-     * and is cut by a reset would pass for whole.
+     * Tells a reset as an exception, each time it is asked. Jetty's own makes an end of it, and an answer that has no
+     * length and is cut by a reset would pass for whole.
      */
     private static final class ResetTellingEndPoint extends SocketChannelEndPoint {
         private IOException reset;
@@ -393,7 +397,8 @@
             guarded(() -> timers.run(clock.nowUs()));
             executor.runAll();
             long waitUs = timers.nextUs() - clock.readUs();
-            int selected = waitUs <= 0 || !executor.isEmpty() ? selector.selectNow()
+            int selected = waitUs <= 0 || !executor.isEmpty()
+                    ? selector.selectNow()
                     : selector.select(waitUs > 60_000_000 ? 60_000 : (waitUs + 999) / 1000);
             clock.turn();
             executor.runAll();
--- a/src/main/java/petrelstand/operation/OperatorConnection.java
+++ b/src/main/java/petrelstand/operation/OperatorConnection.java
@@ -19,7 +19,12 @@
 
 /** An operator's connection: one call, one answer, and the end. */
 final class OperatorConnection extends LoopConnection implements HttpParser.RequestHandler {
-    private enum State { READING, ANSWERING, LINGERING, CLOSED }
+    private enum State {
+        READING,
+        ANSWERING,
+        LINGERING,
+        CLOSED
+    }
 
     private static final int MOST_HEAD = 4096;
     private static final int MOST_BODY = 4096;
@@ -96,8 +101,10 @@
         } else if (wrong != null) {
             answer(400, wrong);
         } else if (fields.contains(HttpHeader.EXPECT, "100-continue")) {
-            getEndPoint().write(nonBlocking(() -> {}, cause -> close()),
-                    BufferUtil.toBuffer("HTTP/1.1 100 Continue\r\n\r\n"));
+            getEndPoint()
+                    .write(
+                            nonBlocking(() -> {}, cause -> close()),
+                            BufferUtil.toBuffer("HTTP/1.1 100 Continue\r\n\r\n"));
         }
         return state != State.READING;
     }
@@ -146,8 +153,11 @@
         ByteBuffer content = BufferUtil.toBuffer(text.endsWith("\n") ? text : text + "\n", StandardCharsets.UTF_8);
         limit.cancel();
         limit = door.timers().at(door.nowUs() + OperatorDoor.CALL_US, this::close);
-        getEndPoint().write(nonBlocking(this::linger, cause -> close()),
-                Wire.answer(status, "text/plain", 0, true, content.remaining()), content);
+        getEndPoint()
+                .write(
+                        nonBlocking(this::linger, cause -> close()),
+                        Wire.answer(status, "text/plain", 0, true, content.remaining()),
+                        content);
     }
 
     /** Closing at once with bytes unread would reset the connection, and the answer could be lost with it. */
--- a/src/main/java/petrelstand/operation/OperatorDoor.java
+++ b/src/main/java/petrelstand/operation/OperatorDoor.java
@@ -12,7 +12,8 @@
 
 /**
  * The operators' address: one call to a connection, answered on the loop. What happens here never touches service:
- * connections and heads are bounded, and where callers hold all of them, the one that has been silent longest gives way.
+ * connections and heads are bounded, and where callers hold all of them, the one that has been silent longest gives
+ * way.
  */
 public final class OperatorDoor {
     /** What a call answers. */
@@ -35,8 +36,7 @@
     private final Set<OperatorConnection> connections = new LinkedHashSet<>();
 
     /** A door for calls by path. */
-    public OperatorDoor(Timers timers, LongSupplier clock, Counters counters,
-            Map<String, Call> calls) {
+    public OperatorDoor(Timers timers, LongSupplier clock, Counters counters, Map<String, Call> calls) {
         this.timers = timers;
         this.clock = clock;
         this.counters = counters;
@@ -63,7 +63,10 @@
     Answer answer(String method, String path) {
         Call call = calls.get(path);
         if (call == null) {
-            return new Answer(404, "no such call; there are " + String.join(", ", calls.keySet().stream().sorted().toList()));
+            return new Answer(
+                    404,
+                    "no such call; there are "
+                            + String.join(", ", calls.keySet().stream().sorted().toList()));
         }
         if (!call.method().equals(method)) {
             return new Answer(405, path + " is called by " + call.method());
--- a/src/main/java/petrelstand/report/AccountsPage.java
+++ b/src/main/java/petrelstand/report/AccountsPage.java
@@ -26,6 +26,7 @@
 
     /** As they are now: a class keeps its place, and others may come. */
     private final Supplier<Settings> settings;
+
     private final Broker broker;
     private final Accounts accounts;
     private final Book book;
@@ -41,9 +42,15 @@
 
     /** Records in a folder from now on; what is logged and counted is on the loop. */
     public void record(Path folder, String gateway, Counters counters, Consumer<Runnable> loop, Consumer<String> log) {
-        records = AccountsLog.onDisk(folder, new AccountsRecord.Names(gateway,
-                settings.get().classes().stream().map(c -> c.name()).toList(),
-                settings.get().plans().stream().map(p -> p.name()).toList()), counters, loop, log);
+        records = AccountsLog.onDisk(
+                folder,
+                new AccountsRecord.Names(
+                        gateway,
+                        settings.get().classes().stream().map(c -> c.name()).toList(),
+                        settings.get().plans().stream().map(p -> p.name()).toList()),
+                counters,
+                loop,
+                log);
         book.keep(records);
     }
 
@@ -54,14 +61,16 @@
             return;
         }
         book.close();
-        Thread thread = new Thread(() -> {
-            try {
-                records.close(LAST_WRITE_MS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            loop.accept(then);
-        }, "accounts-end");
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        records.close(LAST_WRITE_MS);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    loop.accept(then);
+                },
+                "accounts-end");
         thread.setDaemon(true);
         thread.start();
     }
@@ -86,7 +95,9 @@
         page.add("running_minute", minute(book.running()));
         page.add("last_minute", minute(book.last()));
         JsonArray worst = new JsonArray();
-        book.seconds(nowUs).stream().sorted(Comparator.comparingLong(Book.Second::waitUs).reversed()).limit(MOST_SECONDS)
+        book.seconds(nowUs).stream()
+                .sorted(Comparator.comparingLong(Book.Second::waitUs).reversed())
+                .limit(MOST_SECONDS)
                 .forEach(second -> worst.add(second(second)));
         page.add("worst_seconds", worst);
         return page + "\n";
@@ -119,7 +130,9 @@
             if (group.node() >= 0) {
                 of.addProperty("node", String.format("%08x", group.node()));
             } else if (group.requestClass() >= 0) {
-                of.addProperty("class", settings.get().classes().get(group.requestClass()).name());
+                of.addProperty(
+                        "class",
+                        settings.get().classes().get(group.requestClass()).name());
                 of.addProperty("plan", settings.get().plans().get(group.plan()).name());
             } else {
                 of.addProperty("others", true);
@@ -156,11 +169,14 @@
         Ledger.Cell cell = entry.cell();
         json.addProperty("node", String.format("%08x", cell.node()));
         json.addProperty("volume", String.format("%016x", cell.volume()));
-        json.addProperty("class", settings.get().classes().get(cell.requestClass()).name());
+        json.addProperty(
+                "class", settings.get().classes().get(cell.requestClass()).name());
         json.addProperty("cause", cell.cause().kind().name().toLowerCase(java.util.Locale.ROOT));
         if (cell.cause().kind() == Cause.Kind.WORK) {
             json.addProperty("cause_volume", String.format("%016x", cell.cause().volume()));
-            json.addProperty("cause_class", settings.get().classes().get(cell.cause().requestClass()).name());
+            json.addProperty(
+                    "cause_class",
+                    settings.get().classes().get(cell.cause().requestClass()).name());
         }
         json.addProperty("ms", entry.us() / 1000.0);
         json.addProperty("over_by_at_most_ms", entry.overUs() / 1000.0);
--- a/src/main/java/petrelstand/report/HtmlReport.java
+++ b/src/main/java/petrelstand/report/HtmlReport.java
@@ -44,14 +44,21 @@
         Words words = new Words(names);
         StringBuilder html = new StringBuilder("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\">"
                 + "<meta name=\"viewport\" content=\"width=device-width,initial-scale=1\"><title>Who waited for whom, "
-                + escape(names.gateway()) + "</title><style>" + STYLE + "</style><h1>Who waited for whom</h1><p>Gateway "
+                + escape(names.gateway()) + "</title><style>" + STYLE
+                + "</style><h1>Who waited for whom</h1><p>Gateway "
                 + escape(names.gateway()));
         if (!report.seconds().isEmpty()) {
-            html.append(", ").append(Words.time(report.seconds().get(0).second())).append(" to ")
-                    .append(Words.time(report.seconds().get(report.seconds().size() - 1).second()));
+            html.append(", ")
+                    .append(Words.time(report.seconds().get(0).second()))
+                    .append(" to ")
+                    .append(Words.time(
+                            report.seconds().get(report.seconds().size() - 1).second()));
         }
-        html.append(". ").append(Words.ms(report.totalUs())).append(" ms were held and waited, ")
-                .append(Words.ms(report.unnamedUs())).append(" ms of it is recorded without a name.</p>");
+        html.append(". ")
+                .append(Words.ms(report.totalUs()))
+                .append(" ms were held and waited, ")
+                .append(Words.ms(report.unnamedUs()))
+                .append(" ms of it is recorded without a name.</p>");
         kinds(html, report);
         bySecond(html, report);
         worst(html, report, words);
@@ -62,7 +69,10 @@
     }
 
     static String escape(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 
     private static String name(Cause.Kind kind) {
@@ -81,7 +91,9 @@
     private static void cells(StringBuilder html, String... cells) {
         html.append("<tr>");
         for (int i = 0; i < cells.length; i++) {
-            html.append(i >= cells.length - 2 ? "<td class=\"n\">" : "<td>").append(escape(cells[i])).append("</td>");
+            html.append(i >= cells.length - 2 ? "<td class=\"n\">" : "<td>")
+                    .append(escape(cells[i]))
+                    .append("</td>");
         }
         html.append("</tr>");
     }
@@ -108,14 +120,28 @@
             most = Math.max(most, sum);
         }
         int wide = Math.max(2, 900 / columns);
-        html.append("<h2>Wait by ").append(step == 1 ? "second" : step + " seconds").append("</h2><p class=\"key\">");
+        html.append("<h2>Wait by ")
+                .append(step == 1 ? "second" : step + " seconds")
+                .append("</h2><p class=\"key\">");
         for (Cause.Kind kind : Cause.Kind.values()) {
-            html.append("<span style=\"background:var(--").append(name(kind)).append(")\"></span>").append(name(kind));
+            html.append("<span style=\"background:var(--")
+                    .append(name(kind))
+                    .append(")\"></span>")
+                    .append(name(kind));
         }
-        html.append("</p><figure class=\"wide\"><svg width=\"").append(columns * wide + 70).append("\" height=\"")
-                .append(HEIGHT + 30).append("\" role=\"img\" aria-label=\"wait by second, stacked by cause\">");
-        html.append("<text x=\"0\" y=\"12\">").append(Words.ms(most)).append(" ms</text><line class=\"axis\" x1=\"65\" x2=\"")
-                .append(columns * wide + 65).append("\" y1=\"").append(HEIGHT).append("\" y2=\"").append(HEIGHT)
+        html.append("</p><figure class=\"wide\"><svg width=\"")
+                .append(columns * wide + 70)
+                .append("\" height=\"")
+                .append(HEIGHT + 30)
+                .append("\" role=\"img\" aria-label=\"wait by second, stacked by cause\">");
+        html.append("<text x=\"0\" y=\"12\">")
+                .append(Words.ms(most))
+                .append(" ms</text><line class=\"axis\" x1=\"65\" x2=\"")
+                .append(columns * wide + 65)
+                .append("\" y1=\"")
+                .append(HEIGHT)
+                .append("\" y2=\"")
+                .append(HEIGHT)
                 .append("\"/>");
         for (int column = 0; column < columns; column++) {
             double top = HEIGHT;
@@ -123,23 +149,40 @@
                 double high = (HEIGHT - 4.0) * sums[column][kind] / most;
                 if (high >= 0.05) {
                     top -= high;
-                    html.append(String.format(Locale.ROOT, "<rect class=\"%s\" x=\"%d\" y=\"%.1f\" width=\"%d\" height=\"%.1f\">"
-                            + "<title>%s: %s ms %s</title></rect>", name(Cause.Kind.values()[kind]), 65 + column * wide, top,
-                            Math.max(1, wide - 1), high, Words.time(first + column * step), Words.ms(sums[column][kind]),
+                    html.append(String.format(
+                            Locale.ROOT,
+                            "<rect class=\"%s\" x=\"%d\" y=\"%.1f\" width=\"%d\" height=\"%.1f\">"
+                                    + "<title>%s: %s ms %s</title></rect>",
+                            name(Cause.Kind.values()[kind]),
+                            65 + column * wide,
+                            top,
+                            Math.max(1, wide - 1),
+                            high,
+                            Words.time(first + column * step),
+                            Words.ms(sums[column][kind]),
                             name(Cause.Kind.values()[kind])));
                 }
             }
         }
-        html.append("<text x=\"65\" y=\"").append(HEIGHT + 16).append("\">").append(Words.time(first))
+        html.append("<text x=\"65\" y=\"")
+                .append(HEIGHT + 16)
+                .append("\">")
+                .append(Words.time(first))
                 .append("</text></svg></figure>");
     }
 
     private static void worst(StringBuilder html, Report report, Words words) {
-        html.append("<h2>Worst seconds</h2><div class=\"wide\"><table><tr><th>second</th><th>requests</th><th>main cause"
-                + "</th><th class=\"n\">wait ms</th><th class=\"n\">% by it</th></tr>");
+        html.append(
+                "<h2>Worst seconds</h2><div class=\"wide\"><table><tr><th>second</th><th>requests</th><th>main cause"
+                        + "</th><th class=\"n\">wait ms</th><th class=\"n\">% by it</th></tr>");
         for (Report.At at : report.worst(10)) {
-            cells(html, Words.time(at.second()), Long.toString(at.requests()), words.cause(at.main()),
-                    Words.ms(at.waitUs()), Words.percent(at.mainUs(), at.waitUs()));
+            cells(
+                    html,
+                    Words.time(at.second()),
+                    Long.toString(at.requests()),
+                    words.cause(at.main()),
+                    Words.ms(at.waitUs()),
+                    Words.percent(at.mainUs(), at.waitUs()));
         }
         html.append("</table></div>");
     }
@@ -162,16 +205,22 @@
             sums.add(row);
         }
         html.append("<h2>Waiter against cause, ms</h2><div class=\"wide\"><table><tr><th>waiter</th>");
-        causes.forEach(cause -> html.append("<th class=\"n\">").append(escape(words.cause(cause.getKey())).replace(" ",
-                "<br>")).append("</th>"));
+        causes.forEach(cause -> html.append("<th class=\"n\">")
+                .append(escape(words.cause(cause.getKey())).replace(" ", "<br>"))
+                .append("</th>"));
         html.append("</tr>");
         for (int i = 0; i < waiters.size(); i++) {
             Report.Waiter waiter = waiters.get(i).getKey();
-            html.append("<tr><td>").append(escape(words.waiter(waiter.volume(), waiter.requestClass()))).append("</td>");
+            html.append("<tr><td>")
+                    .append(escape(words.waiter(waiter.volume(), waiter.requestClass())))
+                    .append("</td>");
             for (long us : sums.get(i)) {
                 // The root makes small parts seen beside large ones.
-                html.append(String.format(Locale.ROOT, "<td class=\"n\" style=\"background:rgba(var(--heat),%.2f)\">%s</td>",
-                        0.7 * Math.sqrt((double) us / most), us == 0 ? "" : Words.ms(us)));
+                html.append(String.format(
+                        Locale.ROOT,
+                        "<td class=\"n\" style=\"background:rgba(var(--heat),%.2f)\">%s</td>",
+                        0.7 * Math.sqrt((double) us / most),
+                        us == 0 ? "" : Words.ms(us)));
             }
             html.append("</tr>");
         }
@@ -189,20 +238,33 @@
         if (worst.isEmpty()) {
             return;
         }
-        html.append("<h2>Phases, in each group's slowest minute</h2><div class=\"wide\"><table><tr><th>group</th><th>phase"
-                + "</th><th></th><th class=\"n\">p50 ms</th><th class=\"n\">p99 ms</th></tr>");
-        long most = Math.max(1, worst.values().stream().mapToLong(group -> total(group).p99()).max().orElse(1));
-        worst.values().stream().sorted((a, b) -> Long.compare(total(b).p99(), total(a).p99())).limit(MOST_GROUPS)
+        html.append(
+                "<h2>Phases, in each group's slowest minute</h2><div class=\"wide\"><table><tr><th>group</th><th>phase"
+                        + "</th><th></th><th class=\"n\">p50 ms</th><th class=\"n\">p99 ms</th></tr>");
+        long most = Math.max(
+                1,
+                worst.values().stream()
+                        .mapToLong(group -> total(group).p99())
+                        .max()
+                        .orElse(1));
+        worst.values().stream()
+                .sorted((a, b) -> Long.compare(total(b).p99(), total(a).p99()))
+                .limit(MOST_GROUPS)
                 .forEach(group -> {
                     for (Book.Phase phase : Book.Phase.values()) {
                         Book.Percentiles p = group.phases().get(phase.ordinal());
-                        html.append(String.format(Locale.ROOT, "<tr><td>%s</td><td>%s</td><td><svg width=\"200\" "
-                                + "height=\"14\" role=\"img\"><rect class=\"unseen\" x=\"0\" y=\"4\" width=\"%.1f\" height=\"6\"/>"
-                                + "<rect class=\"work\" x=\"0\" y=\"2\" width=\"%.1f\" height=\"10\"/></svg></td><td class=\"n\">"
-                                + "%s</td><td class=\"n\">%s</td></tr>", phase.ordinal() == 0
-                                ? escape(words.group(group.group())) : "", phase.name().toLowerCase(Locale.ROOT),
-                                200.0 * Math.min(p.p99(), most) / most, 200.0 * Math.min(p.p50(), most) / most,
-                                Words.ms(p.p50()), Words.ms(p.p99())));
+                        html.append(String.format(
+                                Locale.ROOT,
+                                "<tr><td>%s</td><td>%s</td><td><svg width=\"200\" "
+                                        + "height=\"14\" role=\"img\"><rect class=\"unseen\" x=\"0\" y=\"4\" width=\"%.1f\" height=\"6\"/>"
+                                        + "<rect class=\"work\" x=\"0\" y=\"2\" width=\"%.1f\" height=\"10\"/></svg></td><td class=\"n\">"
+                                        + "%s</td><td class=\"n\">%s</td></tr>",
+                                phase.ordinal() == 0 ? escape(words.group(group.group())) : "",
+                                phase.name().toLowerCase(Locale.ROOT),
+                                200.0 * Math.min(p.p99(), most) / most,
+                                200.0 * Math.min(p.p50(), most) / most,
+                                Words.ms(p.p50()),
+                                Words.ms(p.p99())));
                     }
                 });
         html.append("</table></div><p>The thick bar is the median, the thin one the 99th percentile.</p>");
@@ -213,12 +275,20 @@
     }
 
     private static void rows(StringBuilder html, Report report, Words words) {
-        html.append("<h2>By node</h2><p>The ").append(Math.min(MOST_ROWS, report.rows().size())).append(" heaviest of ")
-                .append(report.rows().size()).append(" rows.</p><div class=\"wide\"><table><tr><th>node</th><th>waiter</th>"
+        html.append("<h2>By node</h2><p>The ")
+                .append(Math.min(MOST_ROWS, report.rows().size()))
+                .append(" heaviest of ")
+                .append(report.rows().size())
+                .append(" rows.</p><div class=\"wide\"><table><tr><th>node</th><th>waiter</th>"
                         + "<th>cause</th><th class=\"n\">ms</th><th class=\"n\">%</th></tr>");
         for (Report.Row row : report.rows().stream().limit(MOST_ROWS).toList()) {
-            cells(html, Words.node(row.cell().node()), words.waiter(row.cell().volume(), row.cell().requestClass()),
-                    words.cause(row.cell().cause()), Words.ms(row.us()), Words.percent(row.us(), report.totalUs()));
+            cells(
+                    html,
+                    Words.node(row.cell().node()),
+                    words.waiter(row.cell().volume(), row.cell().requestClass()),
+                    words.cause(row.cell().cause()),
+                    Words.ms(row.us()),
+                    Words.percent(row.us(), report.totalUs()));
         }
         html.append("</table></div>");
     }
--- a/src/main/java/petrelstand/report/Report.java
+++ b/src/main/java/petrelstand/report/Report.java
@@ -19,7 +19,9 @@
     /** What is asked for; null or negative for all. Seconds are Unix time, the last one counted in. */
     public record Query(long fromSecond, long toSecond, Long node, Long volume, int requestClass) {
         boolean takes(long second, Ledger.Cell cell) {
-            return second >= fromSecond && second <= toSecond && (node == null || cell.node() == node)
+            return second >= fromSecond
+                    && second <= toSecond
+                    && (node == null || cell.node() == node)
                     && (volume == null || cell.volume() == volume)
                     && (requestClass < 0 || cell.requestClass() == requestClass);
         }
@@ -83,12 +85,22 @@
             var main = causes.entrySet().stream().max(Map.Entry.comparingByValue());
             long waited = wait;
             // A restarted gateway may have recorded a part of the same second: both count.
-            seconds.merge(second.second(), new At(second.second(), second.requests(), waited, kinds,
-                    main.map(Map.Entry::getKey).orElse(null), main.map(Map.Entry::getValue).orElse(0L)), Report::join);
+            seconds.merge(
+                    second.second(),
+                    new At(
+                            second.second(),
+                            second.requests(),
+                            waited,
+                            kinds,
+                            main.map(Map.Entry::getKey).orElse(null),
+                            main.map(Map.Entry::getValue).orElse(0L)),
+                    Report::join);
         }
         List<Row> rows = new ArrayList<>();
         sums.forEach((cell, sum) -> rows.add(new Row(cell, sum[0], sum[1])));
-        rows.sort(Comparator.comparingLong(Row::us).reversed().thenComparing(row -> row.cell().toString()));
+        rows.sort(Comparator.comparingLong(Row::us)
+                .reversed()
+                .thenComparing(row -> row.cell().toString()));
         Report report = new Report(rows, List.copyOf(seconds.values()), total, unnamed);
         rows.forEach(row -> report.byKind.merge(row.cell().cause().kind(), row.us(), Long::sum));
         return report;
@@ -100,7 +112,12 @@
             kinds[i] += b.byKind[i];
         }
         boolean first = a.mainUs >= b.mainUs;
-        return new At(a.second, a.requests + b.requests, a.waitUs + b.waitUs, kinds, first ? a.main : b.main,
+        return new At(
+                a.second,
+                a.requests + b.requests,
+                a.waitUs + b.waitUs,
+                kinds,
+                first ? a.main : b.main,
                 Math.max(a.mainUs, b.mainUs));
     }
 
@@ -130,14 +147,18 @@
 
     /** The seconds with the longest waits, the worst first. */
     public List<At> worst(int most) {
-        return seconds.stream().filter(at -> at.waitUs > 0).sorted(Comparator.comparingLong(At::waitUs).reversed())
-                .limit(most).toList();
+        return seconds.stream()
+                .filter(at -> at.waitUs > 0)
+                .sorted(Comparator.comparingLong(At::waitUs).reversed())
+                .limit(most)
+                .toList();
     }
 
     /** Sums by who waited, the longest first, keyed by volume and class; at most so many. */
     public List<Map.Entry<Waiter, Long>> waiters(int most) {
         Map<Waiter, Long> sums = new HashMap<>();
-        rows.forEach(row -> sums.merge(new Waiter(row.cell().volume(), row.cell().requestClass()), row.us(), Long::sum));
+        rows.forEach(
+                row -> sums.merge(new Waiter(row.cell().volume(), row.cell().requestClass()), row.us(), Long::sum));
         return heaviest(sums, most);
     }
 
@@ -149,15 +170,22 @@
     }
 
     private static <K> List<Map.Entry<K, Long>> heaviest(Map<K, Long> sums, int most) {
-        return sums.entrySet().stream().sorted(Map.Entry.<K, Long>comparingByValue().reversed()
-                .thenComparing(entry -> entry.getKey().toString())).limit(most).toList();
+        return sums.entrySet().stream()
+                .sorted(Map.Entry.<K, Long>comparingByValue()
+                        .reversed()
+                        .thenComparing(entry -> entry.getKey().toString()))
+                .limit(most)
+                .toList();
     }
 
     /** Who waited for what, whatever the node. */
     public long us(Waiter waiter, Cause cause) {
-        return rows.stream().filter(row -> row.cell().volume() == waiter.volume()
-                && row.cell().requestClass() == waiter.requestClass() && row.cell().cause().equals(cause))
-                .mapToLong(Row::us).sum();
+        return rows.stream()
+                .filter(row -> row.cell().volume() == waiter.volume()
+                        && row.cell().requestClass() == waiter.requestClass()
+                        && row.cell().cause().equals(cause))
+                .mapToLong(Row::us)
+                .sum();
     }
 
     /** A volume's requests of a class. */
--- a/src/main/java/petrelstand/report/TextReport.java
+++ b/src/main/java/petrelstand/report/TextReport.java
@@ -21,35 +21,56 @@
     public static String text(Report report, Names names, List<Minute> minutes) {
         Words words = new Words(names);
         StringBuilder text = new StringBuilder();
-        text.append(String.format("gateway %s, %d seconds, %s ms held and waited; %s ms of it without a name%n",
+        text.append(String.format(
+                "gateway %s, %d seconds, %s ms held and waited; %s ms of it without a name%n",
                 names.gateway(), report.seconds().size(), Words.ms(report.totalUs()), Words.ms(report.unnamedUs())));
         for (Cause.Kind kind : Cause.Kind.values()) {
-            text.append(String.format("  %-8s %16s ms %6s %%%n", kind.name().toLowerCase(Locale.ROOT),
-                    Words.ms(report.us(kind)), Words.percent(report.us(kind), report.totalUs())));
+            text.append(String.format(
+                    "  %-8s %16s ms %6s %%%n",
+                    kind.name().toLowerCase(Locale.ROOT),
+                    Words.ms(report.us(kind)),
+                    Words.percent(report.us(kind), report.totalUs())));
         }
-        text.append(String.format("%nwho waited for whom (%d of %d rows)%n%-11s %-34s %-34s %14s %7s%n",
+        text.append(String.format(
+                "%nwho waited for whom (%d of %d rows)%n%-11s %-34s %-34s %14s %7s%n",
                 Math.min(MOST_ROWS, report.rows().size()), report.rows().size(), "node", "waiter", "cause", "ms", "%"));
         for (Report.Row row : report.rows().stream().limit(MOST_ROWS).toList()) {
-            text.append(String.format("%-11s %-34s %-34s %14s %7s%n", Words.node(row.cell().node()),
-                    words.waiter(row.cell().volume(), row.cell().requestClass()), words.cause(row.cell().cause()),
-                    Words.ms(row.us()), Words.percent(row.us(), report.totalUs())));
+            text.append(String.format(
+                    "%-11s %-34s %-34s %14s %7s%n",
+                    Words.node(row.cell().node()),
+                    words.waiter(row.cell().volume(), row.cell().requestClass()),
+                    words.cause(row.cell().cause()),
+                    Words.ms(row.us()),
+                    Words.percent(row.us(), report.totalUs())));
         }
-        text.append(String.format("%nworst seconds%n%-21s %9s %14s %-34s %7s%n", "second", "requests", "ms", "main cause",
-                "%"));
+        text.append(String.format(
+                "%nworst seconds%n%-21s %9s %14s %-34s %7s%n", "second", "requests", "ms", "main cause", "%"));
         for (Report.At at : report.worst(MOST_WORST)) {
-            text.append(String.format("%-21s %9d %14s %-34s %7s%n", Words.time(at.second()), at.requests(),
-                    Words.ms(at.waitUs()), words.cause(at.main()), Words.percent(at.mainUs(), at.waitUs())));
+            text.append(String.format(
+                    "%-21s %9d %14s %-34s %7s%n",
+                    Words.time(at.second()),
+                    at.requests(),
+                    Words.ms(at.waitUs()),
+                    words.cause(at.main()),
+                    Words.percent(at.mainUs(), at.waitUs())));
         }
         if (!minutes.isEmpty()) {
-            text.append(String.format("%nphases by minute, ms%n%-21s %-26s %-11s %9s %9s %9s %9s%n", "minute", "group",
-                    "phase", "count", "p50", "p90", "p99"));
+            text.append(String.format(
+                    "%nphases by minute, ms%n%-21s %-26s %-11s %9s %9s %9s %9s%n",
+                    "minute", "group", "phase", "count", "p50", "p90", "p99"));
             for (Minute minute : minutes) {
                 for (GroupPhases group : minute.groups()) {
                     for (Book.Phase phase : Book.Phase.values()) {
                         Book.Percentiles p = group.phases().get(phase.ordinal());
-                        text.append(String.format("%-21s %-26s %-11s %9d %9s %9s %9s%n", Words.time(minute.fromSecond()),
-                                words.group(group.group()), phase.name().toLowerCase(Locale.ROOT), p.count(),
-                                Words.ms(p.p50()), Words.ms(p.p90()), Words.ms(p.p99())));
+                        text.append(String.format(
+                                "%-21s %-26s %-11s %9d %9s %9s %9s%n",
+                                Words.time(minute.fromSecond()),
+                                words.group(group.group()),
+                                phase.name().toLowerCase(Locale.ROOT),
+                                p.count(),
+                                Words.ms(p.p50()),
+                                Words.ms(p.p90()),
+                                Words.ms(p.p99())));
                     }
                 }
             }
--- a/src/main/java/petrelstand/report/Words.java
+++ b/src/main/java/petrelstand/report/Words.java
@@ -39,13 +39,17 @@
     }
 
     String cause(Cause cause) {
-        return cause == null ? "-" : cause.kind() == Cause.Kind.WORK
-                ? waiter(cause.volume(), cause.requestClass()) : cause.kind().name().toLowerCase(Locale.ROOT);
+        return cause == null
+                ? "-"
+                : cause.kind() == Cause.Kind.WORK
+                        ? waiter(cause.volume(), cause.requestClass())
+                        : cause.kind().name().toLowerCase(Locale.ROOT);
     }
 
     String group(Book.Group group) {
-        return group.node() >= 0 ? node(group.node()) : group.requestClass() >= 0
-                ? requestClass(group.requestClass()) + ", " + plan(group.plan()) : "others";
+        return group.node() >= 0
+                ? node(group.node())
+                : group.requestClass() >= 0 ? requestClass(group.requestClass()) + ", " + plan(group.plan()) : "others";
     }
 
     static String ms(long us) {
--- a/src/main/java/petrelstand/rsync/ClientSession.java
+++ b/src/main/java/petrelstand/rsync/ClientSession.java
@@ -18,7 +18,14 @@
  * that every client understands; the client hears OK only when a node has opened the module for it.
  */
 final class ClientSession extends Session implements ClientSide, Transfer.ClientEnd {
-    enum State { GREETING, MODULE, WAITING, ARGUMENTS, RELAYING, ENDING }
+    enum State {
+        GREETING,
+        MODULE,
+        WAITING,
+        ARGUMENTS,
+        RELAYING,
+        ENDING
+    }
 
     private static final int MOST_ARGUMENTS = 64;
     /** When a client refused for the gateway's own sake may come back. */
@@ -45,7 +52,6 @@
         return full;
     }
 
-
     @Override
     void opened() {
         write(Lines.GREETING);
@@ -146,10 +152,33 @@
         } else {
             state = State.WAITING;
             transfer = new Transfer(name, this);
-            long leftUs = (long) (front.broker().settings().classes().get(module.requestClass()).deadlineMs() * 1000);
-            boolean writes = front.broker().settings().classes().get(module.requestClass()).writes();
-            front.broker().take(new Demand(module.requestClass(), module.plan(), 0, module.volume(), module.units(),
-                    module.shard(), 0, false, writes, leftUs), transfer, this, taken -> exchange = taken);
+            long leftUs = (long) (front.broker()
+                            .settings()
+                            .classes()
+                            .get(module.requestClass())
+                            .deadlineMs()
+                    * 1000);
+            boolean writes = front.broker()
+                    .settings()
+                    .classes()
+                    .get(module.requestClass())
+                    .writes();
+            front.broker()
+                    .take(
+                            new Demand(
+                                    module.requestClass(),
+                                    module.plan(),
+                                    0,
+                                    module.volume(),
+                                    module.units(),
+                                    module.shard(),
+                                    0,
+                                    false,
+                                    writes,
+                                    leftUs),
+                            transfer,
+                            this,
+                            taken -> exchange = taken);
         }
     }
 
--- a/src/main/java/petrelstand/rsync/Lines.java
+++ b/src/main/java/petrelstand/rsync/Lines.java
@@ -10,6 +10,7 @@
 final class Lines {
     /** The one version carried: both sides of a relay agree on it, as daemons and clients since 2.6.4 can. */
     static final int VERSION = 29;
+
     static final String GREETING = "@RSYNCD: " + VERSION + ".0\n";
     static final String OK = "@RSYNCD: OK\n";
     static final String EXIT = "@RSYNCD: EXIT\n";
@@ -54,7 +55,9 @@
         if (withSeed) {
             frame.putInt(0);
         }
-        return frame.putInt((MuxReader.BASE + MuxReader.ERROR) << 24 | bytes.length).put(bytes).flip();
+        return frame.putInt((MuxReader.BASE + MuxReader.ERROR) << 24 | bytes.length)
+                .put(bytes)
+                .flip();
     }
 
     /** A time for a person: seconds with one to three decimals. */
--- a/src/main/java/petrelstand/rsync/NodeSession.java
+++ b/src/main/java/petrelstand/rsync/NodeSession.java
@@ -8,7 +8,11 @@
 
 /** A connection to a node that speaks the daemon protocol, for one attempt. */
 final class NodeSession extends Session implements Transfer.NodeEnd {
-    private enum State { GREETING, OPENING, OPEN }
+    private enum State {
+        GREETING,
+        OPENING,
+        OPEN
+    }
 
     private final Attempt attempt;
     private final Transfer transfer;
@@ -92,8 +96,7 @@
 
     @Override
     void ended() {
-        end(transfer.whole() ? Outcome.SERVED
-                : transfer.begun() ? Outcome.RESET : Outcome.NOT_CONNECTED);
+        end(transfer.whole() ? Outcome.SERVED : transfer.begun() ? Outcome.RESET : Outcome.NOT_CONNECTED);
     }
 
     @Override
--- a/src/main/java/petrelstand/rsync/Options.java
+++ b/src/main/java/petrelstand/rsync/Options.java
@@ -5,8 +5,17 @@
 /** The options of a transfer that shape its bytes; {@link #parse} takes the subset and names what is outside it. */
 record Options(boolean pull, boolean users, boolean groups, boolean devices, boolean links, boolean numericIds) {
     private static final String SHORT = "vqlogDtprudIWxSOJKkE";
-    private static final List<String> LONG = List.of("--partial", "--size-only", "--ignore-times", "--existing",
-            "--ignore-existing", "--omit-dir-times", "--specials", "--devices", "--one-file-system", "--whole-file");
+    private static final List<String> LONG = List.of(
+            "--partial",
+            "--size-only",
+            "--ignore-times",
+            "--existing",
+            "--ignore-existing",
+            "--omit-dir-times",
+            "--specials",
+            "--devices",
+            "--one-file-system",
+            "--whole-file");
 
     /** Names of users and groups follow the file list. */
     boolean names() {
@@ -45,8 +54,8 @@
             checkPath(path, module);
         }
         String all = letters.toString();
-        return new Options(pull, all.contains("o"), all.contains("g"), specials || all.contains("D"),
-                all.contains("l"), numeric);
+        return new Options(
+                pull, all.contains("o"), all.contains("g"), specials || all.contains("D"), all.contains("l"), numeric);
     }
 
     /** The letters of a cluster; what follows an 'e' only tells what the client could do in later protocols. */
--- a/src/main/java/petrelstand/rsync/RecordReader.java
+++ b/src/main/java/petrelstand/rsync/RecordReader.java
@@ -29,7 +29,8 @@
     /** The longest record: a file's entry with two names at rsync's bound of 4096 bytes, and some fields. */
     static final int MOST_KEPT = 10 * 1024;
 
-    private ByteBuffer kept = ByteBuffer.allocate(256).order(ByteOrder.LITTLE_ENDIAN).limit(0);
+    private ByteBuffer kept =
+            ByteBuffer.allocate(256).order(ByteOrder.LITTLE_ENDIAN).limit(0);
     private long skip;
 
     /** Takes all bytes of the input. */
--- a/src/main/java/petrelstand/rsync/SenderReader.java
+++ b/src/main/java/petrelstand/rsync/SenderReader.java
@@ -4,7 +4,16 @@
 
 /** The sender's direction in protocol 29: the file list, then each file's data, the phases, and on a pull figures. */
 final class SenderReader extends ItemReader {
-    private enum Part { FILES, USERS, GROUPS, ERRORS, ITEMS, TOKENS, FIGURES, END }
+    private enum Part {
+        FILES,
+        USERS,
+        GROUPS,
+        ERRORS,
+        ITEMS,
+        TOKENS,
+        FIGURES,
+        END
+    }
 
     private static final int EXTENDED = 1 << 2;
     private static final int SAME_MODE = 1 << 1;
@@ -79,7 +88,8 @@
     private void file(ByteBuffer in) {
         int flags = u8(in);
         if (flags == 0) {
-            part = options.names() && options.users() ? Part.USERS
+            part = options.names() && options.users()
+                    ? Part.USERS
                     : options.names() && options.groups() ? Part.GROUPS : Part.ERRORS;
             return;
         }
--- a/src/main/java/petrelstand/rsync/Session.java
+++ b/src/main/java/petrelstand/rsync/Session.java
@@ -102,13 +102,18 @@
 
     final void write(ByteBuffer bytes, Runnable left) {
         writing = true;
-        getEndPoint().write(nonBlocking(() -> {
-            writing = false;
-            if (!closed) {
-                moved();
-                left.run();
-            }
-        }, cause -> broken()), bytes);
+        getEndPoint()
+                .write(
+                        nonBlocking(
+                                () -> {
+                                    writing = false;
+                                    if (!closed) {
+                                        moved();
+                                        left.run();
+                                    }
+                                },
+                                cause -> broken()),
+                        bytes);
     }
 
     private void broken() {
--- a/src/main/java/petrelstand/rsync/Transfer.java
+++ b/src/main/java/petrelstand/rsync/Transfer.java
@@ -82,7 +82,9 @@
         node.relay(bytes, left);
     }
 
-    /** The client's arguments, as they came. The node is read from only when they have left: it may not speak sooner. */
+    /**
+     * The client's arguments, as they came. The node is read from only when they have left: it may not speak sooner.
+     */
     void upArguments(ByteBuffer bytes, Runnable left) {
         NodeEnd to = node;
         to.relay(bytes, () -> {
--- a/src/main/java/petrelstand/sim/Codec.java
+++ b/src/main/java/petrelstand/sim/Codec.java
@@ -68,8 +68,8 @@
             long length = data.readInt() & 0xffffffffL;
             double clock = data.readDouble();
             if (length < BATCH_HEADER || length > MAX_FRAME) {
-                throw new LinkException("batch header: frame length " + length + " is outside " + BATCH_HEADER
-                        + " to " + MAX_FRAME);
+                throw new LinkException(
+                        "batch header: frame length " + length + " is outside " + BATCH_HEADER + " to " + MAX_FRAME);
             }
             if (records > length) {
                 throw new LinkException("batch header: " + records + " records in " + length + " bytes");
@@ -139,8 +139,20 @@
         int shard = (int) in.getFloat();
         int setSize = (int) in.getFloat();
         int bits = u16(in);
-        sink.request(instance, new Request(id, requestClass, plan, key, timeLeft, volume, units, shard, setSize,
-                (bits & 2) != 0, (bits & 4) != 0));
+        sink.request(
+                instance,
+                new Request(
+                        id,
+                        requestClass,
+                        plan,
+                        key,
+                        timeLeft,
+                        volume,
+                        units,
+                        shard,
+                        setSize,
+                        (bits & 2) != 0,
+                        (bits & 4) != 0));
     }
 
     private static void decodeAttemptEnd(ByteBuffer in, Sink sink) {
@@ -153,7 +165,8 @@
         long node = u32(in);
         int fromOthers = u16(in);
         boolean over = u8(in) != 0;
-        sink.attemptEnded(instance,
+        sink.attemptEnded(
+                instance,
                 new AttemptEnd(request, attempt, outcome, elapsed, node, seenUse, fromOthers, over, load(in)));
     }
 
@@ -166,13 +179,16 @@
         for (long i = 0; i < count; i++) {
             entries.add(nodeEntry(in));
         }
-        sink.nodes(instance, switch (kind) {
-            case 0 -> ListKind.CHANGES;
-            case 1 -> ListKind.WHOLE;
-            case 2 -> ListKind.CACHED;
-            case 3 -> ListKind.FAILED;
-            default -> throw new LinkException("unknown list kind " + kind);
-        }, entries);
+        sink.nodes(
+                instance,
+                switch (kind) {
+                    case 0 -> ListKind.CHANGES;
+                    case 1 -> ListKind.WHOLE;
+                    case 2 -> ListKind.CACHED;
+                    case 3 -> ListKind.FAILED;
+                    default -> throw new LinkException("unknown list kind " + kind);
+                },
+                entries);
     }
 
     private static NodeEntry nodeEntry(ByteBuffer in) {
@@ -183,12 +199,18 @@
         int state = u8(in);
         float rating = in.getFloat();
         double upSince = in.getDouble();
-        return new NodeEntry(node, zone, shard, switch (state) {
-            case 0 -> NodeState.GONE;
-            case 1 -> NodeState.READY;
-            case 2 -> NodeState.DRAINING;
-            default -> throw new LinkException("unknown node state " + state);
-        }, rating, upSince);
+        return new NodeEntry(
+                node,
+                zone,
+                shard,
+                switch (state) {
+                    case 0 -> NodeState.GONE;
+                    case 1 -> NodeState.READY;
+                    case 2 -> NodeState.DRAINING;
+                    default -> throw new LinkException("unknown node state " + state);
+                },
+                rating,
+                upSince);
     }
 
     private static Outcome outcome(int code) {
@@ -296,7 +318,9 @@
 
     /** Writes the actions gathered since the last reply as one frame. */
     void flush(OutputStream output) throws IOException {
-        output.write(ByteBuffer.allocate(REPLY_HEADER).putInt(REPLY_HEADER + replyBytes.size()).array());
+        output.write(ByteBuffer.allocate(REPLY_HEADER)
+                .putInt(REPLY_HEADER + replyBytes.size())
+                .array());
         replyBytes.writeTo(output);
         output.flush();
         replyBytes.reset();
--- a/src/main/java/petrelstand/sim/InstanceLoop.java
+++ b/src/main/java/petrelstand/sim/InstanceLoop.java
@@ -39,7 +39,8 @@
     @Override
     public void started(long instance, long seed, String settings) {
         try {
-            instances.put(instance, new Policy(nowMs, SettingsReader.ofText(settings), seed, new WireActions(instance)));
+            instances.put(
+                    instance, new Policy(nowMs, SettingsReader.ofText(settings), seed, new WireActions(instance)));
         } catch (IllegalArgumentException e) {
             throw new LinkException("settings: " + e.getMessage());
         }
--- a/src/main/java/petrelstand/state/Generations.java
+++ b/src/main/java/petrelstand/state/Generations.java
@@ -16,6 +16,7 @@
 public final class Generations {
     /** Whole snapshots that stay in the folder. */
     public static final int KEPT = 2;
+
     private static final String PREFIX = "learned-";
     private static final String SUFFIX = ".state";
     private static final String TEMPORARY = ".tmp";
@@ -49,8 +50,11 @@
 
     /** The snapshots among names, the newest first. */
     public static List<Long> newestFirst(Collection<String> names) {
-        return names.stream().map(Generations::of).flatMap(Optional::stream)
-                .sorted(Comparator.reverseOrder()).toList();
+        return names.stream()
+                .map(Generations::of)
+                .flatMap(Optional::stream)
+                .sorted(Comparator.reverseOrder())
+                .toList();
     }
 
     /** A file of this generation is there, whole or not: its number is not used again. */
--- a/src/main/java/petrelstand/state/Snapshot.java
+++ b/src/main/java/petrelstand/state/Snapshot.java
@@ -17,8 +17,8 @@
  * @param clean true where the gateway took nothing and sent nothing after it: the last one of an orderly end
  * @param learned the figures, as the decision module handed them out
  */
-public record Snapshot(String gateway, long settingsPrint, long generation, long wallMs, boolean clean,
-        Learned learned) {
+public record Snapshot(
+        String gateway, long settingsPrint, long generation, long wallMs, boolean clean, Learned learned) {
     /** Nodes that are kept, at most; what a folder gives back beyond it is not believed. */
     public static final int MOST_NODES = 4096;
 
--- a/src/main/java/petrelstand/state/Trust.java
+++ b/src/main/java/petrelstand/state/Trust.java
@@ -18,16 +18,17 @@
  * lie half way between what was learned and what a gateway that knows nothing starts with. Silence does not fade into
  * half a silence: it is believed for two half-lives and then dropped.
  *
- * <p>Whatever a file says, what comes out is finite and bounded, and rests on so little evidence that fresh
- * observation outweighs it: {@link #MOST_NODE_SLOTS} slots of work at a node weigh as much as all that is recalled of
- * its rate, and {@link Policy#RATE_SPAN_MS} after the start nothing of it is left. Figures that guard a rule (a
- * limit's store, the units sent to a cold node) do not fade: they are taken at their worst.
+ * <p>Whatever a file says, what comes out is finite and bounded, and rests on so little evidence that fresh observation
+ * outweighs it: {@link #MOST_NODE_SLOTS} slots of work at a node weigh as much as all that is recalled of its rate, and
+ * {@link Policy#RATE_SPAN_MS} after the start nothing of it is left. Figures that guard a rule (a limit's store, the
+ * units sent to a cold node) do not fade: they are taken at their worst.
  */
 public final class Trust {
     /** A node's speed is mostly its machine's; but neighbours come and go within seconds. */
     static final double RATE_HALF_LIFE_MS = 60_000;
     /** Latency holds the load of the moment too, which a surge of some 10 s changes. */
     static final double LATENCY_HALF_LIFE_MS = 20_000;
+
     static final double WINDOW_HALF_LIFE_MS = 20_000;
     /** Nodes fall silent for 8 to 26 s; believed for two of these. */
     static final double SILENCE_HALF_LIFE_MS = 10_000;
@@ -41,6 +42,7 @@
     static final double MOST_POOL_SLOTS = 20;
     /** Units a slot, in largest requests, that a node can be remembered to have served. */
     static final double MOST_REQUESTS_A_SLOT = Policy.WINDOW_CEILING;
+
     static final double LEAST_LATENCY_MS = 0.1;
 
     /** What is recalled, or why nothing is; {@code dropped} counts lines that were nonsense or twice there. */
@@ -61,9 +63,15 @@
     public Trust(String gateway, Settings settings) {
         this.gateway = gateway;
         this.settings = settings;
-        double tightest = settings.classes().stream().mapToDouble(RequestClass::aimMs).min().orElseThrow();
+        double tightest = settings.classes().stream()
+                .mapToDouble(RequestClass::aimMs)
+                .min()
+                .orElseThrow();
         this.leastWindow = Math.min(1, Policy.LEAST_OUT_TOGETHER / settings.hosts());
-        this.longestAimMs = settings.classes().stream().mapToDouble(RequestClass::aimMs).max().orElseThrow();
+        this.longestAimMs = settings.classes().stream()
+                .mapToDouble(RequestClass::aimMs)
+                .max()
+                .orElseThrow();
         this.latencyStartMs = Policy.LATENCY_START_SLOTS * Policy.SLOT_PART * tightest;
     }
 
@@ -102,8 +110,8 @@
         double served = slots > 0 && amount(from.served()) ? slots * rate(from.served(), from.slots()) : 0;
         int silent = (int) nodes.stream().filter(node -> node.silentMs() > 0).count();
         int dropped = from.nodes().size() - nodes.size() + from.volumes().size() - volumes.size();
-        return new Verdict(new Learned(nowMs, served > 0 ? slots : 0, served, nodes, volumes), null, age, silent,
-                dropped);
+        return new Verdict(
+                new Learned(nowMs, served > 0 ? slots : 0, served, nodes, volumes), null, age, silent, dropped);
     }
 
     static double weight(double ageMs, double halfLifeMs) {
@@ -116,15 +124,25 @@
 
     /** A node that started after the file was written can't be in it. */
     private static boolean sane(LearnedNode node, double writtenMs) {
-        return amount(node.upSinceMs()) && node.upSinceMs() <= writtenMs && amount(node.slots())
-                && amount(node.served()) && amount(node.window()) && amount(node.latencyMs())
-                && amount(node.coldSent()) && amount(node.silentMs());
+        return amount(node.upSinceMs())
+                && node.upSinceMs() <= writtenMs
+                && amount(node.slots())
+                && amount(node.served())
+                && amount(node.window())
+                && amount(node.latencyMs())
+                && amount(node.coldSent())
+                && amount(node.silentMs());
     }
 
     private boolean sane(LearnedVolume volume) {
-        return volume.plan() >= 0 && volume.plan() < settings.plans().size() && volume.setSize() >= 1
-                && volume.setSize() <= settings.hosts() && volume.ownPart() > 0 && volume.ownPart() <= 1
-                && Double.isFinite(volume.limitLevel()) && Double.isFinite(volume.reserveLevel())
+        return volume.plan() >= 0
+                && volume.plan() < settings.plans().size()
+                && volume.setSize() >= 1
+                && volume.setSize() <= settings.hosts()
+                && volume.ownPart() > 0
+                && volume.ownPart() <= 1
+                && Double.isFinite(volume.limitLevel())
+                && Double.isFinite(volume.reserveLevel())
                 && Double.isFinite(volume.shareLevel());
     }
 
@@ -136,28 +154,49 @@
     private LearnedNode aged(LearnedNode node, double age, double nowMs) {
         double slots = Math.min(node.slots(), MOST_NODE_SLOTS) * weight(age, RATE_HALF_LIFE_MS);
         double served = slots > 0 ? slots * rate(node.served(), node.slots()) : 0;
-        double window = toward(Policy.WINDOW_START, Math.max(leastWindow, Math.min(node.window(),
-                Policy.WINDOW_CEILING)), weight(age, WINDOW_HALF_LIFE_MS));
-        double latency = toward(latencyStartMs, Math.max(LEAST_LATENCY_MS, Math.min(node.latencyMs(), longestAimMs)),
+        double window = toward(
+                Policy.WINDOW_START,
+                Math.max(leastWindow, Math.min(node.window(), Policy.WINDOW_CEILING)),
+                weight(age, WINDOW_HALF_LIFE_MS));
+        double latency = toward(
+                latencyStartMs,
+                Math.max(LEAST_LATENCY_MS, Math.min(node.latencyMs(), longestAimMs)),
                 weight(age, LATENCY_HALF_LIFE_MS));
         boolean silent = node.silentMs() > 0 && weight(age, SILENCE_HALF_LIFE_MS) >= 0.25;
         // What a cold node was sent is counted whole and from now on, so it never looks smaller than it was.
         boolean cold = node.upSinceMs() > 0
-                && nowMs < node.upSinceMs() + settings.rules().warmUpMs() + settings.rules().fallMs();
-        return new LearnedNode(node.node(), node.upSinceMs(), slots, served, window, latency,
-                cold ? node.coldSent() : 0, silent ? Math.min(node.silentMs() + age, OLDEST_MS) : 0);
+                && nowMs
+                        < node.upSinceMs()
+                                + settings.rules().warmUpMs()
+                                + settings.rules().fallMs();
+        return new LearnedNode(
+                node.node(),
+                node.upSinceMs(),
+                slots,
+                served,
+                window,
+                latency,
+                cold ? node.coldSent() : 0,
+                silent ? Math.min(node.silentMs() + age, OLDEST_MS) : 0);
     }
 
     private LearnedVolume aged(LearnedVolume volume, double age, boolean clean) {
         Plan plan = settings.plans().get(volume.plan());
         int hosts = volume.setSize();
-        double part = toward(Math.min(1 / Math.sqrt(hosts), 2.0 / hosts),
-                Math.max(1.0 / hosts, volume.ownPart()), weight(age, USE_HALF_LIFE_MS));
+        double part = toward(
+                Math.min(1 / Math.sqrt(hosts), 2.0 / hosts),
+                Math.max(1.0 / hosts, volume.ownPart()),
+                weight(age, USE_HALF_LIFE_MS));
         // What was spent between the last snapshot and a crash is not known: all of the limit may be. After a clean
         // end nothing was.
-        double limit = clean ? filled(volume.limitLevel(), plan.limit() / hosts, age)
-                : Math.min(0, volume.limitLevel());
-        return new LearnedVolume(volume.volume(), volume.plan(), hosts, part, limit,
+        double limit =
+                clean ? filled(volume.limitLevel(), plan.limit() / hosts, age) : Math.min(0, volume.limitLevel());
+        return new LearnedVolume(
+                volume.volume(),
+                volume.plan(),
+                hosts,
+                part,
+                limit,
                 filled(volume.reserveLevel(), plan.reserve() * part, age),
                 filled(volume.shareLevel(), plan.rate() * part, age));
     }
--- a/src/main/java/petrelstand/state/WritePlan.java
+++ b/src/main/java/petrelstand/state/WritePlan.java
@@ -10,6 +10,7 @@
 public final class WritePlan {
     /** A write that lasts longer is said to hang. */
     public static final long HUNG_US = 2_000_000;
+
     private static final long FIRST_BACK_OFF_US = 1_000_000;
     private static final long MOST_BACK_OFF_US = 60_000_000;
 
--- a/src/main/java/petrelstand/store/AccountsLog.java
+++ b/src/main/java/petrelstand/store/AccountsLog.java
@@ -43,7 +43,12 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private boolean failing;
 
-    AccountsLog(Opening opening, AccountsRecord.Names names, int mostBytes, Counters counters, Consumer<Runnable> loop,
+    AccountsLog(
+            Opening opening,
+            AccountsRecord.Names names,
+            int mostBytes,
+            Counters counters,
+            Consumer<Runnable> loop,
             Consumer<String> log) {
         this.opening = opening;
         this.names = AccountsRecord.frame(names);
@@ -57,8 +62,8 @@
     }
 
     /** A log in a folder; {@code loop} runs what counts and logs. */
-    public static AccountsLog onDisk(Path folder, AccountsRecord.Names names, Counters counters, Consumer<Runnable> loop,
-            Consumer<String> log) {
+    public static AccountsLog onDisk(
+            Path folder, AccountsRecord.Names names, Counters counters, Consumer<Runnable> loop, Consumer<String> log) {
         return new AccountsLog(() -> new DiskFolder(folder), names, MOST_BYTES, counters, loop, log);
     }
 
@@ -115,16 +120,22 @@
                 }
             }
         } catch (IOException | RuntimeException e) {
-            tell("not recorded: " + String.valueOf(e.getMessage()).lines().findFirst().orElse("") + "; service goes on"
-                    + " without", true);
+            tell(
+                    "not recorded: "
+                            + String.valueOf(e.getMessage()).lines().findFirst().orElse("") + "; service goes on"
+                            + " without",
+                    true);
             return true;
         }
     }
 
     /** Writes one file; true where it is full, false at the end. */
     private boolean fill(DiskFolder folder) throws IOException, InterruptedException {
-        List<Long> numbers = new ArrayList<>(folder.list(StateStore.MOST_FILES).stream().map(AccountsLog::number)
-                .filter(number -> number >= 0).sorted(Comparator.reverseOrder()).toList());
+        List<Long> numbers = new ArrayList<>(folder.list(StateStore.MOST_FILES).stream()
+                .map(AccountsLog::number)
+                .filter(number -> number >= 0)
+                .sorted(Comparator.reverseOrder())
+                .toList());
         for (long old : numbers.subList(Math.min(numbers.size(), MOST_KEPT - 1), numbers.size())) {
             folder.delete(name(old));
         }
--- a/src/main/java/petrelstand/store/AccountsRecord.java
+++ b/src/main/java/petrelstand/store/AccountsRecord.java
@@ -25,6 +25,7 @@
     static final int HEAD = 12;
     /** A frame is no longer than this. */
     static final int MOST_FRAME = 1 << 18;
+
     private static final byte[] MAGIC = "PETRACCT".getBytes(StandardCharsets.US_ASCII);
     private static final CBORFactory CBOR = new CBORFactory();
 
@@ -47,7 +48,11 @@
     }
 
     static byte[] head() {
-        return ByteBuffer.allocate(HEAD).put(MAGIC).putShort((short) VERSION).putShort((short) 0).array();
+        return ByteBuffer.allocate(HEAD)
+                .put(MAGIC)
+                .putShort((short) VERSION)
+                .putShort((short) 0)
+                .array();
     }
 
     private static byte[] frame(Body body) {
@@ -126,8 +131,11 @@
     static Minute of(Book.Minute minute) {
         List<GroupPhases> groups = new ArrayList<>();
         for (Book.Group group : minute.groups()) {
-            groups.add(new GroupPhases(group, Arrays.stream(Book.Phase.values())
-                    .map(phase -> minute.percentiles(group, phase)).toList()));
+            groups.add(new GroupPhases(
+                    group,
+                    Arrays.stream(Book.Phase.values())
+                            .map(phase -> minute.percentiles(group, phase))
+                            .toList()));
         }
         return new Minute(minute.fromUs() / 1_000_000, minute.requests(), minute.served(), groups);
     }
@@ -152,7 +160,8 @@
             int length = left < 0 ? -1 : in.getInt(at);
             if (length < 1 || length > left || length > MOST_FRAME) {
                 fault = "offset " + at + ": the record ends inside a frame";
-            } else if (in.getInt(at + Integer.BYTES + length) != SnapshotFormat.checksum(file, at, Integer.BYTES + length)) {
+            } else if (in.getInt(at + Integer.BYTES + length)
+                    != SnapshotFormat.checksum(file, at, Integer.BYTES + length)) {
                 fault = "offset " + at + ": the frame's checksum does not fit";
             } else {
                 try (CBORParser from = CBOR.createParser(file, at + Integer.BYTES, length)) {
@@ -161,7 +170,7 @@
                         case "names" -> names = new Names(text(from), texts(from), texts(from));
                         case "second" -> seconds.add(second(from));
                         case "minute" -> minutes.add(minute(from));
-                        default -> { }
+                        default -> {}
                     }
                 } catch (IOException | IllegalArgumentException e) {
                     fault = "offset " + at + ": the frame makes no sense: " + e.getMessage();
@@ -216,8 +225,9 @@
             long volume = whole(from);
             int kind = (int) whole(from);
             int causeKind = (int) whole(from);
-            Cause cause = new Cause(Cause.Kind.values()[Math.floorMod(causeKind, Cause.Kind.values().length)],
-                    whole(from), (int) whole(from));
+            Cause cause = new Cause(
+                    Cause.Kind.values()[Math.floorMod(causeKind, Cause.Kind.values().length)], whole(from), (int)
+                            whole(from));
             causes.add(new Ledger.Entry(new Ledger.Cell(node, volume, kind, cause), whole(from), whole(from)));
         }
         return new Book.Second(second, requests, waitUs, causes);
--- a/src/main/java/petrelstand/store/DiskFolder.java
+++ b/src/main/java/petrelstand/store/DiskFolder.java
@@ -39,8 +39,8 @@
         this.folder = folder;
         if (!Files.isDirectory(folder)) {
             try {
-                Files.createDirectory(folder, PosixFilePermissions.asFileAttribute(
-                        PosixFilePermissions.fromString("rwx------")));
+                Files.createDirectory(
+                        folder, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwx------")));
             } catch (FileAlreadyExistsException e) {
                 throw new IOException(folder + " is not a folder", e);
             } catch (NoSuchFileException e) {
@@ -51,8 +51,10 @@
 
     @Override
     public boolean lock() throws IOException {
-        lockFile = FileChannel.open(folder.resolve(LOCK), Set.<OpenOption>of(StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE, LinkOption.NOFOLLOW_LINKS), OWNER_ONLY);
+        lockFile = FileChannel.open(
+                folder.resolve(LOCK),
+                Set.<OpenOption>of(StandardOpenOption.CREATE, StandardOpenOption.WRITE, LinkOption.NOFOLLOW_LINKS),
+                OWNER_ONLY);
         FileLock lock = null;
         try {
             lock = lockFile.tryLock();
@@ -88,8 +90,8 @@
 
     @Override
     public byte[] read(String name, int most) throws IOException {
-        try (SeekableByteChannel file = Files.newByteChannel(folder.resolve(name),
-                Set.of(StandardOpenOption.READ, LinkOption.NOFOLLOW_LINKS))) {
+        try (SeekableByteChannel file = Files.newByteChannel(
+                folder.resolve(name), Set.of(StandardOpenOption.READ, LinkOption.NOFOLLOW_LINKS))) {
             if (file.size() > most) {
                 throw new IOException("it is longer than " + most + " bytes");
             }
@@ -108,8 +110,10 @@
         if (lockKey != null && !lockKey.equals(key())) {
             throw new IOException("the folder is not the one that was locked");
         }
-        try (FileChannel file = FileChannel.open(folder.resolve(name), Set.<OpenOption>of(
-                StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE, LinkOption.NOFOLLOW_LINKS), OWNER_ONLY)) {
+        try (FileChannel file = FileChannel.open(
+                folder.resolve(name),
+                Set.<OpenOption>of(StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE, LinkOption.NOFOLLOW_LINKS),
+                OWNER_ONLY)) {
             ByteBuffer left = ByteBuffer.wrap(content);
             while (left.hasRemaining()) {
                 file.write(left);
@@ -120,14 +124,15 @@
     /** Creates a file as {@link #create} does, and keeps it open for more. */
     FileChannel append(String name) throws IOException {
         create(name, new byte[0]);
-        return FileChannel.open(folder.resolve(name), Set.<OpenOption>of(StandardOpenOption.WRITE,
-                StandardOpenOption.APPEND, LinkOption.NOFOLLOW_LINKS));
+        return FileChannel.open(
+                folder.resolve(name),
+                Set.<OpenOption>of(StandardOpenOption.WRITE, StandardOpenOption.APPEND, LinkOption.NOFOLLOW_LINKS));
     }
 
     @Override
     public void sync(String name) throws IOException {
-        try (FileChannel file = FileChannel.open(folder.resolve(name), Set.<OpenOption>of(StandardOpenOption.WRITE,
-                LinkOption.NOFOLLOW_LINKS))) {
+        try (FileChannel file = FileChannel.open(
+                folder.resolve(name), Set.<OpenOption>of(StandardOpenOption.WRITE, LinkOption.NOFOLLOW_LINKS))) {
             file.force(true);
         }
     }
--- a/src/main/java/petrelstand/store/Folder.java
+++ b/src/main/java/petrelstand/store/Folder.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * What a state store asks of a file system, one method a step, so that a test can stop between any two. Names are
- * plain file names in one folder. Any method may block for as long as the disk does.
+ * What a state store asks of a file system, one method a step, so that a test can stop between any two. Names are plain
+ * file names in one folder. Any method may block for as long as the disk does.
  */
 public interface Folder extends Closeable {
     /** Takes the folder for this process alone; false where another has it. */
--- a/src/main/java/petrelstand/store/Incarnations.java
+++ b/src/main/java/petrelstand/store/Incarnations.java
@@ -15,6 +15,7 @@
     static final String FILE = "incarnation";
     /** A life reserves so many at once: it raises its incarnation once for each false claim on it. */
     static final long RESERVED = 1 << 20;
+
     private static final Pattern LINE = Pattern.compile("petrelstand incarnation ([0-9]{1,18}) ([0-9a-f]{8})\n");
 
     private Incarnations() {}
@@ -51,8 +52,8 @@
     }
 
     /**
-     * Takes the folder and gives the incarnation to begin with: above what is kept and no less than the wall clock says,
-     * reserved before it is used. A damaged file is set aside under another name, and a line says so.
+     * Takes the folder and gives the incarnation to begin with: above what is kept and no less than the wall clock
+     * says, reserved before it is used. A damaged file is set aside under another name, and a line says so.
      */
     public static long begin(Folder folder, long wallUs, Consumer<String> log) throws IOException {
         if (!folder.lock()) {
--- a/src/main/java/petrelstand/store/Marks.java
+++ b/src/main/java/petrelstand/store/Marks.java
@@ -19,7 +19,11 @@
  */
 public final class Marks implements Closeable {
     /** What else there is: no other process, one that starts, or one that listens at the clients' address. */
-    public enum Other { NONE, STARTING, LISTENING }
+    public enum Other {
+        NONE,
+        STARTING,
+        LISTENING
+    }
 
     /**
      * What a look found: the furthest of the other processes, how many there are, and whether this process's own mark
@@ -40,14 +44,15 @@
     public Marks(Path folder, String gateway) throws IOException {
         this.folder = folder;
         this.prefix = String.format(Locale.ROOT, "petrelstand-%08x-", gateway.hashCode());
-        this.own = folder.resolve(prefix + Long.toHexString(ProcessHandle.current().pid()) + "-"
-                + Long.toHexString(System.nanoTime()) + ".mark");
+        this.own =
+                folder.resolve(prefix + Long.toHexString(ProcessHandle.current().pid()) + "-"
+                        + Long.toHexString(System.nanoTime()) + ".mark");
         leave();
     }
 
     private void leave() throws IOException {
-        channel = FileChannel.open(own, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        channel =
+                FileChannel.open(own, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ, StandardOpenOption.WRITE);
         FileLock lock = channel.tryLock();
         if (lock == null) {
             channel.close();
--- a/src/main/java/petrelstand/store/SnapshotFormat.java
+++ b/src/main/java/petrelstand/store/SnapshotFormat.java
@@ -21,14 +21,15 @@
 import petrelstand.state.Snapshot;
 
 /**
- * The bytes of a snapshot, as docs/STATE.md lays them out: a head of 16 bytes, one CBOR array (RFC 8949), and a
- * CRC-32C over both. Numbers in head and tail are big-endian.
+ * The bytes of a snapshot, as docs/STATE.md lays them out: a head of 16 bytes, one CBOR array (RFC 8949), and a CRC-32C
+ * over both. Numbers in head and tail are big-endian.
  */
 public final class SnapshotFormat {
     /** The version that is written, and the oldest that is read. */
     public static final int VERSION = 1;
     /** A file is no longer than this; 4,096 nodes and 4,096 volumes take some 0.6 MB. */
     public static final int MOST_BYTES = 2 << 20;
+
     static final int HEAD = 16;
     static final int TAIL = 4;
     private static final byte[] MAGIC = "PETRLSTD".getBytes(StandardCharsets.US_ASCII);
@@ -51,7 +52,11 @@
     /** Head, payload and checksum of a version. */
     static byte[] frame(int version, byte[] payload) {
         ByteBuffer file = ByteBuffer.allocate(HEAD + payload.length + TAIL);
-        file.put(MAGIC).putShort((short) version).putShort((short) 0).putInt(payload.length).put(payload);
+        file.put(MAGIC)
+                .putShort((short) version)
+                .putShort((short) 0)
+                .putInt(payload.length)
+                .put(payload);
         file.putInt(checksum(file.array(), 0, HEAD + payload.length));
         return file.array();
     }
@@ -73,7 +78,8 @@
         to.writeBoolean(snapshot.clean());
         to.writeNumber(learned.slots());
         to.writeNumber(learned.served());
-        List<LearnedNode> nodes = learned.nodes().subList(0, Math.min(learned.nodes().size(), Snapshot.MOST_NODES));
+        List<LearnedNode> nodes =
+                learned.nodes().subList(0, Math.min(learned.nodes().size(), Snapshot.MOST_NODES));
         to.writeStartArray(null, nodes.size());
         for (LearnedNode node : nodes) {
             to.writeStartArray(null, 8);
@@ -119,22 +125,25 @@
         // A version that is not known may lay out all the rest in another way, so it is told first.
         int version = bytes.getShort(MAGIC.length) & 0xffff;
         if (version > VERSION) {
-            throw new StateFault(MAGIC.length, "version " + version + " is newer than " + VERSION
-                    + ", the newest that is read");
+            throw new StateFault(
+                    MAGIC.length, "version " + version + " is newer than " + VERSION + ", the newest that is read");
         }
         if (version < VERSION) {
-            throw new StateFault(MAGIC.length, "version " + version + " is older than " + VERSION
-                    + ", the oldest that is read");
+            throw new StateFault(
+                    MAGIC.length, "version " + version + " is older than " + VERSION + ", the oldest that is read");
         }
         int length = bytes.getInt(HEAD - Integer.BYTES);
         if (length != file.length - HEAD - TAIL) {
-            throw new StateFault(HEAD - Integer.BYTES, "the head says " + length + " bytes of content, the file has "
-                    + (file.length - HEAD - TAIL));
+            throw new StateFault(
+                    HEAD - Integer.BYTES,
+                    "the head says " + length + " bytes of content, the file has " + (file.length - HEAD - TAIL));
         }
         int checksum = checksum(file, 0, HEAD + length);
         if (bytes.getInt(HEAD + length) != checksum) {
-            throw new StateFault(HEAD + length, String.format("the checksum is %08x, the content's is %08x",
-                    bytes.getInt(HEAD + length), checksum));
+            throw new StateFault(
+                    HEAD + length,
+                    String.format(
+                            "the checksum is %08x, the content's is %08x", bytes.getInt(HEAD + length), checksum));
         }
         if (bytes.getShort(MAGIC.length + Short.BYTES) != 0) {
             throw new StateFault(MAGIC.length + Short.BYTES, "the reserved bytes are not 0");
@@ -147,8 +156,10 @@
             }
             return snapshot;
         } catch (IOException e) {
-            throw new StateFault(HEAD, "the content is not CBOR: " + String.valueOf(e.getMessage()).lines()
-                    .findFirst().orElse(""));
+            throw new StateFault(
+                    HEAD,
+                    "the content is not CBOR: "
+                            + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
     }
 
@@ -176,22 +187,33 @@
             List<LearnedNode> nodes = new ArrayList<>();
             begin("the nodes");
             while (more("node", nodes.size(), Snapshot.MOST_NODES)) {
-                nodes.add(new LearnedNode(whole("a node's number"), number("a node's start"),
-                        number("a node's slots"), number("a node's units"), number("a node's window"),
-                        number("a node's latency"), number("a node's cold units"), number("a node's silence")));
+                nodes.add(new LearnedNode(
+                        whole("a node's number"),
+                        number("a node's start"),
+                        number("a node's slots"),
+                        number("a node's units"),
+                        number("a node's window"),
+                        number("a node's latency"),
+                        number("a node's cold units"),
+                        number("a node's silence")));
                 end("a node");
             }
             List<LearnedVolume> volumes = new ArrayList<>();
             begin("the volumes");
             while (more("volume", volumes.size(), Policy.MOST_VOLUMES)) {
-                volumes.add(new LearnedVolume(whole("a volume's number"), small("a volume's plan"),
-                        small("a volume's set"), number("a volume's part"), number("a volume's limit"),
-                        number("a volume's reserve"), number("a volume's share")));
+                volumes.add(new LearnedVolume(
+                        whole("a volume's number"),
+                        small("a volume's plan"),
+                        small("a volume's set"),
+                        number("a volume's part"),
+                        number("a volume's limit"),
+                        number("a volume's reserve"),
+                        number("a volume's share")));
                 end("a volume");
             }
             end("the snapshot");
-            return new Snapshot(gateway, print, generation, wallMs, clean,
-                    new Learned(wallMs, slots, served, nodes, volumes));
+            return new Snapshot(
+                    gateway, print, generation, wallMs, clean, new Learned(wallMs, slots, served, nodes, volumes));
         }
 
         private void begin(String what) throws IOException, StateFault {
