--- a/src/main/java/petrelstand/store/StateKeeper.java
+++ b/src/main/java/petrelstand/store/StateKeeper.java
@@ -5,8 +5,8 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -55,12 +55,21 @@
     private Learned recalled;
     /** Of the disk's thread alone. */
     private StateStore store;
+
     private Runnable atLast;
     private boolean off;
 
     /** A keeper for a gateway; {@code wallMs} is the wall clock, by which a snapshot's age is told. */
-    public StateKeeper(Opening opening, long everyUs, String gateway, Settings settings,
-            Timers timers, LongSupplier nowUs, LongSupplier wallMs, Executor loop, Counters counters,
+    public StateKeeper(
+            Opening opening,
+            long everyUs,
+            String gateway,
+            Settings settings,
+            Timers timers,
+            LongSupplier nowUs,
+            LongSupplier wallMs,
+            Executor loop,
+            Counters counters,
             Consumer<String> log) {
         this.opening = opening;
         this.everyUs = everyUs;
@@ -81,20 +90,29 @@
     }
 
     /** A keeper whose folder is on a disk; so the gateway's own code names nothing of this package but the keeper. */
-    public static StateKeeper onDisk(Path folder, long everyUs, String gateway, Settings settings, Timers timers,
-            LongSupplier nowUs, LongSupplier wallMs, Executor loop, Counters counters, Consumer<String> log) {
-        return new StateKeeper(() -> new DiskFolder(folder), everyUs, gateway, settings, timers, nowUs, wallMs, loop,
-                counters, log);
+    public static StateKeeper onDisk(
+            Path folder,
+            long everyUs,
+            String gateway,
+            Settings settings,
+            Timers timers,
+            LongSupplier nowUs,
+            LongSupplier wallMs,
+            Executor loop,
+            Counters counters,
+            Consumer<String> log) {
+        return new StateKeeper(
+                () -> new DiskFolder(folder), everyUs, gateway, settings, timers, nowUs, wallMs, loop, counters, log);
     }
 
     /**
-     * Takes the folder and reads what was learned, before the gateway serves. Waits {@link #OPEN_MS} at most;
-     * whatever is wrong is one line, and the gateway starts without.
+     * Takes the folder and reads what was learned, before the gateway serves. Waits {@link #OPEN_MS} at most; whatever
+     * is wrong is one line, and the gateway starts without.
      */
     public void open() {
         try {
-            StateStore.Found found = disk.submit((Callable<StateStore.Found>) this::openStore)
-                    .get(OPEN_MS, TimeUnit.MILLISECONDS);
+            StateStore.Found found =
+                    disk.submit((Callable<StateStore.Found>) this::openStore).get(OPEN_MS, TimeUnit.MILLISECONDS);
             if (found == null) {
                 off = true;
                 log.accept("another gateway has the folder; this one keeps nothing");
@@ -256,6 +274,7 @@
     private static String reason(Throwable fault) {
         String text = String.valueOf(fault.getMessage()).lines().findFirst().orElse("");
         return fault instanceof java.nio.file.FileSystemException || fault.getMessage() == null
-                ? fault.getClass().getSimpleName() + " " + text : text;
+                ? fault.getClass().getSimpleName() + " " + text
+                : text;
     }
 }
--- a/src/main/java/petrelstand/store/StateStore.java
+++ b/src/main/java/petrelstand/store/StateStore.java
@@ -8,8 +8,8 @@
 import petrelstand.state.Snapshot;
 
 /**
- * The snapshots of one folder. A write makes a file of the next generation under a temporary name, syncs it, renames
- * it and syncs the folder's names; only then may an older one go. So whatever is lost, torn or done in another order
+ * The snapshots of one folder. A write makes a file of the next generation under a temporary name, syncs it, renames it
+ * and syncs the folder's names; only then may an older one go. So whatever is lost, torn or done in another order
  * before a sync, the newest whole file is the one that was written last or the one before it. Not for several threads.
  */
 public final class StateStore implements Closeable {
@@ -62,8 +62,7 @@
 
     /** Reads one generation; its number must be the one in its name. */
     static Snapshot read(Folder folder, long generation) throws IOException, StateFault {
-        Snapshot snapshot = SnapshotFormat.decode(folder.read(Generations.name(generation),
-                SnapshotFormat.MOST_BYTES));
+        Snapshot snapshot = SnapshotFormat.decode(folder.read(Generations.name(generation), SnapshotFormat.MOST_BYTES));
         if (snapshot.generation() != generation) {
             throw new StateFault(SnapshotFormat.HEAD, "it says it is generation " + snapshot.generation());
         }
@@ -73,8 +72,8 @@
     /** Writes the next generation; whatever fails, the one before it stays. Returns the bytes written. */
     public int write(Snapshot taken) throws IOException {
         long generation = generations.next();
-        byte[] file = SnapshotFormat.encode(new Snapshot(taken.gateway(), taken.settingsPrint(), generation,
-                taken.wallMs(), taken.clean(), taken.learned()));
+        byte[] file = SnapshotFormat.encode(new Snapshot(
+                taken.gateway(), taken.settingsPrint(), generation, taken.wallMs(), taken.clean(), taken.learned()));
         String temporary = Generations.temporary(generation);
         // What an earlier write left under this name, or a link that somebody put there.
         folder.delete(temporary);
--- a/src/test/java/petrelstand/CrossingsTest.java
+++ b/src/test/java/petrelstand/CrossingsTest.java
@@ -41,8 +41,10 @@
 
     private void start(int nodePort, String... replaced) throws Exception {
         discovery = opened(new Door());
-        String file = Configs.gateway(nodePort, discovery.port()).replace(":250.0", ":20000.0")
-                .replace(":1500.0", ":30000.0").replace(":5000.0", ":60000.0");
+        String file = Configs.gateway(nodePort, discovery.port())
+                .replace(":250.0", ":20000.0")
+                .replace(":1500.0", ":30000.0")
+                .replace(":5000.0", ":60000.0");
         for (int i = 0; i < replaced.length; i += 2) {
             assertTrue(file.contains(replaced[i]), replaced[i]);
             file = file.replace(replaced[i], replaced[i + 1]);
@@ -151,7 +153,9 @@
 
     // ---- Connections that come up late ----
 
-    /** A gateway before a node whose backlog is full: what is dialed comes up when the test has taken what is before it. */
+    /**
+     * A gateway before a node whose backlog is full: what is dialed comes up when the test has taken what is before it.
+     */
     private void startBeforeAFullNode(String... replaced) throws Exception {
         Door full = opened(new Door(1));
         for (int i = 0; i < 2; i++) {
@@ -206,25 +210,32 @@
     // ---- The first list ----
 
     /**
-     * Guards against a process that serves by the list in its file while its agent has a newer one, which counts as told from
-     * the first moment: on a large day five restarted gateways sent to nodes that had begun to drain before they started.
+     * Guards against a process that serves by the list in its file while its agent has a newer one, which counts as
+     * told from the first moment: on a large day five restarted gateways sent to nodes that had begun to drain before
+     * they started.
      */
     @Test
     void aProcessThatStartsServesWhenItHasTheListAsItIsNow() throws Exception {
         node = opened(new Door());
         discovery = opened(new Door());
-        gateway = new Gateway(GatewayConfig.parse(Configs.gateway(node.port(), discovery.port()), Map.of()), null, line -> {},
+        gateway = new Gateway(
+                GatewayConfig.parse(Configs.gateway(node.port(), discovery.port()), Map.of()),
+                null,
+                line -> {},
                 () -> {});
         CompletableFuture<List<Integer>> ports = gateway.start();
         Peer agent = opened(discovery.take());
         assertTrue(agent.message().startsWith("GET /v1/endpoints?index=1&wait="));
         whileTheLoopStandsStill(() -> {
             assertTrue(!ports.isDone(), "it serves before its agent has answered");
-            agent.write(Peers.served("{\"version\":2,\"full\":false,\"servers\":[{\"id\":\"s-00000001\",\"addr\":\"127.0.0.1:"
-                    + node.port() + "\",\"zone\":\"a\",\"cell\":3,\"state\":\"draining\",\"started_ms\":0}]}"));
+            agent.write(Peers.served(
+                    "{\"version\":2,\"full\":false,\"servers\":[{\"id\":\"s-00000001\",\"addr\":\"127.0.0.1:"
+                            + node.port() + "\",\"zone\":\"a\",\"cell\":3,\"state\":\"draining\",\"started_ms\":0}]}"));
         });
         port = ports.get(20, TimeUnit.SECONDS).get(0);
-        assertEquals("503", status(client().write(Peers.read("tile-read", "t1", 1_000)).message()));
+        assertEquals(
+                "503",
+                status(client().write(Peers.read("tile-read", "t1", 1_000)).message()));
         assertEquals(0, count("connections.nodes"));
     }
 
@@ -261,10 +272,13 @@
             } catch (IOException e) {
                 answer = "";
             }
-            assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 503"), answer);
+            assertTrue(
+                    answer.isEmpty() || answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 503"), answer);
         }
         assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
-        long left = count("connections.clients") - count("connections.gave_way") - count("connections.full")
+        long left = count("connections.clients")
+                - count("connections.gave_way")
+                - count("connections.full")
                 - count("connections.closed_at_once");
         assertTrue(left <= bound + petrelstand.http.Front.MOST_TOLD, left + " of " + bound);
     }
@@ -272,8 +286,8 @@
     // ---- The end of the process ----
 
     /**
-     * Guards against connections that the system has accepted and the program has not: the loop stands still over the end of
-     * listening, so that this is the first thing it does, and the process would end with nothing to wait for.
+     * Guards against connections that the system has accepted and the program has not: the loop stands still over the
+     * end of listening, so that this is the first thing it does, and the process would end with nothing to wait for.
      */
     @Test
     void whatLiesInTheBacklogAtTheEndOfListeningIsTakenBeforeTheProcessEnds() throws Exception {
--- a/src/test/java/petrelstand/DefectiveRules.java
+++ b/src/test/java/petrelstand/DefectiveRules.java
@@ -11,13 +11,13 @@
             throw new IllegalArgumentException("no defect " + args[0]);
         }
         // A lease once given is acted on until another comes.
-        RulesPart.in((now, life, config, seed, loader, act) -> new Holder(now, life, config.voters(), config.promise(), seed,
-                loader, act) {
-            @Override
-            protected boolean leaseRuns(long at) {
-                return super.leaseRuns(Long.MIN_VALUE / 4) || heard()[0] > 0;
-            }
-        });
+        RulesPart.in((now, life, config, seed, loader, act) ->
+                new Holder(now, life, config.voters(), config.promise(), seed, loader, act) {
+                    @Override
+                    protected boolean leaseRuns(long at) {
+                        return super.leaseRuns(Long.MIN_VALUE / 4) || heard()[0] > 0;
+                    }
+                });
         Main.main(new String[] {"serve"});
     }
 }
--- a/src/test/java/petrelstand/EndingProcessTest.java
+++ b/src/test/java/petrelstand/EndingProcessTest.java
@@ -29,8 +29,10 @@
 class EndingProcessTest {
     /** In which a process ends that is told to at once. The program takes less; the rest is the machine. */
     private static final long SOON_MS = 2_000;
+
     @TempDir
     Path folder;
+
     private ServedGateway gateway;
 
     @BeforeEach
@@ -63,9 +65,11 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"stack, java.lang.StackOverflowError",
+    @CsvSource({
+        "stack, java.lang.StackOverflowError",
         "linkage, java.lang.NoClassDefFoundError: meant/by/the/Test at petrelstand",
-        "memory, java.lang.OutOfMemoryError: Java heap space"})
+        "memory, java.lang.OutOfMemoryError: Java heap space"
+    })
     void anErrorOnTheLoopEndsTheProcess(String fault, String told) throws Exception {
         Run run = faulty(fault);
         // Filling the heap takes collections of garbage; the line comes when the error does.
@@ -86,8 +90,10 @@
         String line = run.await("petrelstand: fatal: ");
         assertTrue(System.nanoTime() - begun >= TimeUnit.SECONDS.toNanos(13));
         ended(run, ExitStatus.LOOP_STALLED, SOON_MS);
-        assertTrue(line.matches("petrelstand: fatal: the loop has not turned for 15 s; it is at .*sleep.*"
-                + "; the process ends with status 71"), line);
+        assertTrue(
+                line.matches("petrelstand: fatal: the loop has not turned for 15 s; it is at .*sleep.*"
+                        + "; the process ends with status 71"),
+                line);
         assertPortFree();
     }
 
@@ -113,7 +119,10 @@
 
     private static boolean ignoresInterrupt(Process process) throws IOException {
         String mask = Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("SigIgn:")).findFirst().orElseThrow().substring("SigIgn:".length());
+                .filter(line -> line.startsWith("SigIgn:"))
+                .findFirst()
+                .orElseThrow()
+                .substring("SigIgn:".length());
         long interrupt = 1L << 1;
         return (Long.parseUnsignedLong(mask.strip(), 16) & interrupt) != 0;
     }
--- a/src/test/java/petrelstand/GatewayTests.java
+++ b/src/test/java/petrelstand/GatewayTests.java
@@ -8,7 +8,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 
-/** What tests of a whole gateway on loopback share: it and all that they opened end with the test, and its counts are read. */
+/**
+ * What tests of a whole gateway on loopback share: it and all that they opened end with the test, and its counts are
+ * read.
+ */
 abstract class GatewayTests {
     private final List<AutoCloseable> opened = new ArrayList<>();
     Gateway gateway;
--- a/src/test/java/petrelstand/KnownRedTest.java
+++ b/src/test/java/petrelstand/KnownRedTest.java
@@ -31,7 +31,8 @@
                     done ;;
             esac
             """;
-    private static final List<String> TESTS = List.of("p.q.ATest#one", "p.q.ATest#two", "p.q.BTest#three", "p.q.BTest#four");
+    private static final List<String> TESTS =
+            List.of("p.q.ATest#one", "p.q.ATest#two", "p.q.BTest#three", "p.q.BTest#four");
 
     @TempDir
     Path world;
@@ -40,7 +41,8 @@
     void lay() throws IOException {
         Files.createDirectories(world.resolve("deploy"));
         Files.copy(Path.of("deploy/test"), world.resolve("deploy/test"));
-        Path maven = Files.writeString(Files.createDirectories(world.resolve("bin")).resolve("mvn"), MAVEN);
+        Path maven =
+                Files.writeString(Files.createDirectories(world.resolve("bin")).resolve("mvn"), MAVEN);
         assertTrue(maven.toFile().setExecutable(true));
         Path sources = Files.createDirectories(world.resolve("src/test/java/p/q"));
         Files.writeString(sources.resolve("ATest.java"), "void one() {}\nvoid two() {}\n");
@@ -57,7 +59,9 @@
         if (!lines.isEmpty()) {
             Files.write(world.resolve("KNOWN-RED.txt"), lines);
         }
-        ProcessBuilder builder = new ProcessBuilder("sh", "deploy/test").directory(world.toFile()).redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder("sh", "deploy/test")
+                .directory(world.toFile())
+                .redirectErrorStream(true);
         builder.environment().put("PATH", world.resolve("bin") + ":" + System.getenv("PATH"));
         builder.environment().put("KNOWN_RED_WORLD", world.toString());
         Process process = builder.start();
@@ -85,8 +89,12 @@
     @Test
     void aListedTestThatPassesIsPrintedAsReadyToBeTakenOff() throws Exception {
         Result result = run(List.of(TESTS.get(3)), List.of(line(TESTS.get(1)), line(TESTS.get(3))));
-        assertEquals(new Result(0, "KNOWN-RED: passes now, ready to be taken off: " + TESTS.get(1)
-                + "\nKNOWN-RED: fails as listed, passed over: " + line(TESTS.get(3)) + "\n"), result);
+        assertEquals(
+                new Result(
+                        0,
+                        "KNOWN-RED: passes now, ready to be taken off: " + TESTS.get(1)
+                                + "\nKNOWN-RED: fails as listed, passed over: " + line(TESTS.get(3)) + "\n"),
+                result);
     }
 
     @Test
@@ -105,8 +113,14 @@
                 List.of(TESTS.get(0)),
                 List.of(TESTS.get(0) + " | cause"),
                 List.of(TESTS.get(0) + " |  | issue 7"));
-        List<String> why = List.of("more than three lines", "there is no test 'p.q.ATest#five'",
-                "there is no test 'p.q.CTest#one'", "no package.Class#method", "twice", "needs its cause", "needs its cause",
+        List<String> why = List.of(
+                "more than three lines",
+                "there is no test 'p.q.ATest#five'",
+                "there is no test 'p.q.CTest#one'",
+                "no package.Class#method",
+                "twice",
+                "needs its cause",
+                "needs its cause",
                 "needs its cause");
         for (int i = 0; i < wrong.size(); i++) {
             Result result = run(List.of(), wrong.get(i));
--- a/src/test/java/petrelstand/LayersTest.java
+++ b/src/test/java/petrelstand/LayersTest.java
@@ -15,9 +15,10 @@
 /** The decisions and the core know no wire, no socket and no clock. */
 class LayersTest {
     private static final Path ROOT = Path.of("src/main/java/petrelstand");
-    private static final Pattern FORBIDDEN = Pattern.compile("java\\.net|java\\.nio|java\\.io\\.|java\\.time|"
-            + "org\\.eclipse|com\\.google|nanoTime|currentTimeMillis|System\\.(in|out|err)|new Thread|"
-            + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab|fleet|consensus|cbor|operation)\\b");
+    private static final Pattern FORBIDDEN = Pattern.compile(
+            "java\\.net|java\\.nio|java\\.io\\.|java\\.time|"
+                    + "org\\.eclipse|com\\.google|nanoTime|currentTimeMillis|System\\.(in|out|err)|new Thread|"
+                    + "petrelstand\\.(http|net|rsync|config|discovery|sim|store|cli|logging|lab|fleet|consensus|cbor|operation)\\b");
 
     private static List<String> found(String layer, Pattern forbidden) throws IOException {
         List<String> found = new ArrayList<>();
@@ -42,8 +43,11 @@
     /** What old knowledge is worth is decided without a file, a clock or a wire; character sets are no I/O. */
     @Test
     void stateIsFreeOfTheWorld() throws IOException {
-        assertEquals(List.of(), found("state", FORBIDDEN).stream()
-                .filter(line -> !line.contains("java.nio.charset")).toList());
+        assertEquals(
+                List.of(),
+                found("state", FORBIDDEN).stream()
+                        .filter(line -> !line.contains("java.nio.charset"))
+                        .toList());
         assertEquals(List.of(), found("state", Pattern.compile("petrelstand\\.core")));
     }
 
@@ -67,12 +71,15 @@
         assertEquals(List.of(), found("agreement", Pattern.compile("import petrelstand\\.(?!agreement)|microraft")));
     }
 
-    /** What each part of a process's life means, and which settings hold when, is decided by times and settings alone. */
+    /**
+     * What each part of a process's life means, and which settings hold when, is decided by times and settings alone.
+     */
     @Test
     void lifecycleAndRetuningAreFreeOfTheWorld() throws IOException {
         for (String layer : List.of("lifecycle", "retuning")) {
             assertEquals(List.of(), found(layer, FORBIDDEN), layer);
-            assertEquals(List.of(), found(layer, Pattern.compile("import petrelstand\\.(?!decision|lifecycle)")), layer);
+            assertEquals(
+                    List.of(), found(layer, Pattern.compile("import petrelstand\\.(?!decision|lifecycle)")), layer);
         }
     }
 
@@ -81,15 +88,37 @@
     void fittingIsFreeOfTheWorld() throws IOException {
         Pattern otherThanItself = Pattern.compile("import petrelstand\\.(?!lab\\.capacity\\.fit)");
         assertEquals(List.of(), found("lab/capacity/fit", otherThanItself));
-        assertEquals(List.of(), found("lab/capacity/fit", FORBIDDEN).stream()
-                .filter(line -> !line.contains("petrelstand.lab.capacity.fit")).toList());
+        assertEquals(
+                List.of(),
+                found("lab/capacity/fit", FORBIDDEN).stream()
+                        .filter(line -> !line.contains("petrelstand.lab.capacity.fit"))
+                        .toList());
     }
 
     /** Only the command line and the gateway's own wiring know the store, and nothing that serves knows the lab. */
     @Test
     void theLaboratoryAndTheCommandLineAreKnownToNobodyThatServes() throws IOException {
-        for (String layer : List.of("decision", "core", "accounts", "state", "store", "net", "http", "rsync", "discovery",
-                "config", "logging", "sim", "members", "fleet", "agreement", "consensus", "cbor", "lifecycle", "retuning", "operation")) {
+        for (String layer : List.of(
+                "decision",
+                "core",
+                "accounts",
+                "state",
+                "store",
+                "net",
+                "http",
+                "rsync",
+                "discovery",
+                "config",
+                "logging",
+                "sim",
+                "members",
+                "fleet",
+                "agreement",
+                "consensus",
+                "cbor",
+                "lifecycle",
+                "retuning",
+                "operation")) {
             assertEquals(List.of(), found(layer, Pattern.compile("petrelstand\\.(lab|cli)\\b|picocli")), layer);
         }
     }
--- a/src/test/java/petrelstand/LimitProcessTest.java
+++ b/src/test/java/petrelstand/LimitProcessTest.java
@@ -21,31 +21,40 @@
 import petrelstand.testing.ServedGateway.Run;
 import petrelstand.testing.StandIns.Client;
 
-/** A volume's limit over two started processes of one gateway: one takes the other's place, one is stopped, one is killed. */
+/**
+ * A volume's limit over two started processes of one gateway: one takes the other's place, one is stopped, one is
+ * killed.
+ */
 @Timeout(120)
 class LimitProcessTest {
     private static final double RATE = 20;
     private static final double BURST = 24;
     /** What the rule adds on sockets, and as much again for answers that are seen late and close together here. */
     private static final double SLACK = RATE * 0.3;
+
     private static final int CLIENTS = 8;
     /** Both processes serve for so long: twice the rate would exceed the limit by 60. */
     private static final long BOTH_SERVE_MS = 3_000;
 
     @TempDir
     Path folder;
+
     private ServedGateway gateway;
     private final AtomicBoolean over = new AtomicBoolean();
     private final List<Thread> clients = new ArrayList<>();
     /** When each served request was answered, ns; each takes one unit. */
     private final ConcurrentSkipListMap<Long, Boolean> served = new ConcurrentSkipListMap<>();
+
     private final AtomicLong asked = new AtomicLong();
 
     @BeforeEach
     void open() throws IOException {
         gateway = new ServedGateway(folder, 2);
         JsonObject config = gateway.config();
-        JsonObject plan = config.getAsJsonObject("settings").getAsJsonArray("plans").get(0).getAsJsonObject();
+        JsonObject plan = config.getAsJsonObject("settings")
+                .getAsJsonArray("plans")
+                .get(0)
+                .getAsJsonObject();
         plan.addProperty("limit", RATE);
         plan.addProperty("burst", BURST);
         plan.addProperty("tolerance", 0);
@@ -79,7 +88,8 @@
         while (!over.get()) {
             long number = asked.incrementAndGet();
             try (Client client = new Client(gateway.port())) {
-                if (ServedGateway.read(client, "tile-read", Long.toHexString(number)).startsWith("200")) {
+                if (ServedGateway.read(client, "tile-read", Long.toHexString(number))
+                        .startsWith("200")) {
                     served.put(System.nanoTime(), true);
                 }
                 TimeUnit.MILLISECONDS.sleep(10);
--- a/src/test/java/petrelstand/LoopbackTest.java
+++ b/src/test/java/petrelstand/LoopbackTest.java
@@ -39,16 +39,22 @@
 
     /** Times of the classes are made long: a machine that stands still for a while must not decide a test. */
     private GatewayConfig config(Server node) throws IOException {
-        Path file = Files.writeString(folder.resolve("config.json"),
-                Configs.gateway(node.port(), opened(StandIns.silent()).port()).replace(":250.0", ":20000.0")
-                        .replace(":1500.0", ":30000.0").replace(":5000.0", ":60000.0"));
+        Path file = Files.writeString(
+                folder.resolve("config.json"),
+                Configs.gateway(node.port(), opened(StandIns.silent()).port())
+                        .replace(":250.0", ":20000.0")
+                        .replace(":1500.0", ":30000.0")
+                        .replace(":5000.0", ":60000.0"));
         return GatewayConfig.load(Map.of("RELAY_CONFIG", file.toString()));
     }
 
     private void start(Server node, int idleMs, Map<Integer, String> daemons) throws Exception {
         GatewayConfig config = config(node);
-        gateway = new Gateway(config, Configs.load(Configs.operator(idleMs), Configs.xds(daemons), config.settings()),
-                System.out::println, () -> {});
+        gateway = new Gateway(
+                config,
+                Configs.load(Configs.operator(idleMs), Configs.xds(daemons), config.settings()),
+                System.out::println,
+                () -> {});
         List<Integer> ports = gateway.start().get(20, TimeUnit.SECONDS);
         httpPort = ports.get(0);
         rsyncPort = ports.get(1);
@@ -62,7 +68,8 @@
         return StandIns.rsyncDaemon((arguments, in, out) -> {
             boolean pull = arguments.contains("--sender");
             out.write(pull ? Golden.pullDown() : Golden.SEED);
-            assertArrayEquals(pull ? Golden.pullUp() : Golden.pushUp(),
+            assertArrayEquals(
+                    pull ? Golden.pullUp() : Golden.pushUp(),
                     in.readNBytes((pull ? Golden.pullUp() : Golden.pushUp()).length));
             if (!pull) {
                 out.write(Golden.pushDown(), 4, Golden.pushDown().length - 4);
@@ -109,11 +116,13 @@
         asked("maps", "@ERROR: Unknown module 'maps'\n");
         Client old = opened(new Client(rsyncPort));
         old.send("@RSYNCD: 28.0\ncharts\n");
-        assertEquals("@RSYNCD: 29.0\n@ERROR: protocol version 28 is not carried here, 29 or later is\n",
+        assertEquals(
+                "@RSYNCD: 29.0\n@ERROR: protocol version 28 is not carried here, 29 or later is\n",
                 new String(old.in.readAllBytes(), StandardCharsets.UTF_8));
         Client other = opened(new Client(rsyncPort));
         other.send("GET / HTTP/1.1\r\n\r\n");
-        assertEquals("@RSYNCD: 29.0\n@ERROR: protocol startup error\n",
+        assertEquals(
+                "@RSYNCD: 29.0\n@ERROR: protocol startup error\n",
                 new String(other.in.readAllBytes(), StandardCharsets.UTF_8));
     }
 
@@ -178,8 +187,8 @@
         Path ini = Files.writeString(folder.resolve("petrelstand.ini"), Configs.operator(10_000));
         Path xds = Files.writeString(folder.resolve("xds.json"), Configs.xds(Map.of(daemon.port(), "HEALTHY")));
         var bad = new java.util.concurrent.CompletableFuture<String>();
-        Thread follower = OperatorConfig.load(ini, config.settings()).follow(config.settings(),
-                changed -> gateway.execute(() -> gateway.reload(changed)), bad::complete);
+        Thread follower = OperatorConfig.load(ini, config.settings())
+                .follow(config.settings(), changed -> gateway.execute(() -> gateway.reload(changed)), bad::complete);
         opened(follower::interrupt);
         Files.writeString(xds, "[");
         Files.setLastModifiedTime(xds, java.nio.file.attribute.FileTime.fromMillis(1000));
@@ -217,8 +226,9 @@
     }
 
     /**
-     * Found on a fleet's day of restarts: a write that ended long after the listener closed was answered, and the process
-     * ended with the answer under way. The end waits for a client that has not yet closed, from the last answer on.
+     * Found on a fleet's day of restarts: a write that ended long after the listener closed was answered, and the
+     * process ended with the answer under way. The end waits for a client that has not yet closed, from the last answer
+     * on.
      */
     @Test
     void aLateAnswerIsNotCutByTheEndOfTheProcess() throws Exception {
@@ -318,8 +328,12 @@
     // ---- The program itself ----
 
     private Process serve(Path configFile) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "petrelstand.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "petrelstand.Main",
+                "serve");
         builder.environment().put("RELAY_CONFIG", configFile.toString());
         builder.redirectErrorStream(true);
         Process process = builder.start();
@@ -332,8 +346,10 @@
         Server node = opened(StandIns.storageNode(700));
         Path file = folder.resolve("serve.json");
         int port = freePort();
-        Files.writeString(file, Configs.gateway(node.port(), opened(StandIns.silent()).port())
-                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        Files.writeString(
+                file,
+                Configs.gateway(node.port(), opened(StandIns.silent()).port())
+                        .replace("127.0.0.1:0", "127.0.0.1:" + port));
         Process process = serve(file);
         var log = process.inputReader();
         while (!log.readLine().contains("ready: n1")) {
@@ -358,12 +374,15 @@
         String last = log.lines().reduce("", (a, b) -> b);
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
         assertEquals(0, process.exitValue());
-        assertTrue(last.contains("ended:") && last.contains("answered.served=2") && last.contains("taken.tile-read=2"),
+        assertTrue(
+                last.contains("ended:") && last.contains("answered.served=2") && last.contains("taken.tile-read=2"),
                 last);
     }
 
     private static void signal(Process process, String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     private static String awaitLine(java.io.BufferedReader log, String wanted) throws IOException {
@@ -390,12 +409,15 @@
         Files.writeString(file, at.substring(0, at.length() / 2));
         signal(process, "HUP");
         assertTrue(awaitLine(log, "reload:").contains("the former file stays in use: " + file));
-        Files.writeString(file, at.replace(":" + first.port(), ":" + second.port()).replace("\"n1\"", "\"n2\""));
+        Files.writeString(
+                file, at.replace(":" + first.port(), ":" + second.port()).replace("\"n1\"", "\"n2\""));
         for (int i = 0; i < 3; i++) {
             signal(process, "HUP");
         }
         String line = awaitLine(log, "reload:");
-        assertTrue(line.endsWith("discovery at 127.0.0.1:" + second.port() + "; only a restart takes the changed name"), line);
+        assertTrue(
+                line.endsWith("discovery at 127.0.0.1:" + second.port() + "; only a restart takes the changed name"),
+                line);
         while (second.connections.get() == 0) {
             Thread.sleep(2);
         }
@@ -419,7 +441,10 @@
         String good = Configs.gateway(1, 2);
         String[][] cases = {
             {"{", "the text is not JSON"},
-            {good.replace("\"aim_ms\":250.0", "\"aim_ms\":\"soon\""), "settings: classes.0.aim_ms is no number above 0: \"soon\""},
+            {
+                good.replace("\"aim_ms\":250.0", "\"aim_ms\":\"soon\""),
+                "settings: classes.0.aim_ms is no number above 0: \"soon\""
+            },
             {good.replace("127.0.0.1:0", "here"), "listen is not an address with a port: 'here'"},
             {good.replace("\"up\"", "\"odd\""), "node s-00000001 has an unknown state: odd"},
         };
--- a/src/test/java/petrelstand/MemoryBoundsProcessTest.java
+++ b/src/test/java/petrelstand/MemoryBoundsProcessTest.java
@@ -31,6 +31,7 @@
 
     @TempDir
     Path folder;
+
     private ServedGateway gateway;
     private ServedGateway.Run run;
     private int mostClients;
@@ -118,8 +119,11 @@
         }
         List<String> lines = new ArrayList<>(run.seen());
         run.lines().drainTo(lines);
-        assertEquals(List.of(), lines.stream()
-                .filter(line -> line.contains("OutOfMemory") || line.contains("fault")).toList());
+        assertEquals(
+                List.of(),
+                lines.stream()
+                        .filter(line -> line.contains("OutOfMemory") || line.contains("fault"))
+                        .toList());
     }
 
     /** A connection that has sent as much as the system takes at once; the gateway may have closed it. */
@@ -153,7 +157,7 @@
         }
         List<String> lines = new ArrayList<>();
         run.lines().drainTo(lines);
-        throw new AssertionError("not served at " + factor + " times " + mostClients + " connections: " + answers
-                + lines);
+        throw new AssertionError(
+                "not served at " + factor + " times " + mostClients + " connections: " + answers + lines);
     }
 }
--- a/src/test/java/petrelstand/OperationProcessTest.java
+++ b/src/test/java/petrelstand/OperationProcessTest.java
@@ -32,6 +32,7 @@
 class OperationProcessTest {
     @TempDir
     Path folder;
+
     private ServedGateway gateway;
 
     @BeforeEach
@@ -92,7 +93,8 @@
     @Test
     void aDrainEndsConnectionsAndARejoinBringsTheYesBack() throws Exception {
         Run run = serving();
-        try (Client idle = new Client(gateway.port()); Client used = new Client(gateway.port())) {
+        try (Client idle = new Client(gateway.port());
+                Client used = new Client(gateway.port())) {
             assertTrue(ServedGateway.read(idle, "tile-read", "a").startsWith("200"));
             long asked = System.nanoTime();
             assertTrue(run.call("POST", "/api/evacuate").startsWith("200"));
@@ -155,9 +157,17 @@
         String whole = gateway.config().toString();
         JsonObject zero = changed(gateway.config(), -1, null, 0);
         JsonObject lacks = gateway.config();
-        lacks.getAsJsonObject("settings").getAsJsonArray("classes").get(1).getAsJsonObject().remove("hard_limit_ms");
+        lacks.getAsJsonObject("settings")
+                .getAsJsonArray("classes")
+                .get(1)
+                .getAsJsonObject()
+                .remove("hard_limit_ms");
         JsonObject word = gateway.config();
-        word.getAsJsonObject("settings").getAsJsonArray("classes").get(2).getAsJsonObject().addProperty("hard_limit_ms", "1500");
+        word.getAsJsonObject("settings")
+                .getAsJsonArray("classes")
+                .get(2)
+                .getAsJsonObject()
+                .addProperty("hard_limit_ms", "1500");
         JsonObject without = gateway.config();
         without.remove("limits");
         String[][] broken = {
@@ -271,7 +281,8 @@
         assertTrue(load.crossed.get() <= 8 + 2, "crossed " + load.crossed.get());
         assertTrue(fresh.figure("passed.tile-read") >= 200);
         try (Stream<Path> marks = Files.list(folder)) {
-            assertEquals(1, marks.filter(file -> file.toString().endsWith(".mark")).count());
+            assertEquals(
+                    1, marks.filter(file -> file.toString().endsWith(".mark")).count());
         }
     }
 
@@ -326,14 +337,17 @@
         }
     }
 
-    /** Either process killed at each step of a replacement that shows in a line: the other one serves on, and has all. */
+    /**
+     * Either process killed at each step of a replacement that shows in a line: the other one serves on, and has all.
+     */
     @ParameterizedTest
     @CsvSource({
         "old, 'old: another process of this gateway starts'", "new, 'old: another process of this gateway starts'",
         "old, 'new: this process takes the place of another'", "new, 'new: this process takes the place of another'",
         "old, 'new: hot restart: took over'", "new, 'new: hot restart: took over'",
         "old, 'new: ready: '", "new, 'new: ready: '",
-        "old, 'old: another process of this gateway listens too'", "new, 'old: another process of this gateway listens too'",
+        "old, 'old: another process of this gateway listens too'",
+                "new, 'old: another process of this gateway listens too'",
         "old, 'old: draining: '",
     })
     void whicheverProcessIsKilledAtWhicheverStepTheOtherServes(String killed, String step) throws Exception {
@@ -348,11 +362,18 @@
         assertEquals("200 ready\n", left.call("GET", "/api/ready"));
     }
 
-    /** Either process stopped at a step for longer than a look of the other takes, and continued: the replacement goes on. */
+    /**
+     * Either process stopped at a step for longer than a look of the other takes, and continued: the replacement goes
+     * on.
+     */
     @ParameterizedTest
     @CsvSource({
-        "old, 'old: another process of this gateway starts'", "new, 'new: this process takes the place of another'",
-        "old, 'new: ready: '", "new, 'new: ready: '", "old, 'old: draining: '", "new, 'old: draining: '",
+        "old, 'old: another process of this gateway starts'",
+        "new, 'new: this process takes the place of another'",
+        "old, 'new: ready: '",
+        "new, 'new: ready: '",
+        "old, 'old: draining: '",
+        "new, 'old: draining: '",
     })
     void whicheverProcessIsStoppedAtWhicheverStepTheReplacementGoesOn(String stopped, String step) throws Exception {
         Run old = serving();
@@ -389,7 +410,8 @@
             int number = i;
             Thread thread = new Thread(() -> {
                 try {
-                    String answer = number % 2 == 0 ? upload(number, body, number % 4 == 0) : download(number, number % 4 == 1);
+                    String answer =
+                            number % 2 == 0 ? upload(number, body, number % 4 == 0) : download(number, number % 4 == 1);
                     if (answer.startsWith("503")) {
                         refused.incrementAndGet();
                     } else if (!answer.equals(number % 2 == 0 ? told : "whole")) {
@@ -413,7 +435,9 @@
         }
         assertEquals(0, run.figure("in_progress"));
         assertEquals(MANY - refused.get(), run.figure("passed.survey-write") + run.figure("passed.bulk-export"));
-        assertFalse(run.seen().stream().anyMatch(line -> line.contains("OutOfMemory")), run.seen().toString());
+        assertFalse(
+                run.seen().stream().anyMatch(line -> line.contains("OutOfMemory")),
+                run.seen().toString());
     }
 
     private String upload(int number, byte[] body, boolean chunked) throws IOException, InterruptedException {
@@ -443,7 +467,8 @@
 
     private String download(int number, boolean chunked) throws IOException, InterruptedException {
         try (Client client = new Client(gateway.port())) {
-            client.send(ServedGateway.request("GET", "bulk-export", "?bytes=" + LARGE + (chunked ? "&chunked" : ""), "g" + number)
+            client.send(ServedGateway.request(
+                            "GET", "bulk-export", "?bytes=" + LARGE + (chunked ? "&chunked" : ""), "g" + number)
                     + "Connection: close\r\n\r\n");
             Thread.sleep(300);
             StringBuilder head = new StringBuilder();
@@ -484,9 +509,12 @@
             while (framed[end] != '\r') {
                 end++;
             }
-            int chunk = Integer.parseInt(new String(framed, at, end - at, java.nio.charset.StandardCharsets.US_ASCII), 16);
+            int chunk =
+                    Integer.parseInt(new String(framed, at, end - at, java.nio.charset.StandardCharsets.US_ASCII), 16);
             if (chunk == 0) {
-                return size == LARGE && end + 4 == framed.length && right(all, 0, LARGE) ? "whole" : "spoilt at " + size;
+                return size == LARGE && end + 4 == framed.length && right(all, 0, LARGE)
+                        ? "whole"
+                        : "spoilt at " + size;
             }
             System.arraycopy(framed, end + 2, all, size, chunk);
             size += chunk;
--- a/src/test/java/petrelstand/ServeProcessTest.java
+++ b/src/test/java/petrelstand/ServeProcessTest.java
@@ -26,12 +26,15 @@
 
 /** The program as it is started: what it loads, and what it remembers after SIGTERM and after SIGKILL. */
 class ServeProcessTest {
-    private static final Pattern OFF = Pattern.compile("petrelstand\\.(state|store|cli|lab|logging|accounts|report|members|fleet|agreement|consensus|cbor|operation)\\.|"
-            + "petrelstand\\.(FleetPart|RulesPart|OperationPart|HotRestartPart)|io\\.microraft|picocli|"
-            + "org\\.apache\\.commons|com\\.fasterxml|ch\\.qos\\.logback|org\\.HdrHistogram|io\\.prometheus|"
-            + "petrelstand\\.config\\.(IniFile|RsyncConfig|FleetConfig|RulesConfig|RulesText)");
+    private static final Pattern OFF = Pattern.compile(
+            "petrelstand\\.(state|store|cli|lab|logging|accounts|report|members|fleet|agreement|consensus|cbor|operation)\\.|"
+                    + "petrelstand\\.(FleetPart|RulesPart|OperationPart|HotRestartPart)|io\\.microraft|picocli|"
+                    + "org\\.apache\\.commons|com\\.fasterxml|ch\\.qos\\.logback|org\\.HdrHistogram|io\\.prometheus|"
+                    + "petrelstand\\.config\\.(IniFile|RsyncConfig|FleetConfig|RulesConfig|RulesText)");
+
     @TempDir
     Path folder;
+
     private StandInPlatform platform;
     private final List<Process> started = new ArrayList<>();
 
@@ -66,7 +69,8 @@
         config.addProperty("discovery", "127.0.0.1:" + platform.discoveryPort());
         config.add("known", platform.list());
         Path file = Files.writeString(folder.resolve("config.json"), config.toString());
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        List<String> command = new ArrayList<>(
+                List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(List.of(options));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "petrelstand.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
@@ -74,7 +78,8 @@
         builder.environment().putAll(env);
         Process process = builder.start();
         started.add(process);
-        BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        BufferedReader out =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         List<String> said = new ArrayList<>();
         for (String line = out.readLine(); line != null; line = out.readLine()) {
             said.add(line);
@@ -88,8 +93,9 @@
     private static void ask(Run run, int times) throws IOException {
         try (Client client = new Client(run.port)) {
             for (int i = 0; i < times; i++) {
-                client.send("GET /tile-read/00000000000000a1/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: t" + i
-                        + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 30000\r\nX-Placement: units=1,shard=1,hosts=1\r\n\r\n");
+                client.send(
+                        "GET /tile-read/00000000000000a1/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: t" + i
+                                + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 30000\r\nX-Placement: units=1,shard=1,hosts=1\r\n\r\n");
                 assertTrue(client.answer().startsWith("200 node s-00000002 (shard 1) served GET /tile-read/"));
             }
         }
@@ -102,13 +108,20 @@
         ask(run, 1);
         run.process.toHandle().destroy();
         run.rest();
-        assertEquals(List.of(), Files.readAllLines(classes).stream().filter(line -> OFF.matcher(line).find()).toList());
+        assertEquals(
+                List.of(),
+                Files.readAllLines(classes).stream()
+                        .filter(line -> OFF.matcher(line).find())
+                        .toList());
         // The scan finds what it is for.
         Path ini = Files.writeString(folder.resolve("p.ini"), "[state]\nfolder = state\n[log]\nform = json\n");
         Run with = start(Map.of("PETRELSTAND_INI", ini.toString()), "-Xlog:class+load:file=" + classes);
         with.process.toHandle().destroy();
         with.rest();
-        assertTrue(Files.readAllLines(classes).stream().filter(line -> OFF.matcher(line).find()).count() > 50);
+        assertTrue(Files.readAllLines(classes).stream()
+                        .filter(line -> OFF.matcher(line).find())
+                        .count()
+                > 50);
     }
 
     @Test
@@ -124,7 +137,8 @@
         Run second = start(env);
         Pattern remembered = Pattern.compile("petrelstand: state: remembered 2 nodes \\(0 silent\\) and 1 volumes, "
                 + "[0-9.]+ s old, generation [0-9]+(, after an orderly end)?");
-        assertTrue(second.said.stream().anyMatch(line -> remembered.matcher(line).matches() && line.endsWith("end")),
+        assertTrue(
+                second.said.stream().anyMatch(line -> remembered.matcher(line).matches() && line.endsWith("end")),
                 second.said.toString());
         Run beside = start(env);
         assertTrue(beside.said.contains("petrelstand: state: another gateway has the folder; this one keeps nothing"));
@@ -142,15 +156,16 @@
     }
 
     private static void send(Client client, int kind, String volume, String txn, int units) {
-        client.send("GET /" + List.of("tile-read", "survey-write", "bulk-export").get(kind) + "/" + volume
-                + "/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: " + txn + "\r\nX-Qos-Policy: priority\r\n"
-                + "X-Remaining-Ms: 5000\r\nX-Placement: units=" + units + ",shard=0,hosts=1\r\n\r\n");
+        client.send(
+                "GET /" + List.of("tile-read", "survey-write", "bulk-export").get(kind) + "/" + volume
+                        + "/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: " + txn + "\r\nX-Qos-Policy: priority\r\n"
+                        + "X-Remaining-Ms: 5000\r\nX-Placement: units=" + units + ",shard=0,hosts=1\r\n\r\n");
     }
 
     /**
-     * On real sockets: reads that come behind a team's exports at a node. The report read back from the record, with the
-     * program stopped, names the team; waits are some hundred ms, so that a machine that stands still for some does not
-     * decide it.
+     * On real sockets: reads that come behind a team's exports at a node. The report read back from the record, with
+     * the program stopped, names the team; waits are some hundred ms, so that a machine that stands still for some does
+     * not decide it.
      */
     @Test
     void aSurgeOnRealSocketsIsNamedByTheReportOfTheRecord() throws Exception {
@@ -165,8 +180,8 @@
     /** Plays a surge; false where sleeps overran so far that the waits are the machine's. */
     private boolean aSurge(int attempt) throws Exception {
         String accounts = "accounts-" + attempt;
-        Path ini = Files.writeString(folder.resolve("p.ini"),
-                "[accounts]\nnode_cores = 2\nmetrics = on\nfolder = " + accounts + "\n");
+        Path ini = Files.writeString(
+                folder.resolve("p.ini"), "[accounts]\nnode_cores = 2\nmetrics = on\nfolder = " + accounts + "\n");
         Run run = start(Map.of("PETRELSTAND_INI", ini.toString()));
         // What usual is: each alone.
         try (Client client = new Client(run.port)) {
@@ -198,7 +213,12 @@
         for (int i = 0; i < 20; i++) {
             clients.add(new Client(run.port));
             boolean export = i < 12;
-            send(clients.get(i), export ? 2 : 0, export ? "00000000000000b0" : "00000000000000a1", "s" + i, export ? 5 : 1);
+            send(
+                    clients.get(i),
+                    export ? 2 : 0,
+                    export ? "00000000000000b0" : "00000000000000a1",
+                    "s" + i,
+                    export ? 5 : 1);
             Thread.sleep(5);
         }
         for (Client client : clients) {
@@ -208,22 +228,34 @@
         watch.interrupt();
         assertTrue(page(run, "/accounts").startsWith("200 {\"now_ms\""));
         String metrics = page(run, "/metrics");
-        assertTrue(metrics.contains("petrelstand_requests_total{class=\"tile-read\",plan=\"priority\",served=\"true\"}"),
+        assertTrue(
+                metrics.contains("petrelstand_requests_total{class=\"tile-read\",plan=\"priority\",served=\"true\"}"),
                 metrics);
         run.process.toHandle().destroy();
         run.rest();
         java.io.StringWriter out = new java.io.StringWriter();
-        assertEquals(0, petrelstand.cli.Cli.line(() -> {}, () -> {}, () -> {}, (config, operator) -> {})
-                .setOut(new java.io.PrintWriter(out, true)).execute("accounts", "report",
-                        folder.resolve(accounts).toString(), "--class", "tile-read", "--json", "--from",
-                        Long.toString(from)));
+        assertEquals(
+                0,
+                petrelstand.cli.Cli.line(() -> {}, () -> {}, () -> {}, (config, operator) -> {})
+                        .setOut(new java.io.PrintWriter(out, true))
+                        .execute(
+                                "accounts",
+                                "report",
+                                folder.resolve(accounts).toString(),
+                                "--class",
+                                "tile-read",
+                                "--json",
+                                "--from",
+                                Long.toString(from)));
         double team = 0;
         double all = 0;
         for (var row : JsonParser.parseString(out.toString()).getAsJsonObject().getAsJsonArray("who_waited_for_whom")) {
             JsonObject one = row.getAsJsonObject();
             all += one.get("ms").getAsDouble();
-            team += one.has("cause_volume") && one.get("cause_volume").getAsString().equals("00000000000000b0")
-                    ? one.get("ms").getAsDouble() : 0;
+            team += one.has("cause_volume")
+                            && one.get("cause_volume").getAsString().equals("00000000000000b0")
+                    ? one.get("ms").getAsDouble()
+                    : 0;
         }
         boolean named = all > 100 && team > 0.7 * all;
         if (!named && lateNs.get() > MOST_LATE_NS) {
@@ -253,18 +285,26 @@
         run.process.toHandle().destroy();
         List<String> lines = new ArrayList<>(run.said);
         lines.addAll(run.rest());
-        List<JsonObject> all = lines.stream().map(line -> JsonParser.parseString(line).getAsJsonObject()).toList();
+        List<JsonObject> all = lines.stream()
+                .map(line -> JsonParser.parseString(line).getAsJsonObject())
+                .toList();
         JsonObject last = all.get(all.size() - 1);
         assertTrue(last.get("message").getAsString().startsWith("ended: "), last.toString());
         assertEquals("INFO", last.get("level").getAsString());
-        assertEquals("ended", last.getAsJsonArray("kvpList").get(0).getAsJsonObject().get("component").getAsString());
+        assertEquals(
+                "ended",
+                last.getAsJsonArray("kvpList")
+                        .get(0)
+                        .getAsJsonObject()
+                        .get("component")
+                        .getAsString());
     }
 
     @Test
     void aBadOperatorsFileEndsTheStartWithOneLine() throws Exception {
         Path ini = Files.writeString(folder.resolve("p.ini"), "[state]\nfolder = state\nevry = 2 s\n");
-        AssertionError ended = org.junit.jupiter.api.Assertions.assertThrows(AssertionError.class,
-                () -> start(Map.of("PETRELSTAND_INI", ini.toString())));
+        AssertionError ended = org.junit.jupiter.api.Assertions.assertThrows(
+                AssertionError.class, () -> start(Map.of("PETRELSTAND_INI", ini.toString())));
         assertTrue(ended.getMessage().contains("p.ini:3: [state] evry is no key of this section]"), ended.getMessage());
     }
 }
--- a/src/test/java/petrelstand/accounts/AccountsTest.java
+++ b/src/test/java/petrelstand/accounts/AccountsTest.java
@@ -69,7 +69,10 @@
     }
 
     private static long us(Account account, Cause cause) {
-        return account.shares().stream().filter(share -> share.cause().equals(cause)).mapToLong(Share::us).sum();
+        return account.shares().stream()
+                .filter(share -> share.cause().equals(cause))
+                .mapToLong(Share::us)
+                .sum();
     }
 
     /** Reads and exports that found nothing before them: from here on the node's usual times are known. */
@@ -264,13 +267,20 @@
             long id = ids.isEmpty() ? 0 : ids.get(random.nextInt(ids.size()));
             switch (ids.isEmpty() || ids.size() < 8 && random.nextBoolean() ? 0 : 1 + random.nextInt(4)) {
                 case 0 -> {
-                    of.taken(i + 1, demand(random.nextInt(3), random.nextInt(6), 1 + random.nextInt(5),
-                            random.nextInt(9) == 0), now);
+                    of.taken(
+                            i + 1,
+                            demand(random.nextInt(3), random.nextInt(6), 1 + random.nextInt(5), random.nextInt(9) == 0),
+                            now);
                     open.put(i + 1L, -1);
                 }
                 case 1 -> {
                     int attempt = open.merge(id, 1, Integer::sum);
-                    of.sent(id, attempt, node(random.nextInt(30) == 0 ? now / 1000.0 : 0), random.nextInt(20) == 0, now);
+                    of.sent(
+                            id,
+                            attempt,
+                            node(random.nextInt(30) == 0 ? now / 1000.0 : 0),
+                            random.nextInt(20) == 0,
+                            now);
                 }
                 case 2 -> of.written(id, open.get(id), now);
                 case 3 -> of.ended(id, open.get(id), Outcome.values()[random.nextInt(Outcome.values().length)], now);
@@ -285,15 +295,18 @@
             }
         }
         for (Account account : seen) {
-            assertEquals(account.heldUs() + account.waitedUs(),
-                    account.shares().stream().mapToLong(Share::us).sum(), account.toString());
+            assertEquals(
+                    account.heldUs() + account.waitedUs(),
+                    account.shares().stream().mapToLong(Share::us).sum(),
+                    account.toString());
             assertTrue(account.shares().stream().allMatch(share -> share.us() > 0));
             assertTrue(account.servedUs() >= 0 && account.connectingUs() >= 0 && account.awayUs() >= 0);
         }
     }
 
     @Property(tries = 500)
-    void aSplitLosesAndMakesNothing(@ForAll @LongRange(min = 0, max = 10_000_000_000L) long total,
+    void aSplitLosesAndMakesNothing(
+            @ForAll @LongRange(min = 0, max = 10_000_000_000L) long total,
             @ForAll @Size(min = 1, max = 20) List<@LongRange(min = 0, max = 10_000_000_000L) Long> weights) {
         long[] all = weights.stream().mapToLong(w -> w).toArray();
         all[0]++;
--- a/src/test/java/petrelstand/accounts/BookTest.java
+++ b/src/test/java/petrelstand/accounts/BookTest.java
@@ -16,7 +16,19 @@
     private final Book book = new Book();
 
     private void end(long atMs, long volume, int plan, long node, long waitedMs, Cause cause) {
-        book.over(new Account(1, volume, plan, 0, true, 1, 0, 0, waitedMs * 1000, 10_000, 0, atMs * 1000,
+        book.over(new Account(
+                1,
+                volume,
+                plan,
+                0,
+                true,
+                1,
+                0,
+                0,
+                waitedMs * 1000,
+                10_000,
+                0,
+                atMs * 1000,
                 List.of(new Share(node, cause, waitedMs * 1000))));
     }
 
@@ -29,10 +41,12 @@
         assertEquals(400_000, book.last().ledger().totalUs());
         assertEquals(2, book.last().requests());
         assertEquals(60_000_000, book.running().fromUs());
-        assertEquals(300_000, book.last().percentiles(Group.of(0, 0), Phase.WAITED).max(), 3_000);
+        assertEquals(
+                300_000, book.last().percentiles(Group.of(0, 0), Phase.WAITED).max(), 3_000);
         assertEquals(110_000, book.last().percentiles(Group.at(7), Phase.TOTAL).p50(), 1_100);
         List<Book.Second> seconds = book.seconds(60_500_000);
-        assertEquals(List.of(59L, 60L), seconds.stream().map(Book.Second::second).toList());
+        assertEquals(
+                List.of(59L, 60L), seconds.stream().map(Book.Second::second).toList());
         assertEquals(Cause.work(9, 2), seconds.get(0).causes().get(0).cell().cause());
         assertEquals(400_000, seconds.get(0).waitUs());
         assertEquals(List.of(), book.seconds(600_000_000));
@@ -44,7 +58,8 @@
             end(1_000 + i, i, 0, i, 1, Cause.NODE);
         }
         assertTrue(book.running().groups().size() <= Book.MOST_GROUPS + 1);
-        assertEquals(10_000, book.running().percentiles(Group.of(0, 0), Phase.TOTAL).count());
+        assertEquals(
+                10_000, book.running().percentiles(Group.of(0, 0), Phase.TOTAL).count());
         assertTrue(book.running().percentiles(Group.OTHERS, Phase.TOTAL).count() > 9_000);
         assertEquals(Book.MOST_CELLS, book.running().ledger().size());
         assertEquals(10_000_000, book.running().ledger().totalUs());
--- a/src/test/java/petrelstand/agreement/AgreementTest.java
+++ b/src/test/java/petrelstand/agreement/AgreementTest.java
@@ -28,7 +28,8 @@
     void drawnFaultsBreakNoPromise() {
         int changes = 0;
         for (int seed = 1; seed <= 60; seed++) {
-            RulesSim sim = play(3 + seed % 6, seed % 2 == 0 ? 3 : 3 + 2 * (seed % 3 / 2), Promise.USUAL, seed, RulesSim.USUAL);
+            RulesSim sim =
+                    play(3 + seed % 6, seed % 2 == 0 ? 3 : 3 + 2 * (seed % 3 / 2), Promise.USUAL, seed, RulesSim.USUAL);
             assertEquals("", sim.fault(), "seed " + seed);
             assertTrue(sim.longestUs() < Promise.USUAL.withinUs(), "seed " + seed);
             changes += sim.acknowledged();
@@ -42,7 +43,8 @@
         calm.run(6_000_000);
         calm.proposeEvery(500_000);
         calm.run(20_000_000);
-        assertTrue(calm.tookUs().size() > 20 && calm.tookUs().stream().allMatch(us -> us < 300_000), "" + calm.tookUs());
+        assertTrue(
+                calm.tookUs().size() > 20 && calm.tookUs().stream().allMatch(us -> us < 300_000), "" + calm.tookUs());
         assertTrue(calm.counts().get("longest") <= 1376, "" + calm.counts());
         RulesSim silent = new RulesSim(5, 3, Promise.USUAL, 2, RulesSim.USUAL);
         silent.arm(new FleetPlan(5, 2, 0, List.of(new FleetPlan.Fault(FleetPlan.Kind.KILL, 4, 10_100_000, 0, 0))));
@@ -87,9 +89,14 @@
     @Test
     void aMajorityThatIsLostForEverIsRecoveredByTheOperator() throws Exception {
         RulesSim sim = new RulesSim(6, 3, 5, Promise.USUAL, 3, RulesSim.USUAL);
-        sim.arm(new FleetPlan(6, 3, 0, List.of(new FleetPlan.Fault(FleetPlan.Kind.KILL, 0, 10_000_000, 0, 0),
-                new FleetPlan.Fault(FleetPlan.Kind.KILL, 1, 10_000_000, 0, 0),
-                new FleetPlan.Fault(FleetPlan.Kind.KILL, 2, 25_000_000, 0, 0))));
+        sim.arm(new FleetPlan(
+                6,
+                3,
+                0,
+                List.of(
+                        new FleetPlan.Fault(FleetPlan.Kind.KILL, 0, 10_000_000, 0, 0),
+                        new FleetPlan.Fault(FleetPlan.Kind.KILL, 1, 10_000_000, 0, 0),
+                        new FleetPlan.Fault(FleetPlan.Kind.KILL, 2, 25_000_000, 0, 0))));
         sim.run(5_000_000);
         sim.proposeEvery(500_000);
         sim.run(24_000_000);
@@ -106,21 +113,31 @@
         assertTrue(sim.newest() > 1042 * RuleBook.EPOCH, "" + sim.newest());
     }
 
-    /** One gateway's program does not know what version 3 rules: it waits, leases on version 2 go on, until it is withdrawn. */
+    /**
+     * One gateway's program does not know what version 3 rules: it waits, leases on version 2 go on, until it is
+     * withdrawn.
+     */
     @Test
     void aVersionThatAMemberCantLoadWaitsAndNobodyLosesItsLease() {
         int[] made = new int[1];
         RulesSim sim = new RulesSim(5, 3, Promise.USUAL, 1, new Planted() {
             @Override
-            public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
-                    Holder.Actions actions) {
+            public Holder holder(
+                    long nowUs, long life, List<String> voters, Promise promise, long seed, Holder.Actions actions) {
                 boolean older = made[0]++ == 2;
-                return new Holder(nowUs, life, voters, promise, seed, text -> {
-                    if (older && text.contains("units = 3\n")) {
-                        throw new IllegalArgumentException("rules:9: [quota a] is no section of this file");
-                    }
-                    return RulesSim.load(text);
-                }, actions);
+                return new Holder(
+                        nowUs,
+                        life,
+                        voters,
+                        promise,
+                        seed,
+                        text -> {
+                            if (older && text.contains("units = 3\n")) {
+                                throw new IllegalArgumentException("rules:9: [quota a] is no section of this file");
+                            }
+                            return RulesSim.load(text);
+                        },
+                        actions);
             }
         });
         sim.proposeAt(6_000_000, 8_000_000, 10_000_000);
@@ -145,7 +162,8 @@
             RulesSim sim = new RulesSim(5, 3, Promise.USUAL, seed, RulesSim.USUAL);
             sim.run(8_000_000);
             int leader = sim.leaderNow();
-            sim.arm(new FleetPlan(5, seed, 0, List.of(new FleetPlan.Fault(FleetPlan.Kind.TERM, leader, 8_000_001, 0, 0))));
+            sim.arm(new FleetPlan(
+                    5, seed, 0, List.of(new FleetPlan.Fault(FleetPlan.Kind.TERM, leader, 8_000_001, 0, 0))));
             sim.run(8_500_000);
             assertTrue(sim.leaderNow() >= 0 && sim.leaderNow() != leader, "seed " + seed);
         }
@@ -156,8 +174,8 @@
     /** The lease is counted from the answer, which may have been under way for any time. */
     private static final RulesSim.Maker FROM_ANSWER = new Planted() {
         @Override
-        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
-                Holder.Actions actions) {
+        public Holder holder(
+                long nowUs, long life, List<String> voters, Promise promise, long seed, Holder.Actions actions) {
             return new Holder(nowUs, life, voters, promise, seed, RulesSim::load, actions) {
                 @Override
                 protected long leaseEnd(long now, long askedUs) {
@@ -187,7 +205,9 @@
             return new Grantor(promise, book, actions) {
                 @Override
                 protected boolean mayActivate(long nowUs) {
-                    long confirmed = holders().stream().filter(h -> h.prepared() >= book.waiting()).count();
+                    long confirmed = holders().stream()
+                            .filter(h -> h.prepared() >= book.waiting())
+                            .count();
                     return 2 * confirmed > holders().size();
                 }
             };
@@ -197,8 +217,8 @@
     /** The lease is not looked at when something is decided, only at each renewal. */
     private static final RulesSim.Maker NOT_LOOKED_AT = new Planted() {
         @Override
-        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
-                Holder.Actions actions) {
+        public Holder holder(
+                long nowUs, long life, List<String> voters, Promise promise, long seed, Holder.Actions actions) {
             return new Holder(nowUs, life, voters, promise, seed, RulesSim::load, actions) {
                 @Override
                 protected boolean leaseRuns(long now) {
@@ -210,8 +230,8 @@
 
     private static class Planted implements RulesSim.Maker {
         @Override
-        public Holder holder(long nowUs, long life, List<String> voters, Promise promise, long seed,
-                Holder.Actions actions) {
+        public Holder holder(
+                long nowUs, long life, List<String> voters, Promise promise, long seed, Holder.Actions actions) {
             return RulesSim.USUAL.holder(nowUs, life, voters, promise, seed, actions);
         }
 
@@ -294,7 +314,8 @@
         one.agreed(3, "[limit basic]\nunits = 5\n");
         one.proposer.changed(one.nowUs, NEW, 9);
         one.run(60);
-        assertTrue(one.offers.size() > 3 && one.offers.stream().allMatch(o -> o.base() == 3 && o.text().equals(NEW)));
+        assertTrue(one.offers.size() > 3
+                && one.offers.stream().allMatch(o -> o.base() == 3 && o.text().equals(NEW)));
         one.proposer.receive(one.nowUs, new Talk.Taken(one.offers.get(0).id(), -1, 4, ""));
         assertEquals(List.of("the file's rules were proposed and are version 4"), one.lines);
         assertFalse(one.proposer.busy());
@@ -313,7 +334,9 @@
         other.proposer.changed(other.nowUs, NEW, 9);
         other.agreed(4, "[limit basic]\nunits = 6\n");
         other.run(30);
-        assertTrue(other.lines.get(0).startsWith("the file was changed on version 3, and the newest is 4"), "" + other.lines);
+        assertTrue(
+                other.lines.get(0).startsWith("the file was changed on version 3, and the newest is 4"),
+                "" + other.lines);
         FromFile alone = new FromFile();
         alone.proposer.changed(0, NEW, 9);
         alone.run(700);
@@ -343,27 +366,32 @@
         }
         assertTrue(grantor.kept().stream().allMatch(n -> n <= 2 * Grantor.MOST_HOLDERS), "" + grantor.kept());
         assertEquals(Grantor.MOST_HOLDERS, grantor.kept().get(0));
-        assertTrue(one.holder.kept().get(0) <= Holder.MOST_ASKED && one.holder.kept().get(1) <= Holder.MOST_TEXTS);
+        assertTrue(one.holder.kept().get(0) <= Holder.MOST_ASKED
+                && one.holder.kept().get(1) <= Holder.MOST_TEXTS);
     }
 
     // ---- The book and the rules ----
 
     private static RuleBook.Result propose(RuleBook book, long id, long base, long units, long floor) {
         book.apply(new Command.Part(id, 0, 1, "text " + id));
-        return book.apply(new Command.Propose(id, base, "who", "why", id, 1,
-                List.of(new Command.Figure("basic", units, floor))));
+        return book.apply(
+                new Command.Propose(id, base, "who", "why", id, 1, List.of(new Command.Figure("basic", units, floor))));
     }
 
     @Test
     void anOldBaseAWaitingVersionAHalfTextAndALimitBelowTheFloorsAreRefused() {
         RuleBook book = new RuleBook();
         assertEquals(1, propose(book, 1, 0, 100, 40).version());
-        assertEquals("version 1 is still on its way; wait, or withdraw it", propose(book, 2, 1, 90, 0).fault());
+        assertEquals(
+                "version 1 is still on its way; wait, or withdraw it",
+                propose(book, 2, 1, 90, 0).fault());
         assertEquals(1, propose(book, 1, 0, 100, 40).version(), "asked again, answered alike");
         book.apply(new Command.Register("a"));
         book.apply(new Command.Register("b"));
         assertEquals("", book.apply(new Command.Activate(1, 0)).fault());
-        assertEquals("it is based on version 0, and the newest is 1", propose(book, 3, 0, 90, 0).fault());
+        assertEquals(
+                "it is based on version 0, and the newest is 1",
+                propose(book, 3, 0, 90, 0).fault());
         assertTrue(propose(book, 4, 1, 30, 0).fault().startsWith("limit basic: units 30 is below 40, the floor"));
         assertEquals(2, propose(book, 5, 1, 60, 10).version());
         book.apply(new Command.Activate(2, 0));
@@ -371,7 +399,9 @@
         assertEquals(3, propose(book, 6, 2, 60, 10).version());
         book.apply(new Command.Activate(3, book.namesPrint()));
         assertEquals(10, book.marks().get("basic"));
-        assertTrue(book.apply(new Command.Propose(9, 3, "w", "w", 1, 2, List.of())).fault().contains("did not come whole"));
+        assertTrue(book.apply(new Command.Propose(9, 3, "w", "w", 1, 2, List.of()))
+                .fault()
+                .contains("did not come whole"));
         assertEquals(4, propose(book, 10, 3, 60, 10).version());
         assertEquals("", book.apply(new Command.Withdraw(4, "who", "a slip")).fault());
         assertEquals(RuleBook.State.WITHDRAWN, book.versions().get(4L).state());
@@ -396,25 +426,33 @@
 
     @Test
     void theFallbackIsTheStricterAndContradictsOnlyWhatItMay() {
-        Rules one = RulesSim.load("[fleet]\ngateways = 4\n[limit basic]\nunits = 100\nfloor = 20\n[module a]\nopen = yes\n"
-                + "[module b]\nopen = yes\n[node n]\naddress = 127.0.0.1:1\n[switch s]\nset = on\n");
-        Rules two = RulesSim.load("[fleet]\ngateways = 4\n[limit basic]\nunits = 50\nfloor = 30\n[module a]\nopen = no\n"
-                + "[module b]\nopen = yes\n[switch s]\nset = on\n");
+        Rules one =
+                RulesSim.load("[fleet]\ngateways = 4\n[limit basic]\nunits = 100\nfloor = 20\n[module a]\nopen = yes\n"
+                        + "[module b]\nopen = yes\n[node n]\naddress = 127.0.0.1:1\n[switch s]\nset = on\n");
+        Rules two =
+                RulesSim.load("[fleet]\ngateways = 4\n[limit basic]\nunits = 50\nfloor = 30\n[module a]\nopen = no\n"
+                        + "[module b]\nopen = yes\n[switch s]\nset = on\n");
         assertEquals(List.of("limit basic", "module a", "node n"), one.contradictions(two));
         Rules both = one.stricter(two).fallback();
         assertEquals(new Rules.Limit(20, 20), both.limits().get("basic"));
         assertFalse(both.modules().get("a").open());
-        assertTrue(both.modules().get("b").open() && both.nodes().get("n").removed() && both.switches().get("s"));
+        assertTrue(both.modules().get("b").open()
+                && both.nodes().get("n").removed()
+                && both.switches().get("s"));
     }
 
     @Test
     void aRuleTextIsRefusedWithItsLineAndKey() {
-        for (String[] wrong : new String[][] {{"[limit basic]\nunits = 5\nfloor = 9\n", "rules:3: [limit basic] floor is above"},
+        for (String[] wrong : new String[][] {
+            {"[limit basic]\nunits = 5\nfloor = 9\n", "rules:3: [limit basic] floor is above"},
             {"[limit basic]\nfloor = 9\n", "[limit basic] units is missing"},
             {"[limit gold]\nunits = 1\n", "rules:1: [limit gold] is a limit of no plan"},
-            {"[quota a]\nx = 1\n", "rules:1: [quota a] is no section"}}) {
-            String told = assertThrows(IllegalArgumentException.class, () ->
-                    petrelstand.config.RulesText.load("rules", wrong[0], List.of("basic"))).getMessage();
+            {"[quota a]\nx = 1\n", "rules:1: [quota a] is no section"}
+        }) {
+            String told = assertThrows(
+                            IllegalArgumentException.class,
+                            () -> petrelstand.config.RulesText.load("rules", wrong[0], List.of("basic")))
+                    .getMessage();
             assertTrue(told.contains(wrong[1]), told);
         }
     }
--- a/src/test/java/petrelstand/cli/CliTest.java
+++ b/src/test/java/petrelstand/cli/CliTest.java
@@ -24,6 +24,7 @@
 class CliTest {
     @TempDir
     Path folder;
+
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
 
@@ -31,16 +32,27 @@
         out.getBuffer().setLength(0);
         err.getBuffer().setLength(0);
         CommandLine line = Cli.line(() -> {}, () -> {}, () -> {}, (config, operator) -> {});
-        return line.setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true)).execute(arguments);
+        return line.setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(err, true))
+                .execute(arguments);
     }
 
     private void write(int times) throws Exception {
         try (StateStore store = new StateStore(new DiskFolder(folder))) {
             store.open();
             for (int i = 0; i < times; i++) {
-                store.write(new Snapshot("n1", 5, 0, 1_764_600_000_000L, true, new Learned(1, 1, 1,
-                        List.of(new LearnedNode(0x5be2a07cL, 0, 10, 20, 4, 55, 0, 0)),
-                        List.of(new LearnedVolume(0xa1, 0, 1, 1, 0, 3, 4)))));
+                store.write(new Snapshot(
+                        "n1",
+                        5,
+                        0,
+                        1_764_600_000_000L,
+                        true,
+                        new Learned(
+                                1,
+                                1,
+                                1,
+                                List.of(new LearnedNode(0x5be2a07cL, 0, 10, 20, 4, 55, 0, 0)),
+                                List.of(new LearnedVolume(0xa1, 0, 1, 1, 0, 3, 4)))));
             }
         }
     }
@@ -78,11 +90,23 @@
     void inspectPrintsTheNewestAndItsJsonIsRead() throws Exception {
         write(2);
         assertEquals(0, run("state", "inspect", folder.toString()));
-        assertTrue(out.toString().contains("generation 2 of gateway n1, taken 2025-12-01T14:40:00Z at an orderly end"),
+        assertTrue(
+                out.toString().contains("generation 2 of gateway n1, taken 2025-12-01T14:40:00Z at an orderly end"),
                 out.toString());
         assertTrue(out.toString().contains("5be2a07c"), out.toString());
-        assertEquals(0, run("state", "inspect", "--json", folder.resolve(Generations.name(1)).toString()));
-        assertEquals(1, JsonParser.parseString(out.toString()).getAsJsonObject().get("generation").getAsInt());
+        assertEquals(
+                0,
+                run(
+                        "state",
+                        "inspect",
+                        "--json",
+                        folder.resolve(Generations.name(1)).toString()));
+        assertEquals(
+                1,
+                JsonParser.parseString(out.toString())
+                        .getAsJsonObject()
+                        .get("generation")
+                        .getAsInt());
     }
 
     @Test
@@ -96,13 +120,17 @@
         bytes[40] ^= 1;
         Files.write(newest, bytes);
         assertEquals(1, run("state", "verify", folder.toString()));
-        assertTrue(err.toString().startsWith(newest + ": offset " + (bytes.length - 4) + ": the checksum is"), err.toString());
+        assertTrue(
+                err.toString().startsWith(newest + ": offset " + (bytes.length - 4) + ": the checksum is"),
+                err.toString());
         assertEquals(1, err.toString().lines().count());
         // The one before it is what inspect shows then.
         assertEquals(0, run("state", "inspect", folder.toString()));
         assertTrue(out.toString().contains("generation 1 of"));
         Files.copy(folder.resolve(Generations.name(1)), folder.resolve(Generations.name(9)));
         assertEquals(1, run("state", "verify", folder.toString()));
-        assertTrue(err.toString().contains(Generations.name(9) + ": offset 16: it says it is generation 1"), err.toString());
+        assertTrue(
+                err.toString().contains(Generations.name(9) + ": offset 16: it says it is generation 1"),
+                err.toString());
     }
 }
--- a/src/test/java/petrelstand/config/ConfigTest.java
+++ b/src/test/java/petrelstand/config/ConfigTest.java
@@ -30,28 +30,40 @@
 
     @Test
     void whatTheFileLeavesOutComesFromTheEnvironment() {
-        String file = Configs.gateway(1, 2).replace("\"listen\":\"127.0.0.1:0\",", "").replace("\"name\":\"n1\",", "");
+        String file =
+                Configs.gateway(1, 2).replace("\"listen\":\"127.0.0.1:0\",", "").replace("\"name\":\"n1\",", "");
         Map<String, String> env = Map.of("RELAY_LISTEN", "127.0.0.1:9000", "RELAY_NAME", "n9");
         assertEquals("127.0.0.1:9000", GatewayConfig.parse(file, env).listen());
         assertTrue(assertThrows(IllegalArgumentException.class, () -> GatewayConfig.parse(file, Map.of()))
-                .getMessage().contains("name is missing"));
+                .getMessage()
+                .contains("name is missing"));
     }
 
     /** Guards against settings of another customer that leave out who drops repeats: the loosest was assumed. */
     @Test
     void aKeyedClassWithoutAGroupIsTakenForTheStrictest() {
         String text = Harness.SETTINGS;
-        assertEquals(DedupGroup.SHARD, SettingsReader
-                .ofText(text.replace("classes.1.group=cell\n", "")).classes().get(1).group());
-        assertEquals(DedupGroup.ALL, SettingsReader
-                .ofText(text.replace("classes.1.group=cell", "classes.1.group=all")).classes().get(1).group());
+        assertEquals(
+                DedupGroup.SHARD,
+                SettingsReader.ofText(text.replace("classes.1.group=cell\n", ""))
+                        .classes()
+                        .get(1)
+                        .group());
+        assertEquals(
+                DedupGroup.ALL,
+                SettingsReader.ofText(text.replace("classes.1.group=cell", "classes.1.group=all"))
+                        .classes()
+                        .get(1)
+                        .group());
     }
 
     @Test
     void aNodeListKeepsStatesStartsAndShards() {
-        NodeList list = NodeList.parse("{\"version\":43,\"full\":false,\"servers\":["
-                + "{\"id\":\"s-5be2a07c\",\"addr\":\"10.1.0.18:9000\",\"zone\":\"b\",\"cell\":3,\"state\":\"draining\","
-                + "\"started_ms\":1764600000000},{\"id\":\"x\",\"state\":\"removed\"}]}", List.of("a", "b"));
+        NodeList list = NodeList.parse(
+                "{\"version\":43,\"full\":false,\"servers\":["
+                        + "{\"id\":\"s-5be2a07c\",\"addr\":\"10.1.0.18:9000\",\"zone\":\"b\",\"cell\":3,\"state\":\"draining\","
+                        + "\"started_ms\":1764600000000},{\"id\":\"x\",\"state\":\"removed\"}]}",
+                List.of("a", "b"));
         assertEquals(43, list.version());
         assertEquals(1764600000000.0, list.nodes().get(0).entry().upSinceMs());
         assertEquals(NodeState.DRAINING, list.nodes().get(0).entry().state());
@@ -61,7 +73,11 @@
 
     @Test
     void aMalformedNodeListIsNamed() {
-        for (String text : List.of("[]", "{}", "{\"version\":1,\"servers\":[3]}", "{\"version\":\"x\"}",
+        for (String text : List.of(
+                "[]",
+                "{}",
+                "{\"version\":1,\"servers\":[3]}",
+                "{\"version\":\"x\"}",
                 "{\"version\":1,\"servers\":[{\"id\":\"a\",\"addr\":\"host:1\",\"state\":\"up\"}]}",
                 "{\"version\":1,\"servers\":[{\"id\":\"a\",\"addr\":\"1.1.1.1:1\",\"state\":\"up\",\"cell\":1048576}]}")) {
             assertThrows(IllegalArgumentException.class, () -> NodeList.parse(text, List.of()), text);
@@ -86,11 +102,18 @@
 
     @Test
     void healthMapsToNodeStates() {
-        String[][] cases = {{"UNKNOWN", "READY"}, {"HEALTHY", "READY"}, {"DEGRADED", "READY"},
-            {"DRAINING", "DRAINING"}, {"UNHEALTHY", "DRAINING"}, {"TIMEOUT", "DRAINING"}};
+        String[][] cases = {
+            {"UNKNOWN", "READY"},
+            {"HEALTHY", "READY"},
+            {"DEGRADED", "READY"},
+            {"DRAINING", "DRAINING"},
+            {"UNHEALTHY", "DRAINING"},
+            {"TIMEOUT", "DRAINING"}
+        };
         for (String[] one : cases) {
             RsyncConfig config = rsync(Configs.operator(500), Configs.xds(Map.of(8731, one[0])));
-            assertEquals(NodeState.valueOf(one[1]), config.nodes().get(0).entry().state());
+            assertEquals(
+                    NodeState.valueOf(one[1]), config.nodes().get(0).entry().state());
         }
     }
 
@@ -98,14 +121,17 @@
     void xdsFieldsMayBeInEitherSpellingAndInline() {
         String ini = Configs.operator(500);
         String xds = Configs.xds(DAEMON);
-        String snake = xds.replace("socketAddress", "socket_address").replace("portValue", "port_value")
-                .replace("lbEndpoints", "lb_endpoints").replace("healthStatus", "health_status")
+        String snake = xds.replace("socketAddress", "socket_address")
+                .replace("portValue", "port_value")
+                .replace("lbEndpoints", "lb_endpoints")
+                .replace("healthStatus", "health_status")
                 .replace("clusterName", "cluster_name");
         assertEquals(1, rsync(ini, snake).nodes().size());
         int at = xds.indexOf("\"endpoints\":[{\"clusterName\"");
         String assignment = xds.substring(at + 13, xds.length() - 2);
-        String inline = xds.substring(0, at - 1).replace("\"type\":\"EDS\"",
-                "\"type\":\"STATIC\",\"loadAssignment\":" + assignment) + "}";
+        String inline = xds.substring(0, at - 1)
+                        .replace("\"type\":\"EDS\"", "\"type\":\"STATIC\",\"loadAssignment\":" + assignment)
+                + "}";
         assertEquals(1, rsync(ini, inline).nodes().size());
     }
 
@@ -153,7 +179,8 @@
     }
 
     private void refused(String ini, String xds, String why) {
-        String message = assertThrows(IllegalArgumentException.class, () -> rsync(ini, xds), why).getMessage();
+        String message = assertThrows(IllegalArgumentException.class, () -> rsync(ini, xds), why)
+                .getMessage();
         assertTrue(message.contains(why) && !message.contains("\n"), message + " should be: " + why);
     }
 }
--- a/src/test/java/petrelstand/config/SettingsVariantsTest.java
+++ b/src/test/java/petrelstand/config/SettingsVariantsTest.java
@@ -33,19 +33,24 @@
 
     @Test
     void aKeyedClassWithoutAGroupHasTheNarrowestOne() {
-        assertEquals(DedupGroup.SHARD, without("classes.1.group=cell").classes().get(1).group());
+        assertEquals(
+                DedupGroup.SHARD,
+                without("classes.1.group=cell").classes().get(1).group());
     }
 
     @Test
     void aWindowForRepeatsMayBeShorterThanTheDeadline() {
         Settings settings = with("classes.1.repeat_window_ms=300.0\n");
-        assertTrue(settings.classes().get(1).repeatWindowMs() < settings.classes().get(1).deadlineMs());
+        assertTrue(settings.classes().get(1).repeatWindowMs()
+                < settings.classes().get(1).deadlineMs());
     }
 
     @Test
     void aPlanWithoutALimitHasNone() {
         assertEquals(0, with("").plans().get(0).limit());
-        assertEquals(74, with("plans.0.limit=74.0\nplans.0.burst=120.0\n").plans().get(0).limit());
+        assertEquals(
+                74,
+                with("plans.0.limit=74.0\nplans.0.burst=120.0\n").plans().get(0).limit());
     }
 
     @Test
@@ -61,10 +66,16 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"plans.0.limit=-1, basic: limit must be at least 0", "plans.0.limit=much, plans.0.limit is not a number",
-        "plans.0.limit=NaN, basic: limit must be at least 0", "classes.1.group=rack, classes.1.group has an unknown value",
-        "classes.1.semantics=keyed, classes.1.semantics has an unknown value", "discovery=gossip, discovery has an unknown value",
-        "caps.most_tries=0, caps.most_tries is no number above 0", "classes.0.aim_ms=0, classes.0.aim_ms is no number above 0"})
+    @CsvSource({
+        "plans.0.limit=-1, basic: limit must be at least 0",
+        "plans.0.limit=much, plans.0.limit is not a number",
+        "plans.0.limit=NaN, basic: limit must be at least 0",
+        "classes.1.group=rack, classes.1.group has an unknown value",
+        "classes.1.semantics=keyed, classes.1.semantics has an unknown value",
+        "discovery=gossip, discovery has an unknown value",
+        "caps.most_tries=0, caps.most_tries is no number above 0",
+        "classes.0.aim_ms=0, classes.0.aim_ms is no number above 0"
+    })
     void aValueThatCannotBeFollowedIsRefusedByItsName(String line, String why) {
         IllegalArgumentException refused = assertThrows(IllegalArgumentException.class, () -> with(line + "\n"));
         assertTrue(refused.getMessage().startsWith(why), refused.getMessage());
--- a/src/test/java/petrelstand/core/BrokerTest.java
+++ b/src/test/java/petrelstand/core/BrokerTest.java
@@ -71,7 +71,10 @@
 
     private Client take(int requestClass, int shard, long leftUs) {
         Client client = new Client();
-        broker.take(new Demand(requestClass, 0, 5, 9, 2, shard, 1, false, requestClass == 1, leftUs), "ask", client,
+        broker.take(
+                new Demand(requestClass, 0, 5, 9, 2, shard, 1, false, requestClass == 1, leftUs),
+                "ask",
+                client,
                 exchange -> client.exchange = exchange);
         return client;
     }
@@ -211,11 +214,17 @@
     @Test
     void aForgottenRequestIsFailedWithinTheGraceOfTheSettings() {
         for (double graceMs : new double[] {1, 8, 500}) {
-            Settings settings = SettingsReader.ofText(Harness.SETTINGS.replace("grace_to_answer_ms=8.0",
-                    "grace_to_answer_ms=" + graceMs));
-            Broker forgets = new Broker(settings, (now, of, actions) -> (Events) java.lang.reflect.Proxy.newProxyInstance(
-                    getClass().getClassLoader(), new Class<?>[] {Events.class}, (proxy, method, args) -> null),
-                    () -> world.nowUs, world.timers, server, world.counters, world.log::add);
+            Settings settings = SettingsReader.ofText(
+                    Harness.SETTINGS.replace("grace_to_answer_ms=8.0", "grace_to_answer_ms=" + graceMs));
+            Broker forgets = new Broker(
+                    settings,
+                    (now, of, actions) -> (Events) java.lang.reflect.Proxy.newProxyInstance(
+                            getClass().getClassLoader(), new Class<?>[] {Events.class}, (proxy, method, args) -> null),
+                    () -> world.nowUs,
+                    world.timers,
+                    server,
+                    world.counters,
+                    world.log::add);
             Client client = new Client();
             forgets.take(new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1_000_000), "ask", client, exchange -> {});
             world.run(1_000_000 + Math.min(2_000, (long) (250 * graceMs)) - 1);
@@ -228,14 +237,20 @@
     @Test
     void aFaultInTheModuleFailsItsRequestOnly() {
         Client client = new Client();
-        Broker faulty = new Broker(world.settings, (now, settings, actions) -> {
-            actions.timer(now, 1);
-            return (Events) java.lang.reflect.Proxy.newProxyInstance(
-                    getClass().getClassLoader(), new Class<?>[] {Events.class},
-                    (proxy, method, args) -> {
-                        throw new IllegalStateException("broken");
-                    });
-        }, () -> world.nowUs, world.timers, server, world.counters, world.log::add);
+        Broker faulty = new Broker(
+                world.settings,
+                (now, settings, actions) -> {
+                    actions.timer(now, 1);
+                    return (Events) java.lang.reflect.Proxy.newProxyInstance(
+                            getClass().getClassLoader(), new Class<?>[] {Events.class}, (proxy, method, args) -> {
+                                throw new IllegalStateException("broken");
+                            });
+                },
+                () -> world.nowUs,
+                world.timers,
+                server,
+                world.counters,
+                world.log::add);
         faulty.take(new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1000), "ask", client, exchange -> {});
         world.run(10_000);
         assertEquals(List.of("failed"), client.answers);
@@ -262,8 +277,9 @@
             if (i % 2 == 0) {
                 world.list(now);
             } else {
-                broker.nodes(petrelstand.decision.Scheduling.ListKind.CHANGES, List.of(now,
-                        Harness.node(String.format("s-%08x", i - 1), 3, NodeState.GONE, 0)));
+                broker.nodes(
+                        petrelstand.decision.Scheduling.ListKind.CHANGES,
+                        List.of(now, Harness.node(String.format("s-%08x", i - 1), 3, NodeState.GONE, 0)));
             }
             Client client = take(0, 3, 1_500_000);
             started.get(started.size() - 1).ended(Outcome.SERVED, "body", null);
@@ -282,26 +298,36 @@
         List<Client> clients = new ArrayList<>();
         List<Client> left = new ArrayList<>();
         for (int step : steps) {
-            Attempt out = test.started.stream().filter(a -> !a.isEnded()).findFirst().orElse(null);
+            Attempt out =
+                    test.started.stream().filter(a -> !a.isEnded()).findFirst().orElse(null);
             switch (step) {
                 case 0, 1, 2 -> clients.add(test.take(step, 3, 100_000 * (step + 1)));
                 case 3 -> test.world.run(30_000);
                 case 4 -> test.world.late(170_000);
                 case 5 -> test.world.list(Harness.node("s-00000001", 3, NodeState.DRAINING, 0));
                 case 6 -> test.listOne();
-                case 7 -> clients.stream().filter(c -> c.answers.isEmpty()).findFirst().ifPresent(c -> {
-                    test.broker.clientGone(c.exchange);
-                    left.add(c);
-                });
+                case 7 ->
+                    clients.stream()
+                            .filter(c -> c.answers.isEmpty())
+                            .findFirst()
+                            .ifPresent(c -> {
+                                test.broker.clientGone(c.exchange);
+                                left.add(c);
+                            });
                 default -> {
                     if (out != null) {
-                        out.ended(List.of(Outcome.SERVED, Outcome.ERROR, Outcome.NOT_CONNECTED, Outcome.RESET)
-                                .get(step - 8), null, null);
+                        out.ended(
+                                List.of(Outcome.SERVED, Outcome.ERROR, Outcome.NOT_CONNECTED, Outcome.RESET)
+                                        .get(step - 8),
+                                null,
+                                null);
                     }
                 }
             }
             for (Client client : clients) {
-                long open = test.started.stream().filter(a -> a.exchange() == client.exchange && !a.isEnded()).count();
+                long open = test.started.stream()
+                        .filter(a -> a.exchange() == client.exchange && !a.isEnded())
+                        .count();
                 assertTrue(open <= 1);
                 boolean late = test.world.nowUs >= client.exchange.deadlineUs() + 2_000;
                 int owed = left.contains(client) ? 0 : 1;
@@ -333,8 +359,8 @@
     }
 
     /**
-     * An attempt's end, the time-outs, the client's leaving, the node's drain and its removal, and the process's last moment,
-     * in one turn and in every order: one final answer, one outcome for each attempt, never two attempts out.
+     * An attempt's end, the time-outs, the client's leaving, the node's drain and its removal, and the process's last
+     * moment, in one turn and in every order: one final answer, one outcome for each attempt, never two attempts out.
      */
     @Test
     void whateverCrossesInOneTurnThereIsOneAnswerAndOneOutcome() {
@@ -348,7 +374,8 @@
     }
 
     private void cross(List<Integer> order, Outcome how, int requestClass) {
-        world.list(Harness.node("s-00000001", 3, NodeState.READY, 0), Harness.node("s-00000002", 3, NodeState.READY, 0));
+        world.list(
+                Harness.node("s-00000001", 3, NodeState.READY, 0), Harness.node("s-00000002", 3, NodeState.READY, 0));
         Client client = take(requestClass, 3, 1_500_000);
         Attempt first = started.get(0);
         Node node = first.node();
@@ -366,14 +393,16 @@
                 case 4 -> broker.nodes(ListKind.CHANGES, List.of(node.asGone()));
                 default -> broker.answerBy(world.nowUs);
             }
-            assertTrue(started.stream().filter(attempt -> !attempt.isEnded()).count() <= 1, "two attempts out: " + order);
+            assertTrue(
+                    started.stream().filter(attempt -> !attempt.isEnded()).count() <= 1, "two attempts out: " + order);
         }
         world.run(10_000_000);
         String told = order + " " + how + " class " + requestClass + ": " + client.answers;
         assertEquals(gone ? 0 : 1, client.answers.size(), told);
         assertEquals(0, broker.open(), told);
         long outcomes = java.util.stream.Stream.of(Outcome.values())
-                .mapToLong(each -> world.counters.get("outcome." + each.name().toLowerCase(java.util.Locale.ROOT))).sum();
+                .mapToLong(each -> world.counters.get("outcome." + each.name().toLowerCase(java.util.Locale.ROOT)))
+                .sum();
         assertEquals(started.size(), outcomes, told);
         assertEquals(abandoned.stream().distinct().count(), abandoned.size(), told);
         assertTrue(started.stream().allMatch(Attempt::isEnded), told);
--- a/src/test/java/petrelstand/core/FiguresTest.java
+++ b/src/test/java/petrelstand/core/FiguresTest.java
@@ -32,7 +32,9 @@
                 seen.add(new EnumMap<>(End.class));
             }
             harness.broker(this);
-            harness.list(Harness.node("s-00000001", 0, NodeState.READY, 0), Harness.node("s-00000002", 1, NodeState.READY, 0));
+            harness.list(
+                    Harness.node("s-00000001", 0, NodeState.READY, 0),
+                    Harness.node("s-00000002", 1, NodeState.READY, 0));
         }
 
         private void note(int kind, End end) {
@@ -90,8 +92,17 @@
             switch (random.nextInt(6)) {
                 case 0, 1 -> {
                     Client client = new Client(kind);
-                    Demand demand = new Demand(kind, 0, random.nextInt(9), random.nextInt(5), 1 + random.nextInt(4),
-                            random.nextInt(3), 1, random.nextInt(5) == 0, kind == 1, 50_000 + random.nextInt(1_000_000));
+                    Demand demand = new Demand(
+                            kind,
+                            0,
+                            random.nextInt(9),
+                            random.nextInt(5),
+                            1 + random.nextInt(4),
+                            random.nextInt(3),
+                            1,
+                            random.nextInt(5) == 0,
+                            kind == 1,
+                            50_000 + random.nextInt(1_000_000));
                     harness.broker.take(demand, "ask", client, exchange -> {
                         client.exchange = exchange;
                         waiting.add(exchange);
@@ -107,8 +118,14 @@
                 case 3, 4 -> {
                     if (!out.isEmpty()) {
                         Attempt attempt = out.remove(random.nextInt(out.size()));
-                        Outcome[] ends = {Outcome.SERVED, Outcome.ERROR, Outcome.REJECTED, Outcome.RESET,
-                            Outcome.NOT_CONNECTED, Outcome.SERVED};
+                        Outcome[] ends = {
+                            Outcome.SERVED,
+                            Outcome.ERROR,
+                            Outcome.REJECTED,
+                            Outcome.RESET,
+                            Outcome.NOT_CONNECTED,
+                            Outcome.SERVED
+                        };
                         Outcome end = ends[random.nextInt(ends.length)];
                         if (end != Outcome.NOT_CONNECTED) {
                             attempt.written();
@@ -132,7 +149,9 @@
         broker.take(new Demand(0, 0, 1, 1, 1, 0, 1, false, false, 1_400_000), "ask", client, e -> client.exchange = e);
         world.harness.run(1_000_000);
         assertEquals(1, broker.avoidedNodes());
-        world.harness.list(Harness.node("s-00000001", 0, NodeState.READY, 0), Harness.node("s-00000002", 1, NodeState.DRAINING, 0));
+        world.harness.list(
+                Harness.node("s-00000001", 0, NodeState.READY, 0),
+                Harness.node("s-00000002", 1, NodeState.DRAINING, 0));
         assertEquals(2, broker.avoidedNodes());
         world.out.get(0).ended(Outcome.SERVED, "answer", Map.of());
         assertEquals(1, broker.avoidedNodes());
@@ -151,7 +170,8 @@
         for (int kind = 0; kind < 3; kind++) {
             String name = world.harness.settings.classes().get(kind).name();
             for (End end : End.values()) {
-                assertEquals(world.seen.get(kind).getOrDefault(end, 0).longValue(), figures.count(name, end), name + end);
+                assertEquals(
+                        world.seen.get(kind).getOrDefault(end, 0).longValue(), figures.count(name, end), name + end);
             }
         }
         assertEquals(world.written, figures.tries());
--- a/src/test/java/petrelstand/core/LimitBoundTest.java
+++ b/src/test/java/petrelstand/core/LimitBoundTest.java
@@ -33,7 +33,9 @@
     private static final long DAY_US = 20_000_000;
     /** From the last byte's writing to its arrival. */
     private static final long WIRE_US = 2_000;
-    private static final String SETTINGS = (Harness.SETTINGS + "plans.0.limit=" + RATE + "\nplans.0.burst=" + BURST + "\n")
+
+    private static final String SETTINGS = (Harness.SETTINGS + "plans.0.limit=" + RATE + "\nplans.0.burst=" + BURST
+                    + "\n")
             .replace("balancers=1", "balancers=" + GATEWAYS);
 
     /** The volume's store as the rule counts it: full at first, units taken by the moment of their arrival. */
@@ -56,6 +58,7 @@
         private final Random random;
         /** How many requests come in slow bodies, of ten. */
         private final int slowBodies;
+
         private final Meter meter = new Meter();
         private final Timers timers = new Timers();
         private final List<List<Process>> gateways = new ArrayList<>();
@@ -85,7 +88,8 @@
         /** Clients ask for far more than the limit, now and then for nothing, so that stores fill. */
         private void ask(List<Process> processes) {
             boolean surge = nowUs / 2_500_000 % 2 == 0;
-            List<Process> listening = processes.stream().filter(process -> process.listens).toList();
+            List<Process> listening =
+                    processes.stream().filter(process -> process.listens).toList();
             if (surge && !listening.isEmpty() && random.nextInt(6) == 0) {
                 Process taker = listening.get(random.nextInt(listening.size()));
                 for (int i = random.nextInt(4); i >= 0; i--) {
@@ -156,20 +160,22 @@
             this.nowUs = world.nowUs;
             this.startedUs = nowUs;
             Settings settings = SettingsReader.ofText(SETTINGS);
-            this.broker = new Broker(settings, world.random.nextLong(), () -> nowUs, timers, this, new Counters(),
-                    line -> {});
+            this.broker = new Broker(
+                    settings, world.random.nextLong(), () -> nowUs, timers, this, new Counters(), line -> {});
             share.marked(nowUs, others());
             broker.share(share::part);
             List<Node> nodes = new ArrayList<>();
             for (int shard = 0; shard < NODES; shard++) {
-                nodes.add(Harness.node("s-0000000" + Integer.toHexString(shard % 16) + shard / 16, shard, NodeState.READY,
-                        0));
+                nodes.add(Harness.node(
+                        "s-0000000" + Integer.toHexString(shard % 16) + shard / 16, shard, NodeState.READY, 0));
             }
             broker.nodes(ListKind.WHOLE, nodes);
         }
 
         private int others() {
-            return (int) ofGateway.stream().filter(other -> other != this && other.marked).count();
+            return (int) ofGateway.stream()
+                    .filter(other -> other != this && other.marked)
+                    .count();
         }
 
         void losesItsMark() {
@@ -224,8 +230,17 @@
 
         private void take(int units) {
             int requestClass = world.random.nextInt(3);
-            Demand demand = new Demand(requestClass, 0, world.random.nextLong(), 9, units, world.random.nextInt(NODES),
-                    GATEWAYS, false, requestClass == 1, 1_500_000 + world.random.nextInt(1_000_000));
+            Demand demand = new Demand(
+                    requestClass,
+                    0,
+                    world.random.nextLong(),
+                    9,
+                    units,
+                    world.random.nextInt(NODES),
+                    GATEWAYS,
+                    false,
+                    requestClass == 1,
+                    1_500_000 + world.random.nextInt(1_000_000));
             broker.take(demand, "ask", new SilentClient(), exchange -> {});
         }
 
--- a/src/test/java/petrelstand/core/ModuleMemoryTest.java
+++ b/src/test/java/petrelstand/core/ModuleMemoryTest.java
@@ -5,7 +5,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 import petrelstand.decision.Policy;
 import petrelstand.decision.Scheduling.NodeState;
@@ -60,7 +59,7 @@
     /** Each volume asks once, of one node after another. */
     private void ask(int volumes) {
         for (int i = 0; i < volumes; i++) {
-            broker.take(new Demand(0, 0, i, i, 1, i % NODES, 1, false, false, 1_000_000), "ask", client, taken -> { });
+            broker.take(new Demand(0, 0, i, i, 1, i % NODES, 1, false, false, 1_000_000), "ask", client, taken -> {});
             world.run(STEP_US);
         }
         world.run(5_000_000);
--- a/src/test/java/petrelstand/decision/AdmissionTest.java
+++ b/src/test/java/petrelstand/decision/AdmissionTest.java
@@ -64,12 +64,15 @@
     @Test
     void anUnheardNodeIsTakenToServeAFewAndTheRestIsRefusedAtOnce() {
         Host host = host(new Site());
-        // One request of 2 units a slot at the start; the window shows up to 6 requests of 2 units in two slots: 6 units
+        // One request of 2 units a slot at the start; the window shows up to 6 requests of 2 units in two slots: 6
+        // units
         // a slot. An aim holds 5 slots, so 30 units end in time and the 16th request does not.
         for (int i = 0; i < 40; i++) {
             host.request(new Ask().units(2).volume(i));
         }
-        long admitted = LongStream.rangeClosed(1, 40).filter(id -> host.answer(id) == null).count();
+        long admitted = LongStream.rangeClosed(1, 40)
+                .filter(id -> host.answer(id) == null)
+                .count();
         assertEquals(15, admitted);
         assertEquals("refuse", host.answer(16));
     }
@@ -87,7 +90,11 @@
             host.request(new Ask().units(2).volume(i));
         }
         // Five slots of 16 ms, and 6 units a slot as above: 15 requests.
-        assertEquals(15, LongStream.rangeClosed(1, 40).filter(id -> host.answer(id) == null).count());
+        assertEquals(
+                15,
+                LongStream.rangeClosed(1, 40)
+                        .filter(id -> host.answer(id) == null)
+                        .count());
     }
 
     private static int kept(Host host, String map) throws ReflectiveOperationException {
@@ -147,7 +154,9 @@
         for (Host.Sent sent : List.copyOf(host.sent)) {
             host.end(sent, Outcome.SERVED);
         }
-        assertEquals(List.of(urgent, later), host.sent.stream().skip(6).map(Host.Sent::request).toList());
+        assertEquals(
+                List.of(urgent, later),
+                host.sent.stream().skip(6).map(Host.Sent::request).toList());
     }
 
     @Test
@@ -207,7 +216,9 @@
             for (int i = 0; i < 30; i++) {
                 host.request(new Ask().units(2).volume(100 + i));
             }
-            admitted[idle] = LongStream.range(first, first + 30).filter(id -> host.answer(id) == null).count();
+            admitted[idle] = LongStream.range(first, first + 30)
+                    .filter(id -> host.answer(id) == null)
+                    .count();
         }
         assertEquals(admitted[0], admitted[1]);
     }
@@ -276,7 +287,10 @@
         host.end(host.last(), Outcome.NOT_CONNECTED);
         for (int i = 0; i < 10; i++) {
             long id = host.request(new Ask().units(1).shard(-1).volume(i + 10));
-            Host.Sent sent = host.sent.stream().filter(s -> s.request() == id).findFirst().orElseThrow();
+            Host.Sent sent = host.sent.stream()
+                    .filter(s -> s.request() == id)
+                    .findFirst()
+                    .orElseThrow();
             assertEquals(2, sent.node());
             host.end(sent, Outcome.SERVED);
         }
@@ -300,11 +314,16 @@
     void impossibleSettingsAreRefusedByName() {
         Site site = new Site();
         site.hosts = 0;
-        assertTrue(assertThrows(IllegalArgumentException.class, site::settings).getMessage().contains("hosts"));
-        assertTrue(assertThrows(NullPointerException.class, () -> new Policy(0, null, 1, null)).getMessage()
+        assertTrue(assertThrows(IllegalArgumentException.class, site::settings)
+                .getMessage()
+                .contains("hosts"));
+        assertTrue(assertThrows(NullPointerException.class, () -> new Policy(0, null, 1, null))
+                .getMessage()
                 .contains("settings"));
         site.hosts = 1;
         site.discovery = null;
-        assertTrue(assertThrows(IllegalArgumentException.class, site::settings).getMessage().contains("discovery"));
+        assertTrue(assertThrows(IllegalArgumentException.class, site::settings)
+                .getMessage()
+                .contains("discovery"));
     }
 }
--- a/src/test/java/petrelstand/decision/Host.java
+++ b/src/test/java/petrelstand/decision/Host.java
@@ -34,8 +34,8 @@
     final List<Sent> sent = new ArrayList<>();
     private final Set<Sent> ended = new HashSet<>();
     private final Map<Long, Integer> attempts = new HashMap<>();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>((a, b) ->
-            a.atMs() != b.atMs() ? Double.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
+            (a, b) -> a.atMs() != b.atMs() ? Double.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
     private long order;
     private long nextId = 1;
     double now;
@@ -75,8 +75,20 @@
 
     long request(Ask ask) {
         long id = nextId++;
-        policy.request(now, new Request(id, ask.kind, 0, ask.key, ask.timeLeft, ask.volume, ask.units, ask.shard,
-                ask.setSize, false, false));
+        policy.request(
+                now,
+                new Request(
+                        id,
+                        ask.kind,
+                        0,
+                        ask.key,
+                        ask.timeLeft,
+                        ask.volume,
+                        ask.units,
+                        ask.shard,
+                        ask.setSize,
+                        false,
+                        false));
         return id;
     }
 
@@ -90,8 +102,18 @@
 
     void end(Sent attempt, Outcome outcome, boolean over) {
         ended.add(attempt);
-        policy.attemptEnded(now, new AttemptEnd(attempt.request(), attempt.attempt(), outcome,
-                now - attempt.atMs(), attempt.node(), seenUse, 0, over, load));
+        policy.attemptEnded(
+                now,
+                new AttemptEnd(
+                        attempt.request(),
+                        attempt.attempt(),
+                        outcome,
+                        now - attempt.atMs(),
+                        attempt.node(),
+                        seenUse,
+                        0,
+                        over,
+                        load));
     }
 
     long sentFor(long request) {
@@ -104,12 +126,15 @@
 
     /** The final answer of a request: refuse, fail, or null while none was given. */
     String answer(long request) {
-        List<String> answers = log.stream().filter(l -> l.equals("refuse " + request) || l.equals("fail " + request))
+        List<String> answers = log.stream()
+                .filter(l -> l.equals("refuse " + request) || l.equals("fail " + request))
                 .toList();
         if (answers.size() > 1) {
             throw new AssertionError("more than one final answer: " + answers);
         }
-        return answers.isEmpty() ? null : answers.get(0).substring(0, answers.get(0).indexOf(' '));
+        return answers.isEmpty()
+                ? null
+                : answers.get(0).substring(0, answers.get(0).indexOf(' '));
     }
 
     @Override
@@ -228,11 +253,28 @@
         static final int KEYED = 2;
 
         Settings settings() {
-            return new Settings(hosts, index, 0, 2, List.of(kind("safe", Effect.REPEATABLE), kind("unsafe", Effect.UNSAFE),
-                    kind("keyed", Effect.KEYED)), List.of(new Plan("plan", 4, reserve, 1, 1, limit, 32, 8)), discovery,
+            return new Settings(
+                    hosts,
+                    index,
+                    0,
+                    2,
+                    List.of(
+                            kind("safe", Effect.REPEATABLE),
+                            kind("unsafe", Effect.UNSAFE),
+                            kind("keyed", Effect.KEYED)),
+                    List.of(new Plan("plan", 4, reserve, 1, 1, limit, 32, 8)),
+                    discovery,
                     new Capabilities(maxAttempts, true, true, false, true, true, 1000, 250, 15_000),
                     new Rules(8, 250, 10_000, 0.2, 10_000, 2000, 2, 300, freeFurther, furtherShare, 5000),
-                    20, 2, 8, 0.3, 0.05, 0, false, loadNames, List.of("z"));
+                    20,
+                    2,
+                    8,
+                    0.3,
+                    0.05,
+                    0,
+                    false,
+                    loadNames,
+                    List.of("z"));
         }
 
         private RequestClass kind(String name, Effect effect) {
--- a/src/test/java/petrelstand/decision/LimitTest.java
+++ b/src/test/java/petrelstand/decision/LimitTest.java
@@ -15,6 +15,7 @@
     private static final double LIMIT = 16;
     /** The burst that {@link Site} gives its plan. */
     private static final double BURST = 32;
+
     private static final int NODES = 16;
     private static final double UNITS = 4;
 
@@ -78,10 +79,14 @@
         host.end(host.last(), Outcome.NOT_CONNECTED);
         host.runTo(START_MS + 4_300);
         assertEquals(2, host.sentFor(first));
-        assertEquals(BURST - UNITS, host.policy.learned(host.now).volumes().get(0).limitLevel(), 1e-9);
+        assertEquals(
+                BURST - UNITS, host.policy.learned(host.now).volumes().get(0).limitLevel(), 1e-9);
         host.policy.written(host.now, first);
         host.runTo(START_MS + 4_400);
-        assertEquals(BURST - UNITS + LIMIT / 10, host.policy.learned(host.now).volumes().get(0).limitLevel(), 1e-9);
+        assertEquals(
+                BURST - UNITS + LIMIT / 10,
+                host.policy.learned(host.now).volumes().get(0).limitLevel(),
+                1e-9);
     }
 
     /** A volume of several gateways that a new one first hears of fills by this one's part, not by the whole. */
--- a/src/test/java/petrelstand/decision/RecallTest.java
+++ b/src/test/java/petrelstand/decision/RecallTest.java
@@ -104,7 +104,11 @@
         Site site = new Site();
         site.limit = 4;
         site.reserve = 3;
-        Learned learned = new Learned(10_000, 0, 0, List.of(),
+        Learned learned = new Learned(
+                10_000,
+                0,
+                0,
+                List.of(),
                 List.of(new LearnedVolume(1, 0, 1, 1, 0, 1, 2), new LearnedVolume(2, 0, 1, 1, 32, 3, 1e9)));
         Host host = host(site, learned);
         host.list(node(1, 0));
@@ -119,12 +123,21 @@
 
     /** Whatever was remembered, some seconds of answers leave nothing of it: the bound that Trust promises. */
     @Property(tries = 150)
-    void whatIsSeenOutweighsWhatWasRemembered(@ForAll @DoubleRange(min = 0, max = 10) double slots,
-            @ForAll @DoubleRange(min = 0, max = 640) double served, @ForAll @DoubleRange(min = 1, max = 8) double window,
-            @ForAll @DoubleRange(min = 0.1, max = 1500) double latencyMs, @ForAll boolean silent) {
+    void whatIsSeenOutweighsWhatWasRemembered(
+            @ForAll @DoubleRange(min = 0, max = 10) double slots,
+            @ForAll @DoubleRange(min = 0, max = 640) double served,
+            @ForAll @DoubleRange(min = 1, max = 8) double window,
+            @ForAll @DoubleRange(min = 0.1, max = 1500) double latencyMs,
+            @ForAll boolean silent) {
         Host fresh = new Host(10_000, new Site().settings());
-        Host recalled = host(new Site(), new Learned(10_000, 20, 20 * 64, List.of(
-                new LearnedNode(1, 0, slots, served, window, latencyMs, 0, silent ? 5_000 : 0)), List.of()));
+        Host recalled = host(
+                new Site(),
+                new Learned(
+                        10_000,
+                        20,
+                        20 * 64,
+                        List.of(new LearnedNode(1, 0, slots, served, window, latencyMs, 0, silent ? 5_000 : 0)),
+                        List.of()));
         for (Host host : List.of(fresh, recalled)) {
             host.list(node(1, 0));
             // Twelve seconds of more than the node can take, each request served in 30 ms.
@@ -132,7 +145,9 @@
                 for (int more = 0; more < 12; more++) {
                     host.request(new Ask().units(1));
                 }
-                List<Host.Sent> out = host.sent.stream().skip(Math.max(0, host.sent.size() - 60)).filter(host::open)
+                List<Host.Sent> out = host.sent.stream()
+                        .skip(Math.max(0, host.sent.size() - 60))
+                        .filter(host::open)
                         .toList();
                 host.runTo(host.now + 30);
                 out.forEach(attempt -> host.end(attempt, Outcome.SERVED));
--- a/src/test/java/petrelstand/decision/RetuneTest.java
+++ b/src/test/java/petrelstand/decision/RetuneTest.java
@@ -68,9 +68,15 @@
         open(host);
         host.now += 30;
         host.end(host.last(), Outcome.SERVED);
-        List<?> before = List.of(host.policy.learned(host.now).nodes(), host.policy.learned(host.now).volumes());
+        List<?> before = List.of(
+                host.policy.learned(host.now).nodes(),
+                host.policy.learned(host.now).volumes());
         host.policy.retune(host.now, with("classes.2.aim_ms=1500.0", "classes.2.aim_ms=1200.0"));
-        assertEquals(before, List.of(host.policy.learned(host.now).nodes(), host.policy.learned(host.now).volumes()));
+        assertEquals(
+                before,
+                List.of(
+                        host.policy.learned(host.now).nodes(),
+                        host.policy.learned(host.now).volumes()));
     }
 
     /** Two processes that spend one gateway's part at a cold node send it no more than one would. */
--- a/src/test/java/petrelstand/decision/RulesTest.java
+++ b/src/test/java/petrelstand/decision/RulesTest.java
@@ -91,8 +91,8 @@
             Host host = host(site);
             long id = host.request(new Ask().kind(KEYED).shard(-1));
             Host.Sent first = host.last();
-            host.policy.nodes(host.now, ListKind.CHANGES,
-                    List.of(node(first.node(), (int) first.node() - 1, NodeState.GONE, 0)));
+            host.policy.nodes(
+                    host.now, ListKind.CHANGES, List.of(node(first.node(), (int) first.node() - 1, NodeState.GONE, 0)));
             host.end(first, Outcome.RESET);
             host.runTo(10_200);
             assertEquals(group == DedupGroup.ALL ? 2 : 1, host.sentFor(id), group.toString());
@@ -111,7 +111,10 @@
         }
     }
 
-    /** Guards against a repeat that is decided within the window and begins behind it: its connection and its wait take time. */
+    /**
+     * Guards against a repeat that is decided within the window and begins behind it: its connection and its wait take
+     * time.
+     */
     @Test
     void aKeyedRequestIsNotRepeatedWhereItWouldBeginBehindItsWindow() {
         for (double windowMs : new double[] {460, 440}) {
@@ -121,7 +124,8 @@
             Host host = host(site);
             long id = host.request(new Ask().kind(KEYED));
             host.end(host.last(), Outcome.ERROR);
-            assertEquals(windowMs > 450 ? 2 : 1, host.sentFor(id), "a connection takes up to 250 ms, the wait some 200");
+            assertEquals(
+                    windowMs > 450 ? 2 : 1, host.sentFor(id), "a connection takes up to 250 ms, the wait some 200");
             assertEquals(windowMs > 450 ? null : "fail", host.answer(id));
         }
     }
@@ -147,11 +151,16 @@
             host.request(new Ask().units(1));
         }
         List<Long> waiting = LongStream.rangeClosed(1, 8)
-                .filter(id -> host.sentFor(id) == 0 && host.answer(id) == null).boxed().toList();
+                .filter(id -> host.sentFor(id) == 0 && host.answer(id) == null)
+                .boxed()
+                .toList();
         assertFalse(waiting.isEmpty());
         host.policy.nodes(host.now, ListKind.CHANGES, List.of(node(1, 0, NodeState.DRAINING, 0), node(3, 0)));
         host.runTo(10_050);
-        List<Long> moved = host.sent.stream().filter(s -> s.node() == 3).map(Host.Sent::request).toList();
+        List<Long> moved = host.sent.stream()
+                .filter(s -> s.node() == 3)
+                .map(Host.Sent::request)
+                .toList();
         assertEquals(waiting.subList(0, moved.size()), moved);
         assertFalse(moved.isEmpty());
     }
--- a/src/test/java/petrelstand/decision/SizeTest.java
+++ b/src/test/java/petrelstand/decision/SizeTest.java
@@ -85,9 +85,14 @@
 
     /** The most that was sent in any window of two seconds, as a part of what makes the node fall over. */
     private static double nearestToFall(List<Double> sends, double unitsPerSecond) {
-        return sends.stream().mapToDouble(from ->
-                2 * sends.stream().filter(at -> at >= from && at < from + 2_000).count()
-                / (2 * 2 * unitsPerSecond * warmth(from - START - 5_000))).max().orElse(0);
+        return sends.stream()
+                .mapToDouble(from -> 2
+                        * sends.stream()
+                                .filter(at -> at >= from && at < from + 2_000)
+                                .count()
+                        / (2 * 2 * unitsPerSecond * warmth(from - START - 5_000)))
+                .max()
+                .orElse(0);
     }
 
     @Test
@@ -200,7 +205,8 @@
             assertEquals(took < 500 ? 1 : 0, host.sentFor(due), "took " + took);
             assertNull(host.answer(due));
             host.runTo(host.now + 16_000);
-            assertEquals(1, host.sentFor(host.request(new Ask().units(2).volume(6).setSize(4))));
+            assertEquals(
+                    1, host.sentFor(host.request(new Ask().units(2).volume(6).setSize(4))));
         }
     }
 
@@ -218,7 +224,8 @@
                 host.runTo(START + 1_000);
             }
             long id = host.request(new Ask().units(1).volume(2).timeLeft(400));
-            long other = host.request(new Ask().kind(Site.UNSAFE).units(1).volume(3).timeLeft(400));
+            long other =
+                    host.request(new Ask().kind(Site.UNSAFE).units(1).volume(3).timeLeft(400));
             assertEquals(pause ? 2 : 1, host.sentFor(id) + host.sentFor(other), "pause " + pause);
         }
     }
--- a/src/test/java/petrelstand/discovery/WatchTest.java
+++ b/src/test/java/petrelstand/discovery/WatchTest.java
@@ -18,8 +18,17 @@
     private final List<NodeList> heard = new ArrayList<>();
 
     private Watch watch(long version) {
-        Watch watch = new Watch(world::dial, () -> world.nowUs, world.timers, Harness.ADDRESS, "agent", List.of("a"),
-                version, heard::add, world.counters, world.log::add);
+        Watch watch = new Watch(
+                world::dial,
+                () -> world.nowUs,
+                world.timers,
+                Harness.ADDRESS,
+                "agent",
+                List.of("a"),
+                version,
+                heard::add,
+                world.counters,
+                world.log::add);
         watch.start();
         return watch;
     }
@@ -76,9 +85,19 @@
 
     /** Ways in which a call comes to nothing; the connection of the one before is there or not. */
     private enum Fault {
-        REFUSED, NEVER_UP, UP_LATE_AND_SILENT, SILENT, RESET, ANSWER_503, UNREADABLE, CUT_AND_SILENT, DRIBBLES;
-
-        /** Fails a call on a kept connection or, without one, on that being dialed; the connection, where it lives on. */
+        REFUSED,
+        NEVER_UP,
+        UP_LATE_AND_SILENT,
+        SILENT,
+        RESET,
+        ANSWER_503,
+        UNREADABLE,
+        CUT_AND_SILENT,
+        DRIBBLES;
+
+        /**
+         * Fails a call on a kept connection or, without one, on that being dialed; the connection, where it lives on.
+         */
         MemoryEnd on(WatchTest test, MemoryEnd kept) {
             Harness world = test.world;
             if (kept == null && this == REFUSED) {
@@ -107,13 +126,16 @@
                         world.run(10_000);
                     }
                 }
-                default -> { }
+                default -> {}
             }
             return this == ANSWER_503 || this == UNREADABLE ? end : null;
         }
     }
 
-    /** The longest that a list known to discovery can be unheard here where two calls in a row fail and the third does not. */
+    /**
+     * The longest that a list known to discovery can be unheard here where two calls in a row fail and the third does
+     * not.
+     */
     @Test
     void whateverTwoCallsInARowFailOfTheThirdIsInTimeForTheSixSeconds() {
         long worstUs = 0;
@@ -160,8 +182,8 @@
     }
 
     /**
-     * A watch that has gone on for 13 s falls silent at each moment of a wait, and the next call fails in each way: what it
-     * misses is heard well within 6 s of the silence, and of 2 s after the wait.
+     * A watch that has gone on for 13 s falls silent at each moment of a wait, and the next call fails in each way:
+     * what it misses is heard well within 6 s of the silence, and of 2 s after the wait.
      */
     @Test
     void aSilenceThatComesLateAtAnyMomentOfAWaitIsOverInTime() {
@@ -203,15 +225,22 @@
         return world.nowUs - silentUs;
     }
 
-    /** Lists come indented, in lines of either kind and in pieces cut anywhere; a whole one may come in place of changes. */
+    /**
+     * Lists come indented, in lines of either kind and in pieces cut anywhere; a whole one may come in place of
+     * changes.
+     */
     @Test
     void anIndentedListInPiecesIsTheSameList() {
-        String plain = "{\"version\":42,\"full\":true,\"servers\":[{\"id\":\"s-00000001\",\"addr\":\"127.0.0.1:9001\",\"zone\":\"a\","
-                + "\"cell\":3,\"state\":\"draining\",\"weight\":1.0,\"started_ms\":7}]}";
+        String plain =
+                "{\"version\":42,\"full\":true,\"servers\":[{\"id\":\"s-00000001\",\"addr\":\"127.0.0.1:9001\",\"zone\":\"a\","
+                        + "\"cell\":3,\"state\":\"draining\",\"weight\":1.0,\"started_ms\":7}]}";
         NodeList same = NodeList.parse(plain, List.of("a"));
         for (String space : List.of("\n  ", "\r\n\t", " ")) {
-            String body = space + plain.replaceAll("([\\[{,:])", "$1" + space).replaceAll("([\\]}])", space + "$1")
-                    .replace("127.0.0.1:" + space, "127.0.0.1:") + "\n";
+            String body = space
+                    + plain.replaceAll("([\\[{,:])", "$1" + space)
+                            .replaceAll("([\\]}])", space + "$1")
+                            .replace("127.0.0.1:" + space, "127.0.0.1:")
+                    + "\n";
             WatchTest test = new WatchTest();
             test.watch(41);
             HeldEnd agent = test.settled();
@@ -239,16 +268,29 @@
     @Test
     void whatIsGivenUpWhileItComesUpIsClosed() throws java.io.IOException {
         List<java.nio.channels.SocketChannel> channels = new ArrayList<>();
-        Watch watch = new Watch((address, connector) -> {
-            channels.add(java.nio.channels.SocketChannel.open());
-            return channels.get(channels.size() - 1);
-        }, () -> world.nowUs, world.timers, Harness.ADDRESS, "agent", List.of("a"), 41, heard::add, world.counters,
+        Watch watch = new Watch(
+                (address, connector) -> {
+                    channels.add(java.nio.channels.SocketChannel.open());
+                    return channels.get(channels.size() - 1);
+                },
+                () -> world.nowUs,
+                world.timers,
+                Harness.ADDRESS,
+                "agent",
+                List.of("a"),
+                41,
+                heard::add,
+                world.counters,
                 world.log::add);
         watch.start();
         world.run(2_000_000);
         watch.move(NEW);
         assertEquals(4, channels.size());
-        assertEquals(1, channels.stream().filter(java.nio.channels.SocketChannel::isOpen).count());
+        assertEquals(
+                1,
+                channels.stream()
+                        .filter(java.nio.channels.SocketChannel::isOpen)
+                        .count());
         channels.get(3).close();
     }
 
@@ -277,7 +319,8 @@
     private static final String NEW = "127.0.0.3:8600";
 
     private void atNewAddress() {
-        assertEquals("/" + NEW, world.dialed.get(world.dialed.size() - 1).address().toString());
+        assertEquals(
+                "/" + NEW, world.dialed.get(world.dialed.size() - 1).address().toString());
         assertTrue(world.up().taken().startsWith("GET /v1/endpoints?index=41&wait=200"));
         world.run(700_000);
         assertEquals(0, world.dialed.size(), "one call at a time");
@@ -310,8 +353,8 @@
     }
 
     /**
-     * What the old agent has written is told, whether or not it was read: it is heard before the move, whatever becomes of
-     * the new agent. Nothing more is asked of the old one.
+     * What the old agent has written is told, whether or not it was read: it is heard before the move, whatever becomes
+     * of the new agent. Nothing more is asked of the old one.
      */
     @Test
     void aMoveThatCrossesAnAnswerOfTheOldAgentHearsItFirst() {
@@ -334,7 +377,9 @@
 
     @Test
     void aMoveThatCrossesASpoiltAnswerOrAResetLeavesOneLoop() {
-        for (String last : List.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        for (String last : List.of(
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+                "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
                 "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{")) {
             WatchTest test = new WatchTest();
             Watch watch = test.watch(41);
@@ -346,7 +391,10 @@
         }
     }
 
-    /** SIGHUP while discovery is down: the rest after a failed call, or a call that is given up, belongs to the old address. */
+    /**
+     * SIGHUP while discovery is down: the rest after a failed call, or a call that is given up, belongs to the old
+     * address.
+     */
     @Test
     void aMoveInAnOutageAsksTheNewAgentShortlyWhateverFailedBefore() {
         Watch watch = watch(41);
--- a/src/test/java/petrelstand/fleet/FleetWireTest.java
+++ b/src/test/java/petrelstand/fleet/FleetWireTest.java
@@ -37,8 +37,16 @@
     private static final byte[] NEW = HexFormat.of().parseHex("ffeeddccbbaa99887766554433221100");
 
     private static Member member(int i) {
-        return new Member("gateway-" + i, -7L * i, 1L << 50, "127.0.0.1:" + (7000 + i), MemberState.SUSPECT, "by" + i,
-                1_796_000_000_000L, "0.1.0", List.of("rules", "duties"));
+        return new Member(
+                "gateway-" + i,
+                -7L * i,
+                1L << 50,
+                "127.0.0.1:" + (7000 + i),
+                MemberState.SUSPECT,
+                "by" + i,
+                1_796_000_000_000L,
+                "0.1.0",
+                List.of("rules", "duties"));
     }
 
     private static List<Envelope> all() {
@@ -48,12 +56,17 @@
         }
         news = news.subList(0, Message.fits(news, 0));
         List<Long> buckets = Collections.nCopies(Message.BUCKETS, Long.MIN_VALUE);
-        return java.util.stream.Stream.of(new Message.Ping(1, 2, news), new Message.Ack(1, -2, "x", 9, news),
-                new Message.Ask(5, "x", "127.0.0.1:1"), new Message.Join(6, member(1)),
-                new Message.Answer(7, false, member(2), news),
-                new Message.Answer(8, true, null, List.of()),
-                new Message.Digests(buckets, true), new Message.News(news))
-                .map(m -> new Envelope("fleet", "a", 3, 4, "127.0.0.1:9", 5, m)).toList();
+        return java.util.stream.Stream.of(
+                        new Message.Ping(1, 2, news),
+                        new Message.Ack(1, -2, "x", 9, news),
+                        new Message.Ask(5, "x", "127.0.0.1:1"),
+                        new Message.Join(6, member(1)),
+                        new Message.Answer(7, false, member(2), news),
+                        new Message.Answer(8, true, null, List.of()),
+                        new Message.Digests(buckets, true),
+                        new Message.News(news))
+                .map(m -> new Envelope("fleet", "a", 3, 4, "127.0.0.1:9", 5, m))
+                .toList();
     }
 
     @Test
@@ -79,10 +92,14 @@
             ByteBuffer cut = ByteBuffer.wrap(good, 0, length);
             assertThrows(Seal.Refused.class, () -> seal.open(cut));
         }
-        assertEquals("key", assertThrows(Seal.Refused.class,
-                () -> new Seal(List.of(NEW)).open(ByteBuffer.wrap(good))).getMessage());
-        assertEquals("long", assertThrows(Seal.Refused.class,
-                () -> seal.open(ByteBuffer.wrap(new byte[Seal.MOST + 1]))).getMessage());
+        assertEquals(
+                "key",
+                assertThrows(Seal.Refused.class, () -> new Seal(List.of(NEW)).open(ByteBuffer.wrap(good)))
+                        .getMessage());
+        assertEquals(
+                "long",
+                assertThrows(Seal.Refused.class, () -> seal.open(ByteBuffer.wrap(new byte[Seal.MOST + 1])))
+                        .getMessage());
         // While a key changes both are good; what is sent has the first.
         assertArrayEquals(Codec.encode(all().get(0)), open(new Seal(List.of(NEW, OLD)), good));
     }
@@ -123,7 +140,8 @@
         ExecutorService loop = Executors.newSingleThreadExecutor();
         Map<String, Integer> counts = new TreeMap<>();
         List<Envelope> taken = Collections.synchronizedList(new ArrayList<>());
-        try (Link link = new Link("127.0.0.1:0", List.of(OLD), loop, taken::add, what -> counts.merge(what, 1, Integer::sum));
+        try (Link link = new Link(
+                        "127.0.0.1:0", List.of(OLD), loop, taken::add, what -> counts.merge(what, 1, Integer::sum));
                 DatagramSocket socket = new DatagramSocket()) {
             link.start();
             byte[] good = new Seal(List.of(OLD)).close(Codec.encode(all().get(0)));
@@ -132,8 +150,8 @@
             byte[] foreign = new Seal(List.of(NEW)).close(Codec.encode(all().get(0)));
             for (int i = 1; i <= 300; i++) {
                 for (byte[] datagram : List.of(forged, foreign, new byte[3], good)) {
-                    socket.send(new DatagramPacket(datagram, datagram.length, InetAddress.getByName("127.0.0.1"),
-                            link.port()));
+                    socket.send(new DatagramPacket(
+                            datagram, datagram.length, InetAddress.getByName("127.0.0.1"), link.port()));
                 }
                 // In step, so that no socket's buffer decides what is counted.
                 for (int wait = 0; wait < 5_000 && taken.size() < i; wait++) {
@@ -157,7 +175,9 @@
         Path file = Files.writeString(folder.resolve("fleet.key"), key);
         Files.setPosixFilePermissions(file, PosixFilePermissions.fromString(permissions));
         try {
-            OperatorConfig.load(new IniFile(folder.resolve("p.ini"), "[fleet]\n" + section), new Harness().settings,
+            OperatorConfig.load(
+                    new IniFile(folder.resolve("p.ini"), "[fleet]\n" + section),
+                    new Harness().settings,
                     Files::readString);
             return "";
         } catch (IllegalArgumentException e) {
@@ -167,21 +187,29 @@
 
     @Test
     void eachFaultOfTheSectionIsOneLineWithItsPlace() throws IOException {
-        String good = "name = charts\nlisten = 127.0.0.1:7900\nkey = fleet.key\nseeds = 127.0.0.1:7901 127.0.0.1:7902\n";
+        String good =
+                "name = charts\nlisten = 127.0.0.1:7900\nkey = fleet.key\nseeds = 127.0.0.1:7901 127.0.0.1:7902\n";
         String key = "00112233445566778899aabbccddeeff\n";
         assertEquals("", fault(good, key, "rw-------"));
         assertEquals("", fault(good, "# old and new\n" + key + key, "rw-------"));
-        assertEquals("p.ini:2: [fleet] name is not a name of 1 to 64 letters, digits, '.', '_' or '-': 'a b'",
+        assertEquals(
+                "p.ini:2: [fleet] name is not a name of 1 to 64 letters, digits, '.', '_' or '-': 'a b'",
                 fault("name = a b\nlisten = 127.0.0.1:1\nkey = fleet.key\n", key, "rw-------"));
-        assertEquals("p.ini:5: [fleet] seeds has what is not an address with a port: 'there'",
+        assertEquals(
+                "p.ini:5: [fleet] seeds has what is not an address with a port: 'there'",
                 fault(good.replace("127.0.0.1:7902", "there"), key, "rw-------"));
-        assertEquals("p.ini:4: [fleet] key names fleet.key, which others than its owner may read or write",
+        assertEquals(
+                "p.ini:4: [fleet] key names fleet.key, which others than its owner may read or write",
                 fault(good, key, "rw-r--r--"));
-        assertEquals("p.ini:4: [fleet] key names fleet.key, line 1 of which is not in hex",
+        assertEquals(
+                "p.ini:4: [fleet] key names fleet.key, line 1 of which is not in hex",
                 fault(good, "secret\n", "rw-------"));
-        assertEquals("p.ini:4: [fleet] key names fleet.key, which must hold one or two keys of 32 to 128 hex digits,"
-                + " one a line", fault(good, "0011\n", "rw-------"));
-        assertEquals("p.ini:6: [fleet] suspect_after must be three times ping or more, fail_after twice, and retry no less",
+        assertEquals(
+                "p.ini:4: [fleet] key names fleet.key, which must hold one or two keys of 32 to 128 hex digits,"
+                        + " one a line",
+                fault(good, "0011\n", "rw-------"));
+        assertEquals(
+                "p.ini:6: [fleet] suspect_after must be three times ping or more, fail_after twice, and retry no less",
                 fault(good + "suspect_after = 300 ms\n", key, "rw-------"));
         assertEquals("p.ini:6: [fleet] szie is no key of this section", fault(good + "szie = 3\n", key, "rw-------"));
     }
--- a/src/test/java/petrelstand/http/BudgetsTest.java
+++ b/src/test/java/petrelstand/http/BudgetsTest.java
@@ -38,8 +38,15 @@
     void bodiesOfRequestsInWorkAreBoundedAndGiveTheirRoomBack() {
         Harness world = new Harness();
         Budgets small = new Budgets(new Budget(1 << 20), new Budget(100_000), new Budget(1 << 20), new Budget(1 << 20));
-        NodePool pool = new NodePool(world::dial, () -> world.nowUs, world.timers, world.counters, world.settings,
-                "backend.local", 10, small);
+        NodePool pool = new NodePool(
+                world::dial,
+                () -> world.nowUs,
+                world.timers,
+                world.counters,
+                world.settings,
+                "backend.local",
+                10,
+                small);
         Lifecycle life = new Lifecycle(Lifecycle.Times.of(5_000_000));
         life.serving(world.nowUs);
         Front front = new Front(world.broker(pool), world.timers, 10, life, small);
--- a/src/test/java/petrelstand/http/FrontSearchTest.java
+++ b/src/test/java/petrelstand/http/FrontSearchTest.java
@@ -22,15 +22,40 @@
 import petrelstand.testing.HeldEnd;
 
 /**
- * Front, core, module and pool together, under orders of everything that can cross on their connections: requests whole,
- * halved, pipelined, unread and with large bodies; ends of either side; answers whole, cut and late; connections that come
- * up or not; drains, removals, restarts of a node; the end of the process; time.
+ * Front, core, module and pool together, under orders of everything that can cross on their connections: requests
+ * whole, halved, pipelined, unread and with large bodies; ends of either side; answers whole, cut and late; connections
+ * that come up or not; drains, removals, restarts of a node; the end of the process; time.
  */
 class FrontSearchTest {
     private enum Act {
-        READ, READ_UNREAD, TWO, HALF, REST_OF_HALF, LARGE_BODY, MORE_BODY, AHEAD, END, RESET,
-        UP, REFUSE_DIAL, SERVE, SERVE_LARGE, HALF_ANSWER, TURN_AWAY, NODE_ENDS, CHATTER,
-        DRAIN, REMOVE, RESTART, LIST, SHORT_TIME, LONG_TIME, LATE_TURN, TERMINATE, CLOSE_IDLE, NEW_CLIENT
+        READ,
+        READ_UNREAD,
+        TWO,
+        HALF,
+        REST_OF_HALF,
+        LARGE_BODY,
+        MORE_BODY,
+        AHEAD,
+        END,
+        RESET,
+        UP,
+        REFUSE_DIAL,
+        SERVE,
+        SERVE_LARGE,
+        HALF_ANSWER,
+        TURN_AWAY,
+        NODE_ENDS,
+        CHATTER,
+        DRAIN,
+        REMOVE,
+        RESTART,
+        LIST,
+        SHORT_TIME,
+        LONG_TIME,
+        LATE_TURN,
+        TERMINATE,
+        CLOSE_IDLE,
+        NEW_CLIENT
     }
 
     private static final Pattern ID = Pattern.compile("X-Txn: (\\S+)\r\n");
@@ -64,7 +89,8 @@
                 clientOf.put(txn, this);
                 return method + " /" + kind + "/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: " + txn
                         + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 1400\r\nX-Placement: units=2,shard=3,hosts=1\r\n"
-                        + (length > 0 ? "Idempotency-Key: k" + txn + "\r\nContent-Length: " + length + "\r\n" : "") + "\r\n";
+                        + (length > 0 ? "Idempotency-Key: k" + txn + "\r\nContent-Length: " + length + "\r\n" : "")
+                        + "\r\n";
             }
 
             void look() {
@@ -83,13 +109,15 @@
         private final Map<String, Client> clientOf = new HashMap<>();
         /** Ends at the node, with the id that each has out, if any. */
         private final Map<HeldEnd, String> nodes = new HashMap<>();
+
         private final List<HeldEnd> order = new ArrayList<>();
         private boolean listed = true;
         private int next;
 
         World(boolean cancels) {
             world = new Harness(Harness.SETTINGS.replace("caps.cancel=true", "caps.cancel=" + cancels));
-            pool = new NodePool(world::dial, () -> world.nowUs, world.timers, world.counters, world.settings, "backend.local", 6);
+            pool = new NodePool(
+                    world::dial, () -> world.nowUs, world.timers, world.counters, world.settings, "backend.local", 6);
             front = new Front(world.broker(pool), world.timers, 5, life);
             life.serving(world.nowUs);
             world.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
@@ -119,7 +147,9 @@
             assertEquals(0, pool.open(), "connections to the node");
             for (Client client : clients) {
                 client.look();
-                assertTrue(client.answers <= client.asked.size() + 1, client.answers + " answers to " + client.asked.size());
+                assertTrue(
+                        client.answers <= client.asked.size() + 1,
+                        client.answers + " answers to " + client.asked.size());
             }
         }
 
@@ -142,7 +172,9 @@
         }
 
         private HeldEnd busy(int pick) {
-            List<HeldEnd> busy = order.stream().filter(end -> end.isOpen() && !nodes.get(end).isEmpty()).toList();
+            List<HeldEnd> busy = order.stream()
+                    .filter(end -> end.isOpen() && !nodes.get(end).isEmpty())
+                    .toList();
             return busy.isEmpty() ? null : busy.get(pick % busy.size());
         }
 
@@ -168,8 +200,8 @@
                 }
                 case TWO -> {
                     if (whole) {
-                        client.put(client.ask(txn, "GET", "bulk-export", 0) + client.ask(txn + "b", "PUT", "survey-write", 9)
-                                + "depth=17;");
+                        client.put(client.ask(txn, "GET", "bulk-export", 0)
+                                + client.ask(txn + "b", "PUT", "survey-write", 9) + "depth=17;");
                     }
                 }
                 case HALF -> {
@@ -219,8 +251,10 @@
                     }
                 }
                 case SERVE -> answer(pick, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", true);
-                case SERVE_LARGE -> answer(pick, "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + "x".repeat(90_000), true);
-                case TURN_AWAY -> answer(pick, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", true);
+                case SERVE_LARGE ->
+                    answer(pick, "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + "x".repeat(90_000), true);
+                case TURN_AWAY ->
+                    answer(pick, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", true);
                 case HALF_ANSWER -> answer(pick, "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\nx", false);
                 case NODE_ENDS -> {
                     if (!order.isEmpty()) {
@@ -250,7 +284,9 @@
             }
         }
 
-        /** The node answers; what it has out then is taken note of first, so that what follows at once is judged too. */
+        /**
+         * The node answers; what it has out then is taken note of first, so that what follows at once is judged too.
+         */
         private void answer(int pick, String text, boolean whole) {
             HeldEnd end = busy(pick);
             if (end != null) {
--- a/src/test/java/petrelstand/http/FrontTest.java
+++ b/src/test/java/petrelstand/http/FrontTest.java
@@ -25,8 +25,8 @@
 /** The platform's front and the pool towards the nodes, on connections in memory. */
 class FrontTest {
     private final Harness world = new Harness();
-    private final NodePool pool = new NodePool(world::dial, () -> world.nowUs, world.timers, world.counters,
-            world.settings, "backend.local", 40);
+    private final NodePool pool = new NodePool(
+            world::dial, () -> world.nowUs, world.timers, world.counters, world.settings, "backend.local", 40);
     private final Lifecycle life = new Lifecycle(Lifecycle.Times.of(5_000_000));
     private final Front front = new Front(world.broker(pool), world.timers, 50, life);
     private final HeldEnd client = HeldEnd.open(front::accept);
@@ -80,12 +80,14 @@
         assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n\r\nstored 17"));
     }
 
-    /** Guards against a meter that is not read: what an answer tells of its volume moves this gateway's part of its use. */
+    /**
+     * Guards against a meter that is not read: what an answer tells of its volume moves this gateway's part of its use.
+     */
     @Test
     void whatAnAnswerTellsOfItsVolumeReachesTheModule() {
         Harness four = new Harness(Harness.SETTINGS.replace("balancers=1", "balancers=4"));
-        NodePool its = new NodePool(four::dial, () -> four.nowUs, four.timers, four.counters, four.settings, "backend.local",
-                40);
+        NodePool its = new NodePool(
+                four::dial, () -> four.nowUs, four.timers, four.counters, four.settings, "backend.local", 40);
         Front front = new Front(four.broker(its), four.timers, 50, life);
         four.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
         HeldEnd end = HeldEnd.open(front::accept);
@@ -111,7 +113,8 @@
     void theQueryPassesAsItWasWritten() {
         listOne();
         client.put(read(1, ""));
-        assertTrue(world.up().taken().startsWith("GET /tile-read/00000003b4d60021/7f3a9c21e0b4d655?v=%41&n=1 HTTP/1.1"));
+        assertTrue(
+                world.up().taken().startsWith("GET /tile-read/00000003b4d60021/7f3a9c21e0b4d655?v=%41&n=1 HTTP/1.1"));
     }
 
     @Test
@@ -131,7 +134,9 @@
         assertEquals(0, world.dialed.size());
     }
 
-    /** Guards against a time that begins when the answer before is written: it counts from the request's own last byte. */
+    /**
+     * Guards against a time that begins when the answer before is written: it counts from the request's own last byte.
+     */
     @Test
     void theTimeOfARequestSentAheadCountsFromItsOwnLastByte() {
         listOne();
@@ -168,7 +173,10 @@
         assertEquals(0, world.broker.open());
     }
 
-    /** The same request, cut in two at each of its bytes with time between: it passes whole, and its time is that of its end. */
+    /**
+     * The same request, cut in two at each of its bytes with time between: it passes whole, and its time is that of its
+     * end.
+     */
     @Test
     void aRequestCutAtAnyByteIsTheSameRequestAndItsTimeBeginsWithItsLastByte() {
         listOne();
@@ -183,17 +191,22 @@
                 client.put(request.substring(cut));
                 node = world.dialed.isEmpty() ? node : world.up();
                 String sent = node.taken();
-                assertTrue(sent.contains("X-Remaining-Ms: 2000\r\n") && sent.endsWith("\r\n\r\ndepth=17"), "cut at " + cut);
+                assertTrue(
+                        sent.contains("X-Remaining-Ms: 2000\r\n") && sent.endsWith("\r\n\r\ndepth=17"),
+                        "cut at " + cut);
                 node.put(ok("stored"));
                 assertTrue(client.taken().endsWith("stored"), "cut at " + cut);
             }
         }
     }
 
-    /** What an attempt tells its node is what is left to the client then, less what was taken by the attempts before. */
+    /**
+     * What an attempt tells its node is what is left to the client then, less what was taken by the attempts before.
+     */
     @Test
     void aFurtherAttemptTellsItsNodeWhatIsLeftToTheClient() {
-        world.list(Harness.node("s-00000001", 3, NodeState.READY, 0), Harness.node("s-00000002", 3, NodeState.READY, 0));
+        world.list(
+                Harness.node("s-00000001", 3, NodeState.READY, 0), Harness.node("s-00000002", 3, NodeState.READY, 0));
         client.put(read(1, ""));
         MemoryEnd first = world.up();
         assertTrue(first.taken().contains("X-Remaining-Ms: 1400\r\n"));
@@ -204,7 +217,8 @@
         }
         world.run(200_000);
         long begunUs = world.nowUs;
-        Matcher told = Pattern.compile("X-Remaining-Ms: (\\d+)\r\n").matcher(world.up().taken());
+        Matcher told =
+                Pattern.compile("X-Remaining-Ms: (\\d+)\r\n").matcher(world.up().taken());
         assertTrue(told.find());
         long leftMs = (1_000_000_000L + 1_400_000 - begunUs) / 1000;
         assertTrue(leftMs <= 1_100 && Long.parseLong(told.group(1)) <= leftMs, told.group(1) + " of " + leftMs);
@@ -215,8 +229,8 @@
     void aReloadAndADrainInOneTurnLeaveTheNodeAlone() {
         for (boolean drainFirst : new boolean[] {true, false}) {
             Harness other = new Harness();
-            NodePool its = new NodePool(other::dial, () -> other.nowUs, other.timers, other.counters, other.settings,
-                    "backend.local", 40);
+            NodePool its = new NodePool(
+                    other::dial, () -> other.nowUs, other.timers, other.counters, other.settings, "backend.local", 40);
             Front front = new Front(other.broker(its), other.timers, 50, life);
             other.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
             HeldEnd end = HeldEnd.open(front::accept);
@@ -226,7 +240,8 @@
             if (drainFirst) {
                 other.broker.nodes(ListKind.CHANGES, drains);
             }
-            other.broker.retune(new Harness(Harness.SETTINGS.replace("caps.most_tries=3", "caps.most_tries=2")).settings);
+            other.broker.retune(
+                    new Harness(Harness.SETTINGS.replace("caps.most_tries=3", "caps.most_tries=2")).settings);
             if (!drainFirst) {
                 other.broker.nodes(ListKind.CHANGES, drains);
             }
@@ -327,7 +342,9 @@
         for (int bytes : new int[] {20_000, 90_000, 250_000}) {
             long gone = world.counters.get("client_gone");
             MemoryEnd end = MemoryEnd.open(front::accept);
-            end.put(write("").replace("X-Txn: w1", "X-Txn: w" + bytes).replace("shard=-1", "shard=3")
+            end.put(write("")
+                    .replace("X-Txn: w1", "X-Txn: w" + bytes)
+                    .replace("shard=-1", "shard=3")
                     .replace("Content-Length: 0", "Content-Length: 900000"));
             for (int sent = 0; sent < bytes; sent += 5_000) {
                 end.put("x".repeat(5_000));
@@ -373,8 +390,8 @@
     @Test
     void whatNobodyWaitsForIsNotBegunOnAConnectionThatComesUpLate() {
         Harness other = new Harness(Harness.SETTINGS.replace("caps.cancel=true", "caps.cancel=false"));
-        NodePool its = new NodePool(other::dial, () -> other.nowUs, other.timers, other.counters, other.settings,
-                "backend.local", 40);
+        NodePool its = new NodePool(
+                other::dial, () -> other.nowUs, other.timers, other.counters, other.settings, "backend.local", 40);
         Front front = new Front(other.broker(its), other.timers, 50, life);
         other.list(Harness.node("s-00000001", 3, NodeState.READY, 0));
         MemoryEnd gone = MemoryEnd.open(front::accept);
@@ -392,11 +409,13 @@
     @Test
     void nothingBeginsAtANodeThatWasToldToDrainOrGoneWhileItsConnectionCameUp() {
         Node listed = Harness.node("s-00000001", 3, NodeState.READY, 0);
-        for (Node change : List.of(Harness.node("s-00000001", 3, NodeState.DRAINING, 0), listed.asGone(),
+        for (Node change : List.of(
+                Harness.node("s-00000001", 3, NodeState.DRAINING, 0),
+                listed.asGone(),
                 Harness.node("s-00000001", 3, NodeState.READY, world.nowUs / 1000.0))) {
             Harness other = new Harness();
-            NodePool its = new NodePool(other::dial, () -> other.nowUs, other.timers, other.counters, other.settings,
-                    "backend.local", 40);
+            NodePool its = new NodePool(
+                    other::dial, () -> other.nowUs, other.timers, other.counters, other.settings, "backend.local", 40);
             Front front = new Front(other.broker(its), other.timers, 50, life);
             other.list(listed);
             MemoryEnd end = MemoryEnd.open(front::accept);
@@ -436,8 +455,16 @@
             {"400", write("12345").replace("Content-Length: 5", "Content-Length: +5")},
             {"400", write("12345").replace("Content-Length: 5", "Content-Length: 99999999999999999999")},
             {"400", write("12345").replace("Content-Length: 5", "Transfer-Encoding: gzip, chunked")},
-            {"400", write("12345").replace("Content-Length: 5", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked")},
-            {"400", write("12345").replace("Content-Length: 5", "Transfer-Encoding: chunked").replace("12345", "zz\r\n12345\r\n")},
+            {
+                "400",
+                write("12345").replace("Content-Length: 5", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked")
+            },
+            {
+                "400",
+                write("12345")
+                        .replace("Content-Length: 5", "Transfer-Encoding: chunked")
+                        .replace("12345", "zz\r\n12345\r\n")
+            },
             {"505", good.replace("HTTP/1.1", "HTTP/2.0")},
             {"413", write("x").replace("Content-Length: 1", "Content-Length: 67108865")},
             {"400", good.replace("7f3a9c21e0b4d655", "7f3a9c21e0b4d65")},
@@ -575,9 +602,16 @@
     @Test
     void answersThatEndWhereTheySayAreServedWhateverComesAroundThem() {
         String ok = ok("good");
-        String chunked = ok.replace("Content-Length: 4", "Transfer-Encoding: chunked").replace("good", "4\r\ngood\r\n0\r\n\r\n");
-        for (String answer : List.of(ok, chunked, ok + ok, ok + "noise", ok.replace("1.1", "1.0"),
-                "HTTP/1.1 100 Continue\r\n\r\n" + ok, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(3) + ok)) {
+        String chunked =
+                ok.replace("Content-Length: 4", "Transfer-Encoding: chunked").replace("good", "4\r\ngood\r\n0\r\n\r\n");
+        for (String answer : List.of(
+                ok,
+                chunked,
+                ok + ok,
+                ok + "noise",
+                ok.replace("1.1", "1.0"),
+                "HTTP/1.1 100 Continue\r\n\r\n" + ok,
+                "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(3) + ok)) {
             FrontTest fresh = new FrontTest();
             fresh.listOne();
             fresh.client.put(read(1, ""));
@@ -629,7 +663,9 @@
         assertEquals(1, world.counters.get("sent"));
     }
 
-    /** A form of HTTP/1.1 that nodes use; a reset in the middle is no end, and without the word the end can't be told. */
+    /**
+     * A form of HTTP/1.1 that nodes use; a reset in the middle is no end, and without the word the end can't be told.
+     */
     @Test
     void anAnswerThatEndsWithItsConnectionIsWholeWhereItsNodeSaysSo() {
         listOne();
@@ -738,7 +774,9 @@
         assertEquals(1, world.broker.figures().tries());
     }
 
-    /** Guards against a body that came whole while its node's connection came up, and is then given its whole time anew. */
+    /**
+     * Guards against a body that came whole while its node's connection came up, and is then given its whole time anew.
+     */
     @Test
     void theTimeOfALargeBodyThatWaitedHereWholeCountsFromItsLastByte() {
         listOne();
@@ -1010,11 +1048,19 @@
 
     @Test
     void loadReportsAndWaitsAreReadAndWrittenAsTheProtocolSays() {
-        assertEquals("{inflight=7.0, util=0.61}", Wire.load("TEXT inflight=7, queue=x, util=0.61").toString());
-        assertEquals("{}", Wire.load("TEXT inflight=NaN, queue=-3, util=Infinity, qps=1e300, =1, \u0001\u0002").toString());
+        assertEquals(
+                "{inflight=7.0, util=0.61}",
+                Wire.load("TEXT inflight=7, queue=x, util=0.61").toString());
+        assertEquals(
+                "{}",
+                Wire.load("TEXT inflight=NaN, queue=-3, util=Infinity, qps=1e300, =1, \u0001\u0002")
+                        .toString());
         assertEquals("{}", Wire.load(null).toString());
-        assertEquals(List.of("0.001", "0.35", "2", "1.5"), java.util.stream.Stream.of(1L, 350_000L, 2_000_000L, 1_500_000L)
-                .map(Wire::seconds).toList());
+        assertEquals(
+                List.of("0.001", "0.35", "2", "1.5"),
+                java.util.stream.Stream.of(1L, 350_000L, 2_000_000L, 1_500_000L)
+                        .map(Wire::seconds)
+                        .toList());
     }
 
     @Test
@@ -1029,7 +1075,8 @@
      * answered comes back in the requests' order, and in the end each request of a client that stayed has one.
      */
     @Property(tries = 300, seed = "20261202")
-    void aConnectionAnswersItsRequestsInOrderWhateverComes(@ForAll @Size(max = 60) List<@IntRange(max = 12) Integer> steps) {
+    void aConnectionAnswersItsRequestsInOrderWhateverComes(
+            @ForAll @Size(max = 60) List<@IntRange(max = 12) Integer> steps) {
         FrontTest test = new FrontTest();
         test.listOne();
         StringBuilder unsent = new StringBuilder();
@@ -1073,8 +1120,11 @@
         if (open && asked < 10) {
             assertEquals(whole, statuses(got.toString()).size());
         }
-        List<Integer> served = java.util.regex.Pattern.compile("for t(\\d)").matcher(got).results()
-                .map(match -> Integer.valueOf(match.group(1))).toList();
+        List<Integer> served = java.util.regex.Pattern.compile("for t(\\d)")
+                .matcher(got)
+                .results()
+                .map(match -> Integer.valueOf(match.group(1)))
+                .toList();
         assertEquals(served.stream().sorted().distinct().toList(), served);
     }
 
@@ -1086,13 +1136,14 @@
         if (txn >= 0 && step == 7) {
             node.putEnd();
         } else if (txn >= 0) {
-            node.put(switch (step) {
-                case 9 -> ok.replace("Content-Length", "Content-Length: 3\r\nContent-Length");
-                case 10 -> "HTTP/1.1 100 Continue\r\n\r\n" + ok;
-                case 11 -> ok + ok;
-                case 12 -> ok.substring(0, ok.length() - 1);
-                default -> ok;
-            });
+            node.put(
+                    switch (step) {
+                        case 9 -> ok.replace("Content-Length", "Content-Length: 3\r\nContent-Length");
+                        case 10 -> "HTTP/1.1 100 Continue\r\n\r\n" + ok;
+                        case 11 -> ok + ok;
+                        case 12 -> ok.substring(0, ok.length() - 1);
+                        default -> ok;
+                    });
         }
     }
 }
--- a/src/test/java/petrelstand/http/IdleConnectionMemoryTest.java
+++ b/src/test/java/petrelstand/http/IdleConnectionMemoryTest.java
@@ -26,8 +26,8 @@
     private static final String LONG_FIELD = "X-Long: " + "x".repeat(7000) + "\r\n";
 
     private final Harness world = new Harness();
-    private final NodePool pool = new NodePool(world::dial, () -> world.nowUs, world.timers, world.counters,
-            world.settings, "backend.local", CONNECTIONS);
+    private final NodePool pool = new NodePool(
+            world::dial, () -> world.nowUs, world.timers, world.counters, world.settings, "backend.local", CONNECTIONS);
     private final Lifecycle life = new Lifecycle(Lifecycle.Times.of(5_000_000));
     private final Front front = new Front(world.broker(pool), world.timers, 2 * CONNECTIONS, life);
 
@@ -81,8 +81,8 @@
         long before = used();
         for (int i = 0; i < CONNECTIONS; i++) {
             nodes.add(MemoryEnd.open(end -> {
-                UpstreamConnection connection = new UpstreamConnection(end, NodePool.MOST_ANSWER, budget,
-                        (c, free) -> { });
+                UpstreamConnection connection =
+                        new UpstreamConnection(end, NodePool.MOST_ANSWER, budget, (c, free) -> {});
                 connections.add(connection);
                 return connection;
             }));
@@ -90,8 +90,9 @@
                 String[] answered = new String[1];
                 connections.get(i).send(new OneCall(answered));
                 nodes.get(i).taken();
-                nodes.get(i).put("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n"
-                        + (i % 2 == 0 ? "" : LONG_FIELD) + "\r\ndone");
+                nodes.get(i)
+                        .put("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n"
+                                + (i % 2 == 0 ? "" : LONG_FIELD) + "\r\ndone");
                 assertEquals("done", answered[0]);
             }
             assertEquals(UpstreamConnection.State.IDLE, connections.get(i).state());
@@ -122,7 +123,7 @@
     void aNodesRestingConnectionThatWasSentBytesIsNotUsedAgain() {
         List<UpstreamConnection> connections = new ArrayList<>();
         HeldEnd node = HeldEnd.open(end -> {
-            connections.add(new UpstreamConnection(end, NodePool.MOST_ANSWER, new Budget(1 << 20), (c, free) -> { }));
+            connections.add(new UpstreamConnection(end, NodePool.MOST_ANSWER, new Budget(1 << 20), (c, free) -> {}));
             return connections.get(0);
         });
         String[] answered = new String[1];
--- a/src/test/java/petrelstand/lab/FaultTrialTest.java
+++ b/src/test/java/petrelstand/lab/FaultTrialTest.java
@@ -17,12 +17,13 @@
 import petrelstand.lab.faults.FaultTrial;
 
 /**
- * Real processes of the program with faults between them. A machine that is too slow to tell makes a trial inconclusive:
- * it is played once more, and the class fails where most end so.
+ * Real processes of the program with faults between them. A machine that is too slow to tell makes a trial
+ * inconclusive: it is played once more, and the class fails where most end so.
  */
 class FaultTrialTest {
     private static int played;
     private static int inconclusive;
+
     @TempDir
     Path folder;
 
@@ -30,8 +31,12 @@
         Verdict verdict = null;
         for (int attempt = 1; attempt <= 2; attempt++) {
             Path trial = folder.resolve(name + attempt);
-            try (FaultTrial one = new FaultTrial(trial, FaultScenario.of(new IniFile(Path.of(name + ".ini"), scenario)),
-                    attempt, program, List.of(argument))) {
+            try (FaultTrial one = new FaultTrial(
+                    trial,
+                    FaultScenario.of(new IniFile(Path.of(name + ".ini"), scenario)),
+                    attempt,
+                    program,
+                    List.of(argument))) {
                 one.play();
             }
             verdict = HistoryCheck.check(trial);
@@ -65,20 +70,34 @@
 
     @Test
     void oneOfFiveIsKilledAndStartsAgainThenTwoAreKilledForGood() throws Exception {
-        holds("killed", FIVE + fault("kill", 3, 1, 5, 0) + fault("kill", 1, 14, 0, 0) + fault("kill", 4, 14, 0, 0)
-                + fault("term", 2, 19, 0, 0));
+        holds(
+                "killed",
+                FIVE
+                        + fault("kill", 3, 1, 5, 0)
+                        + fault("kill", 1, 14, 0, 0)
+                        + fault("kill", 4, 14, 0, 0)
+                        + fault("term", 2, 19, 0, 0));
     }
 
     @Test
     void oneIsStoppedTheFleetIsCutALinkFailsOneWayAndAPeerIsSlow() throws Exception {
-        holds("cut", FIVE + fault("stop", 1, 1, 4, 0) + fault("cut", 2, 10, 5, 0) + fault("mute", 4, 20, 4, 0)
-                + fault("slow", 0, 29, 3, 200) + fault("stop", 3, 33, 0.9, 0));
+        holds(
+                "cut",
+                FIVE
+                        + fault("stop", 1, 1, 4, 0)
+                        + fault("cut", 2, 10, 5, 0)
+                        + fault("mute", 4, 20, 4, 0)
+                        + fault("slow", 0, 29, 3, 200)
+                        + fault("stop", 3, 33, 0.9, 0));
     }
 
     @Test
     void anOldFolderTheSameNameTwiceAnotherKeyAndEveryoneAtOnce() throws Exception {
-        StringBuilder all = new StringBuilder(FIVE + fault("copy", 2, 1, 1, 0) + fault("clock", 4, 2, 1, 60)
-                + fault("namesake", 1, 8, 5, 0) + fault("stranger", 0, 9, 4, 0));
+        StringBuilder all = new StringBuilder(FIVE
+                + fault("copy", 2, 1, 1, 0)
+                + fault("clock", 4, 2, 1, 60)
+                + fault("namesake", 1, 8, 5, 0)
+                + fault("stranger", 0, 9, 4, 0));
         for (int i = 0; i < 5; i++) {
             all.append(fault("kill", i, 15, 0.5, 0));
         }
@@ -87,22 +106,35 @@
 
     @Test
     void anEmptyFolderOneThatFailsOneThatHangsAndLinksThatTrickleHoldAndReorder() throws Exception {
-        holds("wire", FIVE + fault("empty", 3, 1, 0.5, 0) + fault("folder", 1, 2, 0.5, 0) + fault("folder", 2, 3, 0.5, 1)
-                + fault("trickle", 4, 10, 3, 8) + fault("hold", 0, 15, 2.5, 0) + fault("reorder", 0, 19, 3, 200)
-                + fault("repeat", 0, 19, 3, 40) + fault("loss", 0, 23, 3, 10));
+        holds(
+                "wire",
+                FIVE
+                        + fault("empty", 3, 1, 0.5, 0)
+                        + fault("folder", 1, 2, 0.5, 0)
+                        + fault("folder", 2, 3, 0.5, 1)
+                        + fault("trickle", 4, 10, 3, 8)
+                        + fault("hold", 0, 15, 2.5, 0)
+                        + fault("reorder", 0, 19, 3, 200)
+                        + fault("repeat", 0, 19, 3, 40)
+                        + fault("loss", 0, 23, 3, 10));
     }
 
     @Test
     void plantedDefectsInRealProcessesAreFound() throws Exception {
         String three = "[trial]\nprocesses = 3\nload = 0\n";
-        Object[][] defects = {{"never-fails", three + fault("kill", 2, 1, 0, 0), "g2 to be"},
+        Object[][] defects = {
+            {"never-fails", three + fault("kill", 2, 1, 0, 0), "g2 to be"},
             {"not-raised", "[trial]\nprocesses = 4\nload = 0\n" + fault("cut", 2, 1, 5, 0), "did not hold"},
-            {"not-away", three + fault("stop", 1, 1, 5, 0), "acted as a member after"}};
+            {"not-away", three + fault("stop", 1, 1, 5, 0), "acted as a member after"}
+        };
         for (Object[] defect : defects) {
-            Verdict verdict = play((String) defect[0], (String) defect[1], "petrelstand.members.DefectiveGateway",
-                    (String) defect[0]);
-            assertTrue(verdict.outcome() == Outcome.INCONCLUSIVE || verdict.outcome() == Outcome.FAILED
-                    && verdict.rule().contains((String) defect[2]), defect[0] + ": " + verdict);
+            Verdict verdict = play(
+                    (String) defect[0], (String) defect[1], "petrelstand.members.DefectiveGateway", (String) defect[0]);
+            assertTrue(
+                    verdict.outcome() == Outcome.INCONCLUSIVE
+                            || verdict.outcome() == Outcome.FAILED
+                                    && verdict.rule().contains((String) defect[2]),
+                    defect[0] + ": " + verdict);
         }
     }
 
@@ -122,19 +154,25 @@
 
     private Verdict check(String trial, String... histories) throws Exception {
         Path dir = Files.createTempDirectory(folder, "check");
-        Files.writeString(dir.resolve("trial.jsonl"), "{\"event\":\"trial\",\"mono_us\":0,\"processes\":2,\"detect_us\":2000000,"
-                + "\"silence_us\":2000000,\"one_view_us\":5000000}\n{\"event\":\"start\",\"mono_us\":1,\"process\":\"g0\",\"number\":0}\n"
-                + "{\"event\":\"start\",\"mono_us\":1,\"process\":\"g1\",\"number\":1}\n" + trial);
+        Files.writeString(
+                dir.resolve("trial.jsonl"),
+                "{\"event\":\"trial\",\"mono_us\":0,\"processes\":2,\"detect_us\":2000000,"
+                        + "\"silence_us\":2000000,\"one_view_us\":5000000}\n{\"event\":\"start\",\"mono_us\":1,\"process\":\"g0\",\"number\":0}\n"
+                        + "{\"event\":\"start\",\"mono_us\":1,\"process\":\"g1\",\"number\":1}\n" + trial);
         for (int i = 0; i < histories.length; i++) {
-            Files.writeString(dir.resolve("history-g" + i + ".jsonl"), "{\"event\":\"started\",\"mono_us\":2,\"process\":\"g"
-                    + i + "\",\"boot\":\"b" + i + "\"}\n" + view(i, i, "", "ALIVE", 1, 500) + view(i, 1 - i, "", "ALIVE", 1, 600)
-                    + histories[i]);
+            Files.writeString(
+                    dir.resolve("history-g" + i + ".jsonl"),
+                    "{\"event\":\"started\",\"mono_us\":2,\"process\":\"g"
+                            + i + "\",\"boot\":\"b" + i + "\"}\n" + view(i, i, "", "ALIVE", 1, 500)
+                            + view(i, 1 - i, "", "ALIVE", 1, 600)
+                            + histories[i]);
         }
         return HistoryCheck.check(dir);
     }
 
     private static String view(int process, int member, String from, String state, long incarnation, long ms) {
-        return "{\"event\":\"view\",\"mono_us\":" + ms * 1000 + ",\"process\":\"g" + process + "\",\"member\":\"g" + member
+        return "{\"event\":\"view\",\"mono_us\":" + ms * 1000 + ",\"process\":\"g" + process + "\",\"member\":\"g"
+                + member
                 + "\",\"boot\":\"b" + member + "\",\"incarnation\":" + incarnation + ",\"state\":\"" + state
                 + "\",\"from\":\"" + from + "\",\"cause\":\"\"}\n";
     }
@@ -147,19 +185,37 @@
     void theCheckerTellsEachBreachWithItsLinesAndSaysNothingOfASlowMachine() throws Exception {
         assertEquals("passed", check(end(0), "", "").toString());
         String false1 = view(0, 1, "ALIVE", "FAILED", 1, 20_000) + view(0, 1, "FAILED", "ALIVE", 2, 20_500);
-        assertEquals("g0 held g1 to be failed while it ran", check(end(0), false1, "").rule());
+        assertEquals(
+                "g0 held g1 to be failed while it ran",
+                check(end(0), false1, "").rule());
         assertEquals(1, check(end(0), false1, "").excerpt().size());
         assertEquals(Outcome.INCONCLUSIVE, check(end(700_000), false1, "").outcome());
-        assertEquals(Outcome.INCONCLUSIVE, check(end(0), false1
-                + "{\"event\":\"stalled\",\"mono_us\":30000000,\"us\":900000}\n", "").outcome());
-        assertTrue(check(end(0), view(0, 1, "ALIVE", "SUSPECT", 1, 900), "").rule().startsWith("g0 did not hold g1 to be there"));
-        assertTrue(check(end(0), view(0, 1, "ALIVE", "ALIVE", 0, 9_000), "").rule().startsWith("the incarnation of g1 fell"));
+        assertEquals(
+                Outcome.INCONCLUSIVE,
+                check(end(0), false1 + "{\"event\":\"stalled\",\"mono_us\":30000000,\"us\":900000}\n", "")
+                        .outcome());
+        assertTrue(check(end(0), view(0, 1, "ALIVE", "SUSPECT", 1, 900), "")
+                .rule()
+                .startsWith("g0 did not hold g1 to be there"));
+        assertTrue(check(end(0), view(0, 1, "ALIVE", "ALIVE", 0, 9_000), "")
+                .rule()
+                .startsWith("the incarnation of g1 fell"));
         String killed = "{\"event\":\"kill\",\"mono_us\":20000000,\"process\":\"g1\",\"number\":1}\n";
-        assertEquals("passed", check(killed + end(0), view(0, 1, "ALIVE", "FAILED", 1, 22_500), "").toString());
-        assertTrue(check(killed + end(0), view(0, 1, "ALIVE", "FAILED", 1, 23_500), "").rule()
+        assertEquals(
+                "passed",
+                check(killed + end(0), view(0, 1, "ALIVE", "FAILED", 1, 22_500), "")
+                        .toString());
+        assertTrue(check(killed + end(0), view(0, 1, "ALIVE", "FAILED", 1, 23_500), "")
+                .rule()
                 .startsWith("g0 did not hold g1 to be gone within 3000 ms"));
-        assertTrue(check(killed + end(0), view(0, 1, "ALIVE", "FAILED", 1, 22_000) + view(0, 1, "FAILED", "ALIVE", 2, 30_000)
-                + view(0, 1, "ALIVE", "FAILED", 2, 32_000), "").rule().startsWith("g0 took g1 back"));
+        assertTrue(check(
+                        killed + end(0),
+                        view(0, 1, "ALIVE", "FAILED", 1, 22_000)
+                                + view(0, 1, "FAILED", "ALIVE", 2, 30_000)
+                                + view(0, 1, "ALIVE", "FAILED", 2, 32_000),
+                        "")
+                .rule()
+                .startsWith("g0 took g1 back"));
         String load = "{\"event\":\"load\",\"process\":\"g0\",\"from_us\":30000000,\"asked\":100,\"served\":90}\n";
         assertTrue(check(load + end(0), "", "").rule().startsWith("gateways that were not struck served 90 of 100"));
     }
--- a/src/test/java/petrelstand/lab/FleetTest.java
+++ b/src/test/java/petrelstand/lab/FleetTest.java
@@ -29,7 +29,8 @@
     }
 
     private static FleetTrial play(int gateways, int seeds, String troubles) {
-        return new FleetTrial(Scenario.of(new IniFile(Path.of("fleet.ini"), """
+        return new FleetTrial(
+                Scenario.of(new IniFile(Path.of("fleet.ini"), """
                 [world]
                 nodes = 60
                 gateways = %d
@@ -58,9 +59,9 @@
     }
 
     /**
-     * What all gateways together send to a cold node in the rule's time stays under the budget N itself, whose excess of
-     * 2 x root of N + 2 is left to chance: with few and with many gateways, the change told to one after another, and a third
-     * of them restarted in between with a list held over from before.
+     * What all gateways together send to a cold node in the rule's time stays under the budget N itself, whose excess
+     * of 2 x root of N + 2 is left to chance: with few and with many gateways, the change told to one after another,
+     * and a third of them restarted in between with a list held over from before.
      */
     @Test
     void theSumOfAllGatewaysStaysWithinAColdNodesBudgetHoweverManyTheyAre() {
--- a/src/test/java/petrelstand/lab/LabTest.java
+++ b/src/test/java/petrelstand/lab/LabTest.java
@@ -117,7 +117,8 @@
     @Test
     void aBadScenarioIsOneLineThatNamesThePlace() {
         IniFile bad = new IniFile(Path.of("t.ini"), "[world]\nnodes = 4\n[restart]\nages = 1 s, 5\n");
-        String message = assertThrows(IllegalArgumentException.class, () -> Scenario.of(bad)).getMessage();
+        String message = assertThrows(IllegalArgumentException.class, () -> Scenario.of(bad))
+                .getMessage();
         assertTrue(message.startsWith("t.ini:4: [restart] ages"), message);
     }
 
--- a/src/test/java/petrelstand/lab/capacity/CapacityTest.java
+++ b/src/test/java/petrelstand/lab/capacity/CapacityTest.java
@@ -98,8 +98,16 @@
 
         private void tell(String address) {
             Member self = self();
-            act.send(address, new Envelope("lab", self.name(), self.boot(), self.incarnation(), self.address(), 0,
-                    new Message.News(List.of())));
+            act.send(
+                    address,
+                    new Envelope(
+                            "lab",
+                            self.name(),
+                            self.boot(),
+                            self.incarnation(),
+                            self.address(),
+                            0,
+                            new Message.News(List.of())));
         }
     }
 
@@ -107,7 +115,8 @@
     void aMessageOfAllToAllBreaksTheBounds() {
         FleetSim.Maker planted = (now, self, seeds, seed, act) -> new AllToAll(now, self, seeds, seed, act);
         List<String> broken = broken(MEMBERS, new Experiment(plan("members"), planted, RulesSim.USUAL).play());
-        assertTrue(broken.stream().anyMatch(line -> line.startsWith("messages out of a gateway: exponent")),
+        assertTrue(
+                broken.stream().anyMatch(line -> line.startsWith("messages out of a gateway: exponent")),
                 broken.toString());
         assertTrue(broken.stream().anyMatch(line -> line.startsWith("bytes into a gateway: ")), broken.toString());
     }
--- a/src/test/java/petrelstand/lab/capacity/fit/PowerLawTest.java
+++ b/src/test/java/petrelstand/lab/capacity/fit/PowerLawTest.java
@@ -16,7 +16,9 @@
     private static final double[] SIZES = {50, 100, 200, 400, 670, 1000};
 
     private static List<Point> points(DoubleUnaryOperator cost) {
-        return Arrays.stream(SIZES).mapToObj(size -> new Point(size, cost.applyAsDouble(size))).toList();
+        return Arrays.stream(SIZES)
+                .mapToObj(size -> new Point(size, cost.applyAsDouble(size)))
+                .toList();
     }
 
     private static PowerLaw fit(DoubleUnaryOperator cost) {
--- a/src/test/java/petrelstand/lifecycle/LifecycleTest.java
+++ b/src/test/java/petrelstand/lifecycle/LifecycleTest.java
@@ -16,7 +16,20 @@
  * its own, not by the life's.
  */
 class LifecycleTest {
-    private enum Act { EVACUATE, REJOIN, TERMINATE, HANG_UP, HOT_RESTART, OPEN, BEGIN, ASK_LONG, ASK_SHORT, ANSWER, WAIT_SOME, WAIT_LONG }
+    private enum Act {
+        EVACUATE,
+        REJOIN,
+        TERMINATE,
+        HANG_UP,
+        HOT_RESTART,
+        OPEN,
+        BEGIN,
+        ASK_LONG,
+        ASK_SHORT,
+        ANSWER,
+        WAIT_SOME,
+        WAIT_LONG
+    }
 
     private static final long STEP_US = 50_000;
     private static final long LONGEST_US = 5_000_000;
@@ -25,6 +38,7 @@
     private static final class Connection {
         /** Part of a request has come. */
         private boolean begun;
+
         private boolean asked;
         private long askedUs;
         private long untilUs;
@@ -118,14 +132,16 @@
         }
 
         private void pass(long us) {
-            for (long until = nowUs + us; nowUs < until;) {
+            for (long until = nowUs + us; nowUs < until; ) {
                 nowUs += STEP_US;
                 live();
             }
         }
 
         private void live() {
-            List.copyOf(open).stream().filter(c -> c.asked && nowUs >= c.untilUs).forEach(this::answer);
+            List.copyOf(open).stream()
+                    .filter(c -> c.asked && nowUs >= c.untilUs)
+                    .forEach(this::answer);
             if (life.closesIdle(nowUs)) {
                 open.removeIf(c -> !c.asked && !c.begun);
             }
--- a/src/test/java/petrelstand/lifecycle/MemoryPlanTest.java
+++ b/src/test/java/petrelstand/lifecycle/MemoryPlanTest.java
@@ -31,15 +31,22 @@
         MemoryPlan before = null;
         for (long heap = 24; heap <= 512; heap++) {
             MemoryPlan plan = plan(heap, 0);
-            long all = MemoryPlan.BASE_BYTES + plan.clients() * MemoryPlan.CLIENT_BYTES
-                    + plan.nodes() * MemoryPlan.NODE_CONNECTION_BYTES + VOLUMES * MemoryPlan.VOLUME_BYTES
-                    + 200 * MemoryPlan.NODE_BYTES + plan.bodyBytes();
+            long all = MemoryPlan.BASE_BYTES
+                    + plan.clients() * MemoryPlan.CLIENT_BYTES
+                    + plan.nodes() * MemoryPlan.NODE_CONNECTION_BYTES
+                    + VOLUMES * MemoryPlan.VOLUME_BYTES
+                    + 200 * MemoryPlan.NODE_BYTES
+                    + plan.bodyBytes();
             assertTrue(all <= heap * MIB, all + " bytes in a heap of " + heap + " MiB");
             assertTrue(Math.max(plan.requestBytes(), Math.max(plan.answerBytes(), plan.writtenBytes()))
                     <= plan.bodyBytes() / 2);
             assertTrue(plan.clients() <= CLIENTS && plan.nodes() <= NODES, "more than there are descriptors");
-            assertTrue(before == null || plan.clients() >= before.clients() && plan.nodes() >= before.nodes()
-                    && plan.bodyBytes() >= before.bodyBytes(), "less with " + heap + " MiB");
+            assertTrue(
+                    before == null
+                            || plan.clients() >= before.clients()
+                                    && plan.nodes() >= before.nodes()
+                                    && plan.bodyBytes() >= before.bodyBytes(),
+                    "less with " + heap + " MiB");
             before = plan;
         }
     }
@@ -52,12 +59,17 @@
 
     @Test
     void whatNotEvenTheLeastFitsInIsRefusedByTheFieldsName() {
-        assertRefused("limits.sockets: 40 leave 0 connections for clients and 16 for nodes; 8 of each are needed",
+        assertRefused(
+                "limits.sockets: 40 leave 0 connections for clients and 16 for nodes; 8 of each are needed",
                 () -> MemoryPlan.of(64 * MIB, 0, 40, -4, 16, 1, VOLUMES));
-        assertRefused("limits.memory_mb: 12 MiB leave 0 MiB beside 4096 volumes and 200 nodes, "
-                + "too little for connections and bodies", () -> plan(64, 12));
-        assertRefused("the heap (-Xmx): 10 MiB leave 0 MiB beside 4096 volumes and 200 nodes, "
-                + "too little for connections and bodies", () -> plan(10, 192));
+        assertRefused(
+                "limits.memory_mb: 12 MiB leave 0 MiB beside 4096 volumes and 200 nodes, "
+                        + "too little for connections and bodies",
+                () -> plan(64, 12));
+        assertRefused(
+                "the heap (-Xmx): 10 MiB leave 0 MiB beside 4096 volumes and 200 nodes, "
+                        + "too little for connections and bodies",
+                () -> plan(10, 192));
     }
 
     private static void assertRefused(String text, org.junit.jupiter.api.function.Executable start) {
--- a/src/test/java/petrelstand/lifecycle/StallDetectorTest.java
+++ b/src/test/java/petrelstand/lifecycle/StallDetectorTest.java
@@ -10,6 +10,7 @@
     private static final long SECOND_NS = 1_000_000_000L;
     /** Far from 0, and below it: the origin of the clock means nothing. */
     private long nowNs = -5 * SECOND_NS;
+
     private final StallDetector detector = new StallDetector(nowNs, 7);
 
     private boolean look(long afterNs, long turns) {
--- a/src/test/java/petrelstand/members/DefectiveGateway.java
+++ b/src/test/java/petrelstand/members/DefectiveGateway.java
@@ -16,31 +16,41 @@
     static Fleet.Maker maker(String defect) {
         return switch (defect) {
             // A suspect's time is never over.
-            case "never-fails" -> (now, fleet, self, seeds, size, timing, seed, act) -> new Membership(now, fleet, self,
-                    seeds, size, new Timing(timing.pingUs(), timing.suspectAfterUs(), 1_000_000_000_000L,
-                            timing.retryUs()), seed, act);
+            case "never-fails" ->
+                (now, fleet, self, seeds, size, timing, seed, act) -> new Membership(
+                        now,
+                        fleet,
+                        self,
+                        seeds,
+                        size,
+                        new Timing(timing.pingUs(), timing.suspectAfterUs(), 1_000_000_000_000L, timing.retryUs()),
+                        seed,
+                        act);
             // A false claim is not answered with a higher incarnation.
-            case "not-raised" -> (now, fleet, self, seeds, size, timing, seed, act) -> new Membership(now, fleet, self,
-                    seeds, size, timing, seed, act) {
-                @Override
-                void raise(long above) {}
-            };
+            case "not-raised" ->
+                (now, fleet, self, seeds, size, timing, seed, act) ->
+                        new Membership(now, fleet, self, seeds, size, timing, seed, act) {
+                            @Override
+                            void raise(long above) {}
+                        };
             // A claim is taken however old it is.
-            case "stale-taken" -> (now, fleet, self, seeds, size, timing, seed, act) -> new Membership(now, fleet, self,
-                    seeds, size, timing, seed, act) {
-                @Override
-                boolean supersedes(Member claim, Member known) {
-                    return claim.state() != known.state();
-                }
-            };
+            case "stale-taken" ->
+                (now, fleet, self, seeds, size, timing, seed, act) ->
+                        new Membership(now, fleet, self, seeds, size, timing, seed, act) {
+                            @Override
+                            boolean supersedes(Member claim, Member known) {
+                                return claim.state() != known.state();
+                            }
+                        };
             // Who stood still goes on as if it had not.
-            case "not-away" -> (now, fleet, self, seeds, size, timing, seed, act) -> new Membership(now, fleet, self,
-                    seeds, size, timing, seed, act) {
-                @Override
-                boolean wasAway(long stoodUs) {
-                    return false;
-                }
-            };
+            case "not-away" ->
+                (now, fleet, self, seeds, size, timing, seed, act) ->
+                        new Membership(now, fleet, self, seeds, size, timing, seed, act) {
+                            @Override
+                            boolean wasAway(long stoodUs) {
+                                return false;
+                            }
+                        };
             default -> throw new IllegalArgumentException("no defect " + defect);
         };
     }
--- a/src/test/java/petrelstand/members/MembershipTest.java
+++ b/src/test/java/petrelstand/members/MembershipTest.java
@@ -37,7 +37,9 @@
 
     private static List<Seen> failures(FleetSim fleet, int from, Predicate<Seen> where) {
         return fleet.seen().subList(from, fleet.seen().size()).stream()
-                .filter(s -> s.change().member().state() == MemberState.FAILED).filter(where).toList();
+                .filter(s -> s.change().member().state() == MemberState.FAILED)
+                .filter(where)
+                .toList();
     }
 
     @Test
@@ -63,7 +65,9 @@
             }
             assertEquals(List.of(), failures(fleet, from, s -> true), "seed " + seed);
             // The stalls were long enough to be suspected: the promise was tried.
-            assertTrue(fleet.counts().getOrDefault("fleet.stalls", 0L) >= 12, fleet.counts().toString());
+            assertTrue(
+                    fleet.counts().getOrDefault("fleet.stalls", 0L) >= 12,
+                    fleet.counts().toString());
         }
     }
 
@@ -75,7 +79,9 @@
         fleet.run(fleet.nowUs() + 10 * S);
         assertEquals(4, failures(fleet, from, s -> true).size());
         assertTrue(fleet.until(FleetSim::agreed, 5 * S) >= 0);
-        Seen first = fleet.seen().subList(from, fleet.seen().size()).stream().filter(s -> s.process() == 2).findFirst()
+        Seen first = fleet.seen().subList(from, fleet.seen().size()).stream()
+                .filter(s -> s.process() == 2)
+                .findFirst()
                 .orElseThrow();
         assertEquals(MemberState.JOINING, first.change().member().state());
         assertTrue(first.change().cause().startsWith("stood still for"), first.toString());
@@ -149,7 +155,9 @@
         fleet.run(500_000);
         long took = fleet.until(FleetSim::agreed, 5_000_000);
         assertTrue(took >= 0, "no one view");
-        assertTrue(fleet.counts().getOrDefault("fleet.failed", 0L) == 0, fleet.counts().toString());
+        assertTrue(
+                fleet.counts().getOrDefault("fleet.failed", 0L) == 0,
+                fleet.counts().toString());
     }
 
     @Test
@@ -160,18 +168,25 @@
         assertFalse(FleetSearch.run(1, with("never-fails")).fault().isEmpty());
     }
 
-    /** Found by the search of two faults: the suspect was heard of as "reached again", and stayed a suspect for ever. */
+    /**
+     * Found by the search of two faults: the suspect was heard of as "reached again", and stayed a suspect for ever.
+     */
     @Test
     void whoEndsWhileTheOtherTwoHearNobodyIsFoundOnceTheyDo() {
-        FleetPlan plan = new FleetPlan(3, 1, 13_825_000, List.of(new Fault(Kind.KILL, 0, 4_000_000, 0, 0),
-                new Fault(Kind.PAIR, 1, 4_825_000, 3_000_000, 0)));
+        FleetPlan plan = new FleetPlan(
+                3,
+                1,
+                13_825_000,
+                List.of(new Fault(Kind.KILL, 0, 4_000_000, 0, 0), new Fault(Kind.PAIR, 1, 4_825_000, 3_000_000, 0)));
         assertEquals("", FleetSim.play(plan, FleetSim.usual(Timing.USUAL)));
     }
 
     @Test
     void drawnFaultsEndInOneViewWithinFiveSeconds() {
         for (int seed = 1; seed <= 60; seed++) {
-            assertEquals("", FleetSim.play(FleetPlan.draw(3 + seed % 13, seed), FleetSim.usual(Timing.USUAL)),
+            assertEquals(
+                    "",
+                    FleetSim.play(FleetPlan.draw(3 + seed % 13, seed), FleetSim.usual(Timing.USUAL)),
                     "seed " + seed);
         }
     }
@@ -230,8 +245,11 @@
     /** Lets another life prove itself: answers what the module asked of it. */
     private static void prove(Probe probe, Member other) {
         probe.module.receive(probe.nowUs, of("f", other, 1, new Ping(5, 0, List.of())));
-        Ping asked = (Ping) probe.sent.stream().map(Envelope::message).filter(m -> m instanceof Ping)
-                .reduce((a, b) -> b).orElseThrow();
+        Ping asked = (Ping) probe.sent.stream()
+                .map(Envelope::message)
+                .filter(m -> m instanceof Ping)
+                .reduce((a, b) -> b)
+                .orElseThrow();
         probe.module.receive(probe.nowUs, of("f", other, 2, new Message.Ack(asked.nonce(), 0, "", 0, List.of(other))));
     }
 
@@ -281,7 +299,8 @@
         assertTrue(answer.welcome());
         assertEquals(20, answer.holder().incarnation());
         // This process hears that its own name is held elsewhere, by a later incarnation.
-        probe.module.receive(probe.nowUs, of("f", b, 5, new News(List.of(member("a", 77, 500, "x:1", MemberState.ALIVE)))));
+        probe.module.receive(
+                probe.nowUs, of("f", b, 5, new News(List.of(member("a", 77, 500, "x:1", MemberState.ALIVE)))));
         assertEquals(MemberState.JOINING, probe.module.self().state());
         assertTrue(probe.lines.get(0).startsWith("name: a is held by another process at x:1"), probe.lines.toString());
         probe.run(20);
@@ -303,8 +322,12 @@
             }
         }
         List<Integer> kept = probe.module.kept();
-        assertTrue(kept.get(0) <= Membership.MOST_PROVEN && kept.get(1) <= Membership.MOST_ASKED
-                && kept.get(2) == Membership.MOST_MEMBERS && kept.get(3) <= 2 * Membership.MOST_MEMBERS, kept.toString());
+        assertTrue(
+                kept.get(0) <= Membership.MOST_PROVEN
+                        && kept.get(1) <= Membership.MOST_ASKED
+                        && kept.get(2) == Membership.MOST_MEMBERS
+                        && kept.get(3) <= 2 * Membership.MOST_MEMBERS,
+                kept.toString());
         assertTrue(probe.counts.get("fleet.refused.room") > 3_000);
         // What it sends is bounded too, whatever comes.
         assertTrue(probe.sent.size() < (probe.nowUs / 1e6 + 1) * Membership.MOST_SENT, "" + probe.sent.size());
@@ -313,8 +336,8 @@
     // ---- Planted defects ----
 
     private static FleetSim.Maker with(String defect) {
-        return (now, self, seeds, seed, act) -> DefectiveGateway.maker(defect).make(now, "lab", self, seeds, 0,
-                Timing.USUAL, seed, act);
+        return (now, self, seeds, seed, act) ->
+                DefectiveGateway.maker(defect).make(now, "lab", self, seeds, 0, Timing.USUAL, seed, act);
     }
 
     @Test
--- a/src/test/java/petrelstand/net/EventLoopTest.java
+++ b/src/test/java/petrelstand/net/EventLoopTest.java
@@ -98,7 +98,13 @@
     }
 
     /** A place where Jetty calls this program's code, and catches what comes out of it. */
-    private enum Place { TASK, TIMER, NEW_CONNECTION, OPEN, FILLABLE }
+    private enum Place {
+        TASK,
+        TIMER,
+        NEW_CONNECTION,
+        OPEN,
+        FILLABLE
+    }
 
     /** Jetty's own handling goes on in this test, where the handler does not end the process. */
     @ParameterizedTest
@@ -128,8 +134,8 @@
         if (place == Place.TASK) {
             watched.execute(() -> throwAt(true, meant));
         } else if (place == Place.TIMER) {
-            watched.execute(() -> watched.getScheduler().schedule(() -> throwAt(true, meant), 1,
-                    TimeUnit.MILLISECONDS));
+            watched.execute(
+                    () -> watched.getScheduler().schedule(() -> throwAt(true, meant), 1, TimeUnit.MILLISECONDS));
         }
         try (Socket client = new Socket("127.0.0.1", ((InetSocketAddress) server.getLocalAddress()).getPort())) {
             client.getOutputStream().write('x');
@@ -167,7 +173,9 @@
         watched.start();
         watched.execute(() -> {
             try {
-                watched.getBean(org.eclipse.jetty.io.ManagedSelector.class).getSelector().close();
+                watched.getBean(org.eclipse.jetty.io.ManagedSelector.class)
+                        .getSelector()
+                        .close();
             } catch (java.io.IOException e) {
                 told.completeExceptionally(e);
             }
@@ -181,20 +189,21 @@
         List<String> order = new CopyOnWriteArrayList<>();
         CountDownLatch open = new CountDownLatch(20);
         CountDownLatch all = new CountDownLatch(21);
-        ServerSocketChannel server = loop.listen(new InetSocketAddress("127.0.0.1", 0), endPoint -> new Quiet(endPoint) {
-            @Override
-            public void onOpen() {
-                super.onOpen();
-                fillInterested();
-                open.countDown();
-            }
+        ServerSocketChannel server =
+                loop.listen(new InetSocketAddress("127.0.0.1", 0), endPoint -> new Quiet(endPoint) {
+                    @Override
+                    public void onOpen() {
+                        super.onOpen();
+                        fillInterested();
+                        open.countDown();
+                    }
 
-            @Override
-            public void onFillable() {
-                order.add("read");
-                all.countDown();
-            }
-        });
+                    @Override
+                    public void onFillable() {
+                        order.add("read");
+                        all.countDown();
+                    }
+                });
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             clients.add(new Socket("127.0.0.1", ((InetSocketAddress) server.getLocalAddress()).getPort()));
