--- a/src/test/java/petrelstand/operation/OperatorDoorTest.java
+++ b/src/test/java/petrelstand/operation/OperatorDoorTest.java
@@ -17,12 +17,17 @@
 class OperatorDoorTest {
     private final Harness world = new Harness();
     private final List<String> done = new ArrayList<>();
-    private final OperatorDoor door = new OperatorDoor(world.timers, () -> world.nowUs, world.counters, Map.of(
-            "/api/ready", new Call("GET", () -> new Answer(200, "ready")),
-            "/api/evacuate", new Call("POST", () -> {
-                done.add("evacuate");
-                return new Answer(200, "drained");
-            })));
+    private final OperatorDoor door = new OperatorDoor(
+            world.timers,
+            () -> world.nowUs,
+            world.counters,
+            Map.of(
+                    "/api/ready", new Call("GET", () -> new Answer(200, "ready")),
+                    "/api/evacuate",
+                            new Call("POST", () -> {
+                                done.add("evacuate");
+                                return new Answer(200, "drained");
+                            })));
 
     private String call(String text) {
         MemoryEnd end = MemoryEnd.open(door::accept);
@@ -40,11 +45,16 @@
         };
         for (String call : calls) {
             String answer = call(call);
-            assertTrue(answer.startsWith("HTTP/1.1 200 OK\r\n") && answer.contains("Connection: close\r\n")
-                    && answer.endsWith("\r\n\r\nready\n"), call + answer);
+            assertTrue(
+                    answer.startsWith("HTTP/1.1 200 OK\r\n")
+                            && answer.contains("Connection: close\r\n")
+                            && answer.endsWith("\r\n\r\nready\n"),
+                    call + answer);
         }
-        assertTrue(call("POST /api/evacuate HTTP/1.1\r\nHost: o\r\nContent-Length: 2\r\n\r\n{}").contains(" 200 "));
-        assertTrue(call("POST /api/evacuate HTTP/1.1\r\nHost: o\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").contains(" 200 "));
+        assertTrue(call("POST /api/evacuate HTTP/1.1\r\nHost: o\r\nContent-Length: 2\r\n\r\n{}")
+                .contains(" 200 "));
+        assertTrue(call("POST /api/evacuate HTTP/1.1\r\nHost: o\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+                .contains(" 200 "));
         assertEquals(List.of("evacuate", "evacuate"), done);
         world.run(OperatorDoor.LINGER_US);
         assertEquals(0, door.connections());
@@ -66,7 +76,8 @@
         assertTrue(call("GET /api/nothing HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 404"));
         assertTrue(call("GET /api/evacuate HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 405"));
         assertTrue(call("no http\r\n\r\n").startsWith("HTTP/1.1 400"));
-        assertTrue(call("GET /api/ready HTTP/1.1\r\nHost: o\r\nX: " + "x".repeat(9000) + "\r\n\r\n").startsWith("HTTP/1.1 431"));
+        assertTrue(call("GET /api/ready HTTP/1.1\r\nHost: o\r\nX: " + "x".repeat(9000) + "\r\n\r\n")
+                .startsWith("HTTP/1.1 431"));
         assertTrue(call("POST /api/evacuate HTTP/1.1\r\nHost: o\r\nContent-Length: 5000\r\n\r\n" + "x".repeat(5000))
                 .startsWith("HTTP/1.1 413"));
         assertEquals(List.of(), done);
--- a/src/test/java/petrelstand/report/ReportTest.java
+++ b/src/test/java/petrelstand/report/ReportTest.java
@@ -33,7 +33,9 @@
         // 500 may belong to what was pushed out, and another 1,000 of second 101 have no cell at all.
         assertEquals(1_500, report.unnamedUs());
         assertEquals(4_200, report.us(Cause.Kind.WORK));
-        assertEquals(report.totalUs() - report.unnamedUs(), report.rows().stream().mapToLong(Report.Row::us).sum());
+        assertEquals(
+                report.totalUs() - report.unnamedUs(),
+                report.rows().stream().mapToLong(Report.Row::us).sum());
         assertEquals(TEAM, report.rows().get(0).cell().cause());
         Report.At worst = report.worst(1).get(0);
         assertEquals(101, worst.second());
@@ -46,9 +48,11 @@
 
     @Test
     void filtersNarrow() {
-        assertEquals(1_000, Report.of(recorded, new Query(0, 100, null, null, -1)).totalUs());
+        assertEquals(
+                1_000, Report.of(recorded, new Query(0, 100, null, null, -1)).totalUs());
         assertEquals(300, Report.of(recorded, new Query(0, 200, 2L, null, -1)).totalUs());
-        assertEquals(500, Report.of(recorded, new Query(0, 200, null, 0xa2L, -1)).totalUs());
+        assertEquals(
+                500, Report.of(recorded, new Query(0, 200, null, 0xa2L, -1)).totalUs());
         assertEquals(0, Report.of(recorded, new Query(0, 200, null, null, 1)).totalUs());
         assertEquals(0, Report.of(List.of(), ALL).totalUs());
     }
@@ -58,8 +62,14 @@
         Report report = Report.of(recorded, ALL);
         String text = TextReport.text(report, NAMES, List.of());
         assertTrue(text.contains("s-00000001  00000000000000a1 tile-read         00000000000000b0 bulk-export"), text);
-        assertEquals("work", TextReport.json(report, NAMES, List.of()).getAsJsonArray("who_waited_for_whom").get(0)
-                .getAsJsonObject().get("cause").getAsString());
+        assertEquals(
+                "work",
+                TextReport.json(report, NAMES, List.of())
+                        .getAsJsonArray("who_waited_for_whom")
+                        .get(0)
+                        .getAsJsonObject()
+                        .get("cause")
+                        .getAsString());
         String page = HtmlReport.page(report, NAMES, List.of());
         assertTrue(page.contains("n&lt;1&gt;") && !page.contains("n<1>"));
         assertTrue(page.contains("00000000000000b0 bulk-export") && page.contains("<svg"));
--- a/src/test/java/petrelstand/retuning/RetuningTest.java
+++ b/src/test/java/petrelstand/retuning/RetuningTest.java
@@ -32,14 +32,23 @@
     }
 
     private static RequestClass named(Settings settings, String name) {
-        return settings.classes().stream().filter(kind -> kind.name().equals(name)).findFirst().orElse(null);
+        return settings.classes().stream()
+                .filter(kind -> kind.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     @Test
     void untilClientsGoByTheNewFileTheStricterHolds() {
-        Settings changed = read("classes.0.semantics=repeatable", "classes.0.semantics=once",
-                "classes.1.semantics=by_key", "classes.1.semantics=repeatable",
-                "classes.2.hard_limit_ms=5000.0", "classes.2.hard_limit_ms=4000.0", "most_tries=3", "most_tries=4");
+        Settings changed = read(
+                "classes.0.semantics=repeatable",
+                "classes.0.semantics=once",
+                "classes.1.semantics=by_key",
+                "classes.1.semantics=repeatable",
+                "classes.2.hard_limit_ms=5000.0",
+                "classes.2.hard_limit_ms=4000.0",
+                "most_tries=3",
+                "most_tries=4");
         List<Step> steps = Retuning.steps(FORMER, changed, Set.of(), 7_000_000);
         Settings between = steps.get(0).settings();
         assertEquals(Effect.UNSAFE, named(between, "tile-read").effect());
@@ -57,7 +66,8 @@
         Settings changed = read("classes.0.name=tile-read", "classes.0.name=sounding-read");
         List<Step> steps = Retuning.steps(FORMER, changed, Set.of(), 0);
         for (Step step : steps) {
-            assertEquals(List.of("tile-read", "survey-write", "bulk-export", "sounding-read"),
+            assertEquals(
+                    List.of("tile-read", "survey-write", "bulk-export", "sounding-read"),
                     step.settings().classes().stream().map(RequestClass::name).toList());
         }
         assertEquals(Set.of(), steps.get(1).closed());
@@ -65,15 +75,23 @@
         assertEquals(1_200_000 + 5_000_000, steps.get(2).atUs());
         // Its aim no longer makes the slot of the emulation.
         assertEquals(1500, named(steps.get(2).settings(), "tile-read").aimMs());
-        List<Step> back = Retuning.steps(steps.get(2).settings(), FORMER, steps.get(2).closed(), 9);
+        List<Step> back =
+                Retuning.steps(steps.get(2).settings(), FORMER, steps.get(2).closed(), 9);
         assertEquals(Set.of(), back.get(0).closed());
         assertEquals(250, named(back.get(1).settings(), "tile-read").aimMs());
     }
 
     @Test
     void whatOnlyARestartTakesIsNamedAndStays() {
-        Settings changed = read("plans.0.rate=40", "plans.0.rate=50", "drain_grace_ms=500.0", "drain_grace_ms=400.0",
-                "balancers=1", "balancers=2", "most_tries=3", "most_tries=2");
+        Settings changed = read(
+                "plans.0.rate=40",
+                "plans.0.rate=50",
+                "drain_grace_ms=500.0",
+                "drain_grace_ms=400.0",
+                "balancers=1",
+                "balancers=2",
+                "most_tries=3",
+                "most_tries=2");
         assertEquals(3, Retuning.fixed(FORMER, changed).size());
         assertEquals(List.of(), Retuning.fixed(FORMER, read("most_tries=3", "most_tries=2")));
         Settings after = Retuning.steps(FORMER, changed, Set.of(), 0).get(1).settings();
@@ -87,7 +105,9 @@
     void placesAreBounded() {
         Settings inUse = FORMER;
         for (int i = 0; i < Retuning.MOST_CLASSES - 3; i++) {
-            inUse = Retuning.steps(inUse, read("classes.0.name=tile-read", "classes.0.name=c" + i), Set.of(), 0).get(1).settings();
+            inUse = Retuning.steps(inUse, read("classes.0.name=tile-read", "classes.0.name=c" + i), Set.of(), 0)
+                    .get(1)
+                    .settings();
         }
         Settings full = inUse;
         Settings more = read("classes.0.name=tile-read", "classes.0.name=more");
@@ -101,17 +121,26 @@
         Settings inUse = FORMER;
         Set<String> closed = Set.of();
         for (int i = 0; i < 8; i++) {
-            Settings changed = read("classes.0.name=tile-read", "classes.0.name=c" + random.nextInt(4),
-                    "classes.1.semantics=by_key", "classes.1.semantics=" + List.of("by_key", "once", "repeatable").get(random.nextInt(3)),
-                    "most_tries=3", "most_tries=" + (1 + random.nextInt(4)));
+            Settings changed = read(
+                    "classes.0.name=tile-read",
+                    "classes.0.name=c" + random.nextInt(4),
+                    "classes.1.semantics=by_key",
+                    "classes.1.semantics="
+                            + List.of("by_key", "once", "repeatable").get(random.nextInt(3)),
+                    "most_tries=3",
+                    "most_tries=" + (1 + random.nextInt(4)));
             List<Step> steps = Retuning.steps(inUse, changed, closed, i);
             for (Step step : steps) {
                 for (int place = 0; place < inUse.classes().size(); place++) {
-                    assertEquals(inUse.classes().get(place).name(), step.settings().classes().get(place).name());
+                    assertEquals(
+                            inUse.classes().get(place).name(),
+                            step.settings().classes().get(place).name());
                 }
             }
             Settings between = steps.get(0).settings();
-            assertEquals(Math.min(inUse.may().maxAttempts(), changed.may().maxAttempts()), between.may().maxAttempts());
+            assertEquals(
+                    Math.min(inUse.may().maxAttempts(), changed.may().maxAttempts()),
+                    between.may().maxAttempts());
             for (RequestClass kind : changed.classes()) {
                 RequestClass held = named(between, kind.name());
                 RequestClass before = named(inUse, kind.name());
--- a/src/test/java/petrelstand/rsync/ReadersTest.java
+++ b/src/test/java/petrelstand/rsync/ReadersTest.java
@@ -16,8 +16,8 @@
 
 /** The readers of a transfer's two directions, on bytes of the published protocol. */
 class ReadersTest {
-    private static final Options PULL = Options.parse(List.of("--server", "--sender", "-logDtpr", ".", "charts/a"),
-            "charts");
+    private static final Options PULL =
+            Options.parse(List.of("--server", "--sender", "-logDtpr", ".", "charts/a"), "charts");
     private static final Options PUSH = Options.parse(List.of("--server", "-logDtpr", ".", "charts/a"), "charts");
 
     private static Transfer transfer(Options options) {
@@ -76,8 +76,8 @@
 
     /** However the bytes are cut, a transfer is whole with the last byte and never before it. */
     @Property(tries = 400, seed = "20261203")
-    void aTransferIsWholeWithItsLastByteOnly(@ForAll boolean pulls,
-            @ForAll @Size(min = 1, max = 12) List<@IntRange(min = 1, max = 90) Integer> cuts) {
+    void aTransferIsWholeWithItsLastByteOnly(
+            @ForAll boolean pulls, @ForAll @Size(min = 1, max = 12) List<@IntRange(min = 1, max = 90) Integer> cuts) {
         Transfer transfer = transfer(pulls ? PULL : PUSH);
         byte[] down = pulls ? Golden.pullDown() : Golden.pushDown();
         byte[] up = pulls ? Golden.pullUp() : Golden.pushUp();
@@ -136,7 +136,8 @@
 
     @Test
     void anErrorFrameHasTheServersForm() {
-        byte[] expected = Golden.join(Golden.hex("00000000"), Golden.frame(3, "@ERROR: no\n".getBytes(StandardCharsets.UTF_8)));
+        byte[] expected =
+                Golden.join(Golden.hex("00000000"), Golden.frame(3, "@ERROR: no\n".getBytes(StandardCharsets.UTF_8)));
         byte[] frame = new byte[expected.length];
         Lines.errorFrame("no", true).get(frame);
         org.junit.jupiter.api.Assertions.assertArrayEquals(expected, frame);
@@ -152,13 +153,17 @@
             {"--compress-choice=zstd", "option --compress-choice=zstd is not carried here"},
         };
         for (String[] one : cases) {
-            String message = assertThrows(RecordReader.Malformed.class,
-                    () -> Options.parse(List.of("--server", one[0], ".", "charts/a"), "charts")).getMessage();
+            String message = assertThrows(
+                            RecordReader.Malformed.class,
+                            () -> Options.parse(List.of("--server", one[0], ".", "charts/a"), "charts"))
+                    .getMessage();
             assertEquals(one[1], message);
         }
         for (String path : List.of("other/a", "chartsx", "charts/../other", "/charts")) {
-            assertThrows(RecordReader.Malformed.class,
-                    () -> Options.parse(List.of("--server", "-r", ".", path), "charts"), path);
+            assertThrows(
+                    RecordReader.Malformed.class,
+                    () -> Options.parse(List.of("--server", "-r", ".", path), "charts"),
+                    path);
         }
         assertThrows(RecordReader.Malformed.class, () -> Options.parse(List.of("--server", "-r"), "charts"));
         assertTrue(Options.parse(List.of("--server", "--sender", "-vlogDtpre.iLsfxCIvu", ".", "charts/"), "charts")
--- a/src/test/java/petrelstand/rsync/SessionModelTest.java
+++ b/src/test/java/petrelstand/rsync/SessionModelTest.java
@@ -20,10 +20,14 @@
 class SessionModelTest {
     private static final String TAKEN = "taken.bulk-export";
     private final Harness world = new Harness();
-    private final RsyncConfig config = Configs.load(Configs.operator(2000),
-            Configs.xds(Map.of(8731, "HEALTHY")), world.settings).rsync();
-    private final RsyncFront front = new RsyncFront(world.broker(
-            new RsyncNodes(world::dial, () -> world.nowUs, world.timers, 250)), world.timers, config, world.log::add);
+    private final RsyncConfig config = Configs.load(
+                    Configs.operator(2000), Configs.xds(Map.of(8731, "HEALTHY")), world.settings)
+            .rsync();
+    private final RsyncFront front = new RsyncFront(
+            world.broker(new RsyncNodes(world::dial, () -> world.nowUs, world.timers, 250)),
+            world.timers,
+            config,
+            world.log::add);
     private final MemoryEnd client;
     private final StringBuilder clientGot = new StringBuilder();
     private final StringBuilder nodeGot = new StringBuilder();
@@ -74,7 +78,8 @@
     /** Each request ends once, nothing stays open, and what is called served has passed whole and unchanged. */
     @Property(tries = 500, seed = "20261205")
     void aTransferEndsOnceAndIsServedOnlyWhole(
-            @ForAll @Size(max = 60) List<@IntRange(max = 15) Integer> steps, @ForAll @IntRange(min = 20, max = 200) int size) {
+            @ForAll @Size(max = 60) List<@IntRange(max = 15) Integer> steps,
+            @ForAll @IntRange(min = 20, max = 200) int size) {
         SessionModelTest test = new SessionModelTest();
         boolean cut = false;
         for (int step : steps) {
@@ -106,12 +111,23 @@
         test.collect();
         assertEquals(0, test.world.broker.open());
         assertEquals(0, test.front.sessions());
-        assertEquals(test.count(TAKEN), test.count("answered.served") + test.count("answered.refused")
-                + test.count("answered.failed") + test.count("answered.cut") + test.count("client_gone"));
+        assertEquals(
+                test.count(TAKEN),
+                test.count("answered.served")
+                        + test.count("answered.refused")
+                        + test.count("answered.failed")
+                        + test.count("answered.cut")
+                        + test.count("client_gone"));
         boolean served = test.count("answered.served") == 1;
-        assertEquals(served, test.clientScript.isEmpty() && test.nodeScript.isEmpty() && test.dials == 1
-                && test.clientGot.toString().equals("@RSYNCD: 29.0\n@RSYNCD: OK\n" + text(Golden.pullDown()))
-                && test.nodeGot.toString().equals("@RSYNCD: 29.0\ncharts\n" + Golden.ARGUMENTS + text(Golden.pullUp())));
+        assertEquals(
+                served,
+                test.clientScript.isEmpty()
+                        && test.nodeScript.isEmpty()
+                        && test.dials == 1
+                        && test.clientGot.toString().equals("@RSYNCD: 29.0\n@RSYNCD: OK\n" + text(Golden.pullDown()))
+                        && test.nodeGot
+                                .toString()
+                                .equals("@RSYNCD: 29.0\ncharts\n" + Golden.ARGUMENTS + text(Golden.pullUp())));
     }
 
     @Test
--- a/src/test/java/petrelstand/sim/LinkTest.java
+++ b/src/test/java/petrelstand/sim/LinkTest.java
@@ -50,7 +50,8 @@
         for (byte[] part : parts) {
             length += part.length;
         }
-        ByteBuffer frame = ByteBuffer.allocate(length).putInt(records).putInt(length).putDouble(clock);
+        ByteBuffer frame =
+                ByteBuffer.allocate(length).putInt(records).putInt(length).putDouble(clock);
         for (byte[] part : parts) {
             frame.put(part);
         }
@@ -59,8 +60,13 @@
 
     private static byte[] hello(String settings) {
         byte[] text = settings.getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(17 + text.length).put((byte) 20).putInt(4).putLong(99).putInt(text.length)
-                .put(text).array();
+        return ByteBuffer.allocate(17 + text.length)
+                .put((byte) 20)
+                .putInt(4)
+                .putLong(99)
+                .putInt(text.length)
+                .put(text)
+                .array();
     }
 
     private static byte[] play(byte[]... frames) throws IOException {
@@ -84,8 +90,7 @@
 
     @Test
     void aRequestIsSentToTheNodeThatHoldsItsShard() throws IOException {
-        byte[] nodes = hex("19 00000004 00000001 02 00000001"
-                + "0000abcd 0000 00 0003 01 3f800000 0000000000000000");
+        byte[] nodes = hex("19 00000004 00000001 02 00000001" + "0000abcd 0000 00 0003 01 3f800000 0000000000000000");
         byte[] request = hex("15 00000004 00000007 0000 00000000 0000000000000001 408c200000000000"
                 + "0000000000000009 40000000 40400000 3f800000 0000");
         byte[] output = play(batch(1000, 2, hello(SETTINGS), nodes), batch(1002, 1, request));
@@ -95,8 +100,8 @@
         assertArrayEquals(hex("00000004"), first);
         byte[] second = new byte[replies.getInt(replies.position())];
         replies.get(second);
-        assertTrue(HexFormat.of().formatHex(second)
-                .endsWith("1000000004" + "00000007" + "0000000000000000" + "0000abcd"));
+        assertTrue(
+                HexFormat.of().formatHex(second).endsWith("1000000004" + "00000007" + "0000000000000000" + "0000abcd"));
         assertEquals(0, replies.remaining());
     }
 
@@ -119,11 +124,14 @@
 
     @Test
     void aMissingOrUnreadableSettingIsNamed() {
-        assertTrue(fault(batch(0, 1, hello(SETTINGS.replace("balancers=2\n", "")))).contains("balancers is missing"));
+        assertTrue(
+                fault(batch(0, 1, hello(SETTINGS.replace("balancers=2\n", "")))).contains("balancers is missing"));
         assertTrue(fault(batch(0, 1, hello(SETTINGS.replace("aim_ms=300.0", "aim_ms=soon"))))
                 .contains("classes.0.aim_ms is not a number"));
-        assertTrue(fault(batch(0, 1, hello(SETTINGS.replace("=once", "=twice")))).contains("classes.0.semantics"));
-        assertTrue(fault(batch(0, 1, hello(SETTINGS.replace("balancers=2", "balancers=0")))).contains("hosts"));
+        assertTrue(
+                fault(batch(0, 1, hello(SETTINGS.replace("=once", "=twice")))).contains("classes.0.semantics"));
+        assertTrue(fault(batch(0, 1, hello(SETTINGS.replace("balancers=2", "balancers=0"))))
+                .contains("hosts"));
     }
 
     @Test
@@ -134,13 +142,19 @@
         assertTrue(fault(batch(0, 1, hex("63 00000004"))).contains("unknown code 99"));
         assertTrue(fault(batch(0, 1, hex("13 00000004"))).contains("ends inside it"));
         assertTrue(fault(batch(0, 0, hex("13"))).contains("1 bytes left"));
-        assertTrue(fault(batch(0, 1, hex("14 00000004 0000000000000001 7fffffff"))).contains("ends inside it"));
+        assertTrue(
+                fault(batch(0, 1, hex("14 00000004 0000000000000001 7fffffff"))).contains("ends inside it"));
     }
 
     @Test
     void theCommandEndsOnMalformedInputWithOneLineOnStandardError() throws IOException, InterruptedException {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                Path.of("target", "classes").toString(), "petrelstand.Main", "wirehost").start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        Path.of("target", "classes").toString(),
+                        "petrelstand.Main",
+                        "wirehost")
+                .start();
         process.getOutputStream().write(batch(0, 0));
         process.getOutputStream().write(batch(0, 1, hex("63 00000004")));
         process.getOutputStream().close();
@@ -163,13 +177,15 @@
         codec.fault(3, "no");
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         codec.flush(output);
-        assertArrayEquals(hex("0000004c"
-                + "11 00000003 5d3a91c4 4054000000000000"
-                + "12 00000003 00000007"
-                + "13 00000003 00000007 0001"
-                + "15 00000003 00000009"
-                + "17 00000003 ffff 0002 0102"
-                + "1a 00000003 01"
-                + "19 00000003 0002 6e6f"), output.toByteArray());
+        assertArrayEquals(
+                hex("0000004c"
+                        + "11 00000003 5d3a91c4 4054000000000000"
+                        + "12 00000003 00000007"
+                        + "13 00000003 00000007 0001"
+                        + "15 00000003 00000009"
+                        + "17 00000003 ffff 0002 0102"
+                        + "1a 00000003 01"
+                        + "19 00000003 0002 6e6f"),
+                output.toByteArray());
     }
 }
--- a/src/test/java/petrelstand/state/TrustTest.java
+++ b/src/test/java/petrelstand/state/TrustTest.java
@@ -23,11 +23,27 @@
 /** What old knowledge is worth: never more than stated, whatever the file says. */
 class TrustTest {
     private static final double NOW = 1_764_600_000_000.0;
-    private static final double[] ODD = {0, -1, 1, Double.NaN, Double.POSITIVE_INFINITY, Double.NEGATIVE_INFINITY, 1e300,
-        -1e300, Double.MIN_VALUE, Double.MAX_VALUE, 0.5, 7, 250, 1e9, NOW, NOW + 1};
+    private static final double[] ODD = {
+        0,
+        -1,
+        1,
+        Double.NaN,
+        Double.POSITIVE_INFINITY,
+        Double.NEGATIVE_INFINITY,
+        1e300,
+        -1e300,
+        Double.MIN_VALUE,
+        Double.MAX_VALUE,
+        0.5,
+        7,
+        250,
+        1e9,
+        NOW,
+        NOW + 1
+    };
     private final Settings settings = SettingsReader.ofText(Harness.SETTINGS.replace("balancers=1", "balancers=4"));
-    private final Settings limited = SettingsReader.ofText(Harness.SETTINGS.replace("balancers=1", "balancers=4")
-            + "plans.0.limit=60\nplans.0.burst=40\n");
+    private final Settings limited = SettingsReader.ofText(
+            Harness.SETTINGS.replace("balancers=1", "balancers=4") + "plans.0.limit=60\nplans.0.burst=40\n");
     private final Trust trust = new Trust("n1", settings);
 
     private Snapshot snapshot(double ageMs, boolean clean, Learned learned) {
@@ -52,7 +68,8 @@
         LearnedNode old = weigh(20_000, node(200, 8, 300, 0)).learned().nodes().get(0);
         assertEquals(Policy.WINDOW_START + (8 - Policy.WINDOW_START) / 2, old.window(), 1e-9);
         assertEquals((300 + 100) / 2.0, old.latencyMs(), 1e-9);
-        LearnedNode older = weigh(60_000, node(200, 8, 300, 0)).learned().nodes().get(0);
+        LearnedNode older =
+                weigh(60_000, node(200, 8, 300, 0)).learned().nodes().get(0);
         assertEquals(Trust.MOST_NODE_SLOTS / 2, older.slots(), 1e-9);
         assertEquals(2, older.served() / older.slots(), 1e-9);
     }
@@ -66,11 +83,15 @@
     @Test
     void whatIsTooOldOrOfAnotherOrFromTheFutureCountsForNothingAndSaysWhy() {
         Learned learned = new Learned(0, 1, 1, List.of(node(1, 1, 1, 0)), List.of());
-        assertTrue(trust.weigh(snapshot(Trust.OLDEST_MS + 1, true, learned), NOW).refused().contains("older than"));
+        assertTrue(trust.weigh(snapshot(Trust.OLDEST_MS + 1, true, learned), NOW)
+                .refused()
+                .contains("older than"));
         assertTrue(trust.weigh(snapshot(-1, true, learned), NOW).refused().contains("future"));
         assertTrue(trust.weigh(new Snapshot("n2", Snapshot.print(settings), 1, (long) NOW, true, learned), NOW)
-                .refused().contains("another gateway, 'n2'"));
-        Trust.Verdict changed = trust.weigh(new Snapshot("n1", Snapshot.print(limited), 1, (long) NOW, true, learned), NOW);
+                .refused()
+                .contains("another gateway, 'n2'"));
+        Trust.Verdict changed =
+                trust.weigh(new Snapshot("n1", Snapshot.print(limited), 1, (long) NOW, true, learned), NOW);
         assertTrue(changed.refused().contains("settings have changed"));
         assertEquals(Learned.nothing(NOW), changed.learned());
         assertNull(trust.weigh(snapshot(0, true, learned), NOW).refused());
@@ -79,8 +100,9 @@
     @Test
     void aNodeThatStartedAfterTheFileAndOneThatIsThereTwiceAreDropped() {
         LearnedNode late = new LearnedNode(2, NOW - 10, 1, 1, 1, 50, 0, 0);
-        Trust.Verdict verdict = trust.weigh(snapshot(100, true, new Learned(0, 0, 0,
-                List.of(node(1, 1, 1, 0), node(2, 2, 2, 0), late), List.of())), NOW);
+        Trust.Verdict verdict = trust.weigh(
+                snapshot(100, true, new Learned(0, 0, 0, List.of(node(1, 1, 1, 0), node(2, 2, 2, 0), late), List.of())),
+                NOW);
         assertEquals(1, verdict.learned().nodes().size());
         assertEquals(2, verdict.dropped());
     }
@@ -91,13 +113,32 @@
         Trust of = new Trust("n1", limited);
         LearnedVolume volume = new LearnedVolume(9, 0, 2, 0.5, 12, 3, 4);
         for (boolean clean : new boolean[] {true, false}) {
-            LearnedVolume kept = of.weigh(new Snapshot("n1", Snapshot.print(limited), 1, (long) NOW - 500, clean,
-                    new Learned(0, 0, 0, List.of(), List.of(volume))), NOW).learned().volumes().get(0);
+            LearnedVolume kept = of.weigh(
+                            new Snapshot(
+                                    "n1",
+                                    Snapshot.print(limited),
+                                    1,
+                                    (long) NOW - 500,
+                                    clean,
+                                    new Learned(0, 0, 0, List.of(), List.of(volume))),
+                            NOW)
+                    .learned()
+                    .volumes()
+                    .get(0);
             assertEquals(clean ? 12 + 60 / 2 * 0.5 : 0, kept.limitLevel(), 1e-9);
         }
-        LearnedVolume below = of.weigh(new Snapshot("n1", Snapshot.print(limited), 1, (long) NOW - 500, false,
-                new Learned(0, 0, 0, List.of(), List.of(new LearnedVolume(9, 0, 2, 0.5, -3, 3, 4)))), NOW).learned()
-                .volumes().get(0);
+        LearnedVolume below = of.weigh(
+                        new Snapshot(
+                                "n1",
+                                Snapshot.print(limited),
+                                1,
+                                (long) NOW - 500,
+                                false,
+                                new Learned(0, 0, 0, List.of(), List.of(new LearnedVolume(9, 0, 2, 0.5, -3, 3, 4)))),
+                        NOW)
+                .learned()
+                .volumes()
+                .get(0);
         assertEquals(-3, below.limitLevel());
     }
 
@@ -106,26 +147,50 @@
         Settings cold = SettingsReader.ofText(Harness.SETTINGS + "rules.cold_from=0.26\nrules.warm_up_ms=18000\n"
                 + "rules.fall_ms=1500\nrules.overload_factor=2\nextra.cold_bears=20\n");
         LearnedNode sent = new LearnedNode(1, NOW - 3000, 0, 0, 3, 50, 17, 0);
-        Trust.Verdict verdict = new Trust("n1", cold).weigh(new Snapshot("n1", Snapshot.print(cold), 1, (long) NOW - 1400,
-                false, new Learned(0, 0, 0, List.of(sent), List.of())), NOW);
+        Trust.Verdict verdict = new Trust("n1", cold)
+                .weigh(
+                        new Snapshot(
+                                "n1",
+                                Snapshot.print(cold),
+                                1,
+                                (long) NOW - 1400,
+                                false,
+                                new Learned(0, 0, 0, List.of(sent), List.of())),
+                        NOW);
         assertEquals(17, verdict.learned().nodes().get(0).coldSent());
     }
 
     /** Any file, any age: what comes out is finite, bounded, and rests on little. */
     @Property(tries = 2000)
-    void whateverTheFileSaysIsBounded(@ForAll long seed, @ForAll @IntRange(min = 0, max = 40) int lines,
-            @ForAll @DoubleRange(min = -1e6, max = 2e6) double ageMs, @ForAll boolean clean) {
+    void whateverTheFileSaysIsBounded(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 0, max = 40) int lines,
+            @ForAll @DoubleRange(min = -1e6, max = 2e6) double ageMs,
+            @ForAll boolean clean) {
         Random random = new Random(seed);
         List<LearnedNode> nodes = new ArrayList<>();
         List<LearnedVolume> volumes = new ArrayList<>();
         for (int i = 0; i < lines; i++) {
-            nodes.add(new LearnedNode(random.nextInt(50), odd(random), odd(random), odd(random), odd(random), odd(random),
-                    odd(random), odd(random)));
-            volumes.add(new LearnedVolume(random.nextInt(50), random.nextInt(5) - 2, random.nextInt(9) - 2, odd(random),
-                    odd(random), odd(random), odd(random)));
+            nodes.add(new LearnedNode(
+                    random.nextInt(50),
+                    odd(random),
+                    odd(random),
+                    odd(random),
+                    odd(random),
+                    odd(random),
+                    odd(random),
+                    odd(random)));
+            volumes.add(new LearnedVolume(
+                    random.nextInt(50),
+                    random.nextInt(5) - 2,
+                    random.nextInt(9) - 2,
+                    odd(random),
+                    odd(random),
+                    odd(random),
+                    odd(random)));
         }
-        Trust.Verdict verdict = trust.weigh(snapshot(ageMs, clean,
-                new Learned(odd(random), odd(random), odd(random), nodes, volumes)), NOW);
+        Trust.Verdict verdict = trust.weigh(
+                snapshot(ageMs, clean, new Learned(odd(random), odd(random), odd(random), nodes, volumes)), NOW);
         Learned learned = verdict.learned();
         assertTrue(learned.slots() >= 0 && learned.slots() <= Trust.MOST_POOL_SLOTS);
         double mostRate = Trust.MOST_REQUESTS_A_SLOT * settings.mostUnits();
@@ -139,13 +204,23 @@
             assertTrue(Double.isFinite(node.coldSent()) && node.coldSent() >= 0, node.toString());
         }
         for (LearnedVolume volume : learned.volumes()) {
-            assertTrue(volume.setSize() >= 1 && volume.setSize() <= settings.hosts() && volume.ownPart() * volume.setSize()
-                    > 0.999 && volume.ownPart() <= 1, volume.toString());
-            assertTrue(Double.isFinite(volume.limitLevel()) && Double.isFinite(volume.reserveLevel())
-                    && Double.isFinite(volume.shareLevel()), volume.toString());
+            assertTrue(
+                    volume.setSize() >= 1
+                            && volume.setSize() <= settings.hosts()
+                            && volume.ownPart() * volume.setSize() > 0.999
+                            && volume.ownPart() <= 1,
+                    volume.toString());
+            assertTrue(
+                    Double.isFinite(volume.limitLevel())
+                            && Double.isFinite(volume.reserveLevel())
+                            && Double.isFinite(volume.shareLevel()),
+                    volume.toString());
         }
-        assertEquals(lines * 2, learned.nodes().size() + learned.volumes().size() + (verdict.refused() == null
-                ? verdict.dropped() : lines * 2));
+        assertEquals(
+                lines * 2,
+                learned.nodes().size()
+                        + learned.volumes().size()
+                        + (verdict.refused() == null ? verdict.dropped() : lines * 2));
     }
 
     private static double odd(Random random) {
--- a/src/test/java/petrelstand/state/WritePlanTest.java
+++ b/src/test/java/petrelstand/state/WritePlanTest.java
@@ -78,8 +78,13 @@
     @Test
     void namesAreReadBackAndOthersPassedOver() {
         assertEquals(Optional.of(0x1fL), Generations.of(Generations.name(0x1f)));
-        for (String other : List.of("lock", "learned-1.state", "learned-0000000000000000.state",
-                "learned-ffffffffffffffff.state", Generations.temporary(3), "learned-000000000000001G.state")) {
+        for (String other : List.of(
+                "lock",
+                "learned-1.state",
+                "learned-0000000000000000.state",
+                "learned-ffffffffffffffff.state",
+                Generations.temporary(3),
+                "learned-000000000000001G.state")) {
             assertEquals(Optional.empty(), Generations.of(other), other);
         }
         assertTrue(Generations.isTemporary(Generations.temporary(3)));
--- a/src/test/java/petrelstand/store/AccountsLogTest.java
+++ b/src/test/java/petrelstand/store/AccountsLogTest.java
@@ -30,8 +30,10 @@
 class AccountsLogTest {
     private static final AccountsRecord.Names NAMES =
             new AccountsRecord.Names("n1", List.of("tile-read", "survey-write", "bulk-export"), List.of("basic"));
+
     @TempDir
     Path folder;
+
     private final Counters counters = new Counters();
     private final List<String> log = new ArrayList<>();
     private final LinkedBlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
@@ -98,7 +100,9 @@
         List<Path> files;
         try (Stream<Path> all = Files.list(folder)) {
             files = all.filter(file -> file.getFileName().toString().startsWith("accounts-"))
-                    .sorted(java.util.Comparator.comparingLong(f -> AccountsLog.number(f.getFileName().toString()))).toList();
+                    .sorted(java.util.Comparator.comparingLong(
+                            f -> AccountsLog.number(f.getFileName().toString())))
+                    .toList();
         }
         assertEquals(AccountsLog.MOST_KEPT, files.size());
         List<Long> seconds = new ArrayList<>();
@@ -118,14 +122,16 @@
     @Test
     void aDiskThatHangsDropsAndCountsAndHoldsNothingUp() throws Exception {
         CountDownLatch hangs = new CountDownLatch(1);
-        AccountsLog hung = log(() -> {
-            try {
-                hangs.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            return new DiskFolder(folder);
-        }, 1 << 20);
+        AccountsLog hung = log(
+                () -> {
+                    try {
+                        hangs.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    return new DiskFolder(folder);
+                },
+                1 << 20);
         for (int i = 0; i < 1_000; i++) {
             hung.over(second(i));
         }
@@ -136,9 +142,11 @@
 
     @Test
     void aFolderThatCannotBeUsedIsToldOnce() throws Exception {
-        AccountsLog none = log(() -> {
-            throw new IOException("No space left on device");
-        }, 1 << 20);
+        AccountsLog none = log(
+                () -> {
+                    throw new IOException("No space left on device");
+                },
+                1 << 20);
         none.over(second(1));
         Runnable line = loop.poll(20, TimeUnit.SECONDS);
         line.run();
@@ -162,13 +170,29 @@
             }
         });
         for (int i = 0; i < 130; i++) {
-            book.over(new Account(i, 1, 0, 0, true, 1, 0, 0, 4_000, 10_000, 0, i * 1_000_000L + 500,
+            book.over(new Account(
+                    i,
+                    1,
+                    0,
+                    0,
+                    true,
+                    1,
+                    0,
+                    0,
+                    4_000,
+                    10_000,
+                    0,
+                    i * 1_000_000L + 500,
                     List.of(new Share(7, Cause.NODE, 4_000))));
         }
         book.close();
         assertEquals(130, seconds.size());
-        assertEquals(130 * 4_000, seconds.stream().mapToLong(Book.Second::waitUs).sum());
-        assertEquals(List.of(0L, 60L, 120L), minutes.stream().map(AccountsRecord.Minute::fromSecond).toList());
-        assertEquals(130, minutes.stream().mapToLong(AccountsRecord.Minute::requests).sum());
+        assertEquals(
+                130 * 4_000, seconds.stream().mapToLong(Book.Second::waitUs).sum());
+        assertEquals(
+                List.of(0L, 60L, 120L),
+                minutes.stream().map(AccountsRecord.Minute::fromSecond).toList());
+        assertEquals(
+                130, minutes.stream().mapToLong(AccountsRecord.Minute::requests).sum());
     }
 }
--- a/src/test/java/petrelstand/store/SimFolder.java
+++ b/src/test/java/petrelstand/store/SimFolder.java
@@ -11,8 +11,8 @@
 import java.util.function.Consumer;
 
 /**
- * A folder whose disk may fail. What was not synced may be lost, torn or done in any order: a file's unsynced content is
- * none, a part, or noise of the right length, and of the changes to names since the last sync any subset is there.
+ * A folder whose disk may fail. What was not synced may be lost, torn or done in any order: a file's unsynced content
+ * is none, a part, or noise of the right length, and of the changes to names since the last sync any subset is there.
  */
 class SimFolder implements Folder {
     /** A file: what a reader sees, and what is on the disk for sure (null: nothing of its content). */
@@ -31,6 +31,7 @@
 
     /** A rename is one change on most disks; that it may be half there is the harder case, and is tried as well. */
     private final Map<String, File> names = new TreeMap<>();
+
     private final Map<String, File> onDisk = new TreeMap<>();
     private final List<Change> unsynced = new ArrayList<>();
     private int steps;
@@ -38,6 +39,7 @@
     int cutBefore = Integer.MAX_VALUE;
     /** Called before each step; may throw in its place. */
     Consumer<String> before = step -> {};
+
     boolean taken;
 
     /** The power was cut. */
--- a/src/test/java/petrelstand/store/StateKeeperTest.java
+++ b/src/test/java/petrelstand/store/StateKeeperTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.Test;
 import petrelstand.core.Attempt;
 import petrelstand.core.Broker;
-import petrelstand.core.ClientSide;
 import petrelstand.core.Demand;
 import petrelstand.core.Node;
 import petrelstand.core.ServerSide;
@@ -53,8 +52,17 @@
     }
 
     private StateKeeper keeper() {
-        return new StateKeeper(() -> opening.open(), EVERY_US, "n1", world.settings, world.timers, () -> world.nowUs,
-                () -> world.nowUs / 1000, loop::add, world.counters, world.log::add);
+        return new StateKeeper(
+                () -> opening.open(),
+                EVERY_US,
+                "n1",
+                world.settings,
+                world.timers,
+                () -> world.nowUs,
+                () -> world.nowUs / 1000,
+                loop::add,
+                world.counters,
+                world.log::add);
     }
 
     /** Lets time pass, and waits for the write that it began, in which nothing else happens. */
@@ -71,7 +79,10 @@
 
     private void serve(Broker broker, int requests) {
         for (int i = 0; i < requests; i++) {
-            broker.take(new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1_500_000), "ask", new SilentClient(),
+            broker.take(
+                    new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1_500_000),
+                    "ask",
+                    new SilentClient(),
                     exchange -> {});
             world.run(10_000);
         }
@@ -107,8 +118,11 @@
         assertEquals(before.latencyMs(), after.latencyMs(), 5);
         assertTrue(after.window() > 3, after.toString());
         assertEquals(1, next.learned().volumes().size());
-        assertTrue(world.log.stream().anyMatch(line -> line.matches(
-                "state: remembered 1 nodes \\(0 silent\\) and 1 volumes, 1\\.0 s old, generation [12], after an orderly end")),
+        assertTrue(
+                world.log.stream()
+                        .anyMatch(
+                                line -> line.matches(
+                                        "state: remembered 1 nodes \\(0 silent\\) and 1 volumes, 1\\.0 s old, generation [12], after an orderly end")),
                 world.log.toString());
     }
 
@@ -125,8 +139,9 @@
         second.open();
         Broker next = broker();
         second.start(next);
-        world.list(Harness.node("s-00000001", 3, NodeState.READY, world.nowUs / 1000.0), Harness.node("s-00000002", 4,
-                NodeState.READY, 0));
+        world.list(
+                Harness.node("s-00000001", 3, NodeState.READY, world.nowUs / 1000.0),
+                Harness.node("s-00000002", 4, NodeState.READY, 0));
         for (LearnedNode node : next.learned().nodes()) {
             assertEquals(0, node.slots());
             assertEquals(100, node.latencyMs());
--- a/src/test/java/petrelstand/store/StateStoreTest.java
+++ b/src/test/java/petrelstand/store/StateStoreTest.java
@@ -50,7 +50,9 @@
         assertEquals(written, SnapshotFormat.decode(SnapshotFormat.encode(written)));
     }
 
-    /** Every step of eight writes is a place for the power to fail, and then every way in which that leaves the disk. */
+    /**
+     * Every step of eight writes is a place for the power to fail, and then every way in which that leaves the disk.
+     */
     @Test
     void aCutAtAnyStepLeavesTheLastSnapshotOrTheOneBefore() throws Exception {
         int tried = 0;
@@ -77,8 +79,10 @@
                     StateStore store = new StateStore(found);
                     Snapshot newest = store.open().newest();
                     long number = newest == null ? 0 : newest.wallMs();
-                    assertTrue(number == durable || number == begun, "cut " + cut + ", subset " + subset + ", loss "
-                            + loss + ": " + number + " of " + durable + " or " + begun);
+                    assertTrue(
+                            number == durable || number == begun,
+                            "cut " + cut + ", subset " + subset + ", loss " + loss + ": " + number + " of " + durable
+                                    + " or " + begun);
                     if (number > 0) {
                         assertEquals(same(snapshot((int) number), number), newest);
                     }
@@ -115,7 +119,9 @@
                 byte[] bad = good.clone();
                 bad[at] ^= (byte) flip;
                 StateFault fault = assertThrows(StateFault.class, () -> SnapshotFormat.decode(bad));
-                assertTrue(fault.offset() >= 0 && fault.offset() <= good.length && !fault.getMessage().contains("\n"));
+                assertTrue(fault.offset() >= 0
+                        && fault.offset() <= good.length
+                        && !fault.getMessage().contains("\n"));
             }
             byte[] cut = Arrays.copyOf(good, at);
             assertThrows(StateFault.class, () -> SnapshotFormat.decode(cut));
@@ -134,11 +140,13 @@
         refused(SnapshotFormat.frame(1, Arrays.copyOf(payload, payload.length - 1)), "offset");
         refused(SnapshotFormat.frame(1, Arrays.copyOf(payload, payload.length + 1)), "something follows");
         refused(SnapshotFormat.encode(with(new LearnedNode(1, 0, Double.NaN, 1, 1, 1, 0, 0))), "a node's slots");
-        refused(SnapshotFormat.encode(with(new LearnedNode(1, 0, 1, 1, 1, Double.POSITIVE_INFINITY, 0, 0))),
+        refused(
+                SnapshotFormat.encode(with(new LearnedNode(1, 0, 1, 1, 1, Double.POSITIVE_INFINITY, 0, 0))),
                 "a node's latency");
         refused(SnapshotFormat.frame(1, nodes(1_000_000 / 8)), "there are more than 4096 nodes");
         refused(new byte[SnapshotFormat.MOST_BYTES + 1], "the file is longer than");
-        refused("this is a text and not a state file".getBytes(java.nio.charset.StandardCharsets.US_ASCII),
+        refused(
+                "this is a text and not a state file".getBytes(java.nio.charset.StandardCharsets.US_ASCII),
                 "offset 0: this is not a state file");
     }
 
@@ -177,7 +185,8 @@
     }
 
     private static void refused(byte[] file, String why) {
-        String message = assertThrows(StateFault.class, () -> SnapshotFormat.decode(file), why).getMessage();
+        String message = assertThrows(StateFault.class, () -> SnapshotFormat.decode(file), why)
+                .getMessage();
         assertTrue(message.contains(why), message + " should be: " + why);
     }
 
@@ -197,16 +206,20 @@
             StateStore.Found found = store.open();
             assertEquals(2, found.newest().wallMs());
             assertEquals(3, found.refused().size(), found.refused().toString());
-            assertTrue(found.refused().get(2).contains("version 7 is newer than 1"), found.refused().toString());
+            assertTrue(
+                    found.refused().get(2).contains("version 7 is newer than 1"),
+                    found.refused().toString());
             for (int i = 10; i < 14; i++) {
                 store.write(snapshot(i));
             }
         }
         assertTrue(Files.exists(newer) && Files.exists(torn) && Files.isSymbolicLink(link));
         assertTrue(Files.notExists(older) && Files.notExists(folder.resolve(Generations.temporary(6))));
-        assertTrue(Files.exists(folder.resolve(Generations.name(8))) && Files.exists(folder.resolve(Generations.name(9))));
-        assertEquals("rw-------", PosixFilePermissions.toString(
-                Files.getPosixFilePermissions(folder.resolve(Generations.name(9)))));
+        assertTrue(
+                Files.exists(folder.resolve(Generations.name(8))) && Files.exists(folder.resolve(Generations.name(9))));
+        assertEquals(
+                "rw-------",
+                PosixFilePermissions.toString(Files.getPosixFilePermissions(folder.resolve(Generations.name(9)))));
     }
 
     @Test
@@ -248,7 +261,8 @@
             assertThrows(IOException.class, () -> store.write(snapshot(1)));
             Files.createDirectory(state);
             Files.writeString(state.resolve(DiskFolder.LOCK), "");
-            assertTrue(assertThrows(IOException.class, () -> store.write(snapshot(1))).getMessage()
+            assertTrue(assertThrows(IOException.class, () -> store.write(snapshot(1)))
+                    .getMessage()
                     .contains("not the one that was locked"));
         }
     }
--- a/src/test/java/petrelstand/store/VoteFilesTest.java
+++ b/src/test/java/petrelstand/store/VoteFilesTest.java
@@ -28,21 +28,31 @@
     }
 
     private static LogEntry entry(long index, int term) {
-        return MODEL.createLogEntryBuilder().setIndex(index).setTerm(term)
-                .setOperation(new Command.Register("g" + index)).build();
+        return MODEL.createLogEntryBuilder()
+                .setIndex(index)
+                .setTerm(term)
+                .setOperation(new Command.Register("g" + index))
+                .build();
     }
 
     /** The n-th write: a vote each fifth time, entries in between, now and then entries that replace others. */
     private static void write(RaftFiles files, int n) throws Exception {
         if (n == 1) {
             files.persistAndFlushLocalEndpoint(MODEL.createRaftEndpointPersistentStateBuilder()
-                    .setLocalEndpoint(new Name("a")).setVoting(true).build());
+                    .setLocalEndpoint(new Name("a"))
+                    .setVoting(true)
+                    .build());
         } else if (n == 2) {
             Set<RaftEndpoint> all = Set.of(new Name("a"), new Name("b"));
-            files.persistAndFlushInitialGroupMembers(MODEL.createRaftGroupMembersViewBuilder().setLogIndex(0)
-                    .setMembers(all).setVotingMembers(all).build());
+            files.persistAndFlushInitialGroupMembers(MODEL.createRaftGroupMembersViewBuilder()
+                    .setLogIndex(0)
+                    .setMembers(all)
+                    .setVotingMembers(all)
+                    .build());
         } else if (n % 5 == 0) {
-            files.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder().setTerm(n).setVotedFor(new Name("b"))
+            files.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder()
+                    .setTerm(n)
+                    .setVotedFor(new Name("b"))
                     .build());
         } else if (n % 7 == 0) {
             files.truncateLogEntriesFrom(n - 4);
@@ -69,7 +79,7 @@
     private static List<String> states() throws Exception {
         List<String> states = new ArrayList<>();
         SimFolder disk = new SimFolder();
-        RaftFiles files = new RaftFiles(disk, line -> { });
+        RaftFiles files = new RaftFiles(disk, line -> {});
         states.add(state(files));
         for (int n = 1; n <= WRITES; n++) {
             write(files, n);
@@ -88,7 +98,7 @@
             disk.cutBefore = cut;
             int durable = 0;
             try {
-                RaftFiles files = new RaftFiles(disk, line -> { });
+                RaftFiles files = new RaftFiles(disk, line -> {});
                 for (int n = 1; n <= WRITES; n++) {
                     write(files, n);
                     durable = n;
@@ -101,14 +111,18 @@
             for (int subset = 0; subset < outcomes; subset += Math.max(1, outcomes / 16)) {
                 for (int loss = 0; loss < SimFolder.LOSSES; loss++) {
                     SimFolder found = disk.after(subset, loss);
-                    RaftFiles files = new RaftFiles(found, line -> { });
+                    RaftFiles files = new RaftFiles(found, line -> {});
                     String now = state(files);
-                    assertTrue(now.equals(states.get(durable)) || durable < WRITES && now.equals(states.get(durable + 1)),
-                            "cut " + cut + ", subset " + subset + ", loss " + loss + ": " + now + " after write " + durable);
+                    assertTrue(
+                            now.equals(states.get(durable)) || durable < WRITES && now.equals(states.get(durable + 1)),
+                            "cut " + cut + ", subset " + subset + ", loss " + loss + ": " + now + " after write "
+                                    + durable);
                     // And it can be written on from there, and read again.
-                    files.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder().setTerm(1000).setVotedFor(null)
+                    files.persistAndFlushTerm(MODEL.createRaftTermPersistentStateBuilder()
+                            .setTerm(1000)
+                            .setVotedFor(null)
                             .build());
-                    assertEquals(files.generation(), new RaftFiles(found, line -> { }).generation());
+                    assertEquals(files.generation(), new RaftFiles(found, line -> {}).generation());
                     tried++;
                 }
             }
@@ -119,7 +133,7 @@
     @Test
     void aDamagedMiddleAndAGapAreRefusedAndATornEndIsLeftOut() throws Exception {
         SimFolder disk = new SimFolder();
-        RaftFiles files = new RaftFiles(disk, line -> { });
+        RaftFiles files = new RaftFiles(disk, line -> {});
         for (int n = 1; n <= 12; n++) {
             write(files, n);
         }
@@ -130,12 +144,13 @@
             SimFolder found = disk.after(0, 0);
             found.delete("vote-000000000005");
             found.create("vote-000000000005", bad);
-            StateFault fault = assertThrows(StateFault.class, () -> new RaftFiles(found, line -> { }));
+            StateFault fault = assertThrows(StateFault.class, () -> new RaftFiles(found, line -> {}));
             assertTrue(fault.getMessage().contains("vote-000000000005: "), fault.getMessage());
         }
         SimFolder gap = disk.after(0, 0);
         gap.delete("vote-000000000005");
-        assertTrue(assertThrows(StateFault.class, () -> new RaftFiles(gap, line -> { })).getMessage()
+        assertTrue(assertThrows(StateFault.class, () -> new RaftFiles(gap, line -> {}))
+                .getMessage()
                 .contains("a file before vote-000000000006 is missing"));
         SimFolder torn = disk.after(0, 0);
         byte[] last = torn.read("vote-000000000012", 10_000);
--- a/src/test/java/petrelstand/testing/Configs.java
+++ b/src/test/java/petrelstand/testing/Configs.java
@@ -44,9 +44,10 @@
     /** The cluster's daemons on ports, each with a health, in xDS JSON. */
     public static String xds(Map<Integer, String> daemons) {
         StringBuilder endpoints = new StringBuilder();
-        daemons.forEach((port, health) -> endpoints.append(endpoints.isEmpty() ? "" : ",").append(
-                "{\"endpoint\":{\"address\":{\"socketAddress\":{\"address\":\"127.0.0.1\",\"portValue\":" + port
-                + "}}},\"healthStatus\":\"" + health + "\"}"));
+        daemons.forEach((port, health) -> endpoints
+                .append(endpoints.isEmpty() ? "" : ",")
+                .append("{\"endpoint\":{\"address\":{\"socketAddress\":{\"address\":\"127.0.0.1\",\"portValue\":" + port
+                        + "}}},\"healthStatus\":\"" + health + "\"}"));
         return "{\"clusters\":[{\"name\":\"chart-rsync\",\"type\":\"EDS\"}],"
                 + "\"endpoints\":[{\"clusterName\":\"chart-rsync\",\"endpoints\":[{\"locality\":{\"zone\":\"a\"},"
                 + "\"lbEndpoints\":[" + endpoints + "]}]}]}";
@@ -71,8 +72,11 @@
         if (depth == path.length - 1) {
             at.put(path[depth], value);
         } else {
-            put((Map<String, Object>) at.computeIfAbsent(path[depth], k -> new TreeMap<String, Object>()), path,
-                    depth + 1, value);
+            put(
+                    (Map<String, Object>) at.computeIfAbsent(path[depth], k -> new TreeMap<String, Object>()),
+                    path,
+                    depth + 1,
+                    value);
         }
     }
 
--- a/src/test/java/petrelstand/testing/HeldEnd.java
+++ b/src/test/java/petrelstand/testing/HeldEnd.java
@@ -7,7 +7,10 @@
 import org.eclipse.jetty.io.EndPoint;
 import petrelstand.net.MemoryEnd;
 
-/** An end in memory on which bytes can lie that its connection has not been told of: the order of two events is the test's. */
+/**
+ * An end in memory on which bytes can lie that its connection has not been told of: the order of two events is the
+ * test's.
+ */
 public final class HeldEnd extends MemoryEnd {
     private boolean holds;
 
--- a/src/test/java/petrelstand/testing/Peers.java
+++ b/src/test/java/petrelstand/testing/Peers.java
@@ -83,8 +83,10 @@
         public String message() throws IOException {
             String head = upTo("\r\n\r\n");
             String length = StandIns.field(head, "Content-Length");
-            return head + new String(socket.getInputStream().readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length)),
-                    StandardCharsets.ISO_8859_1);
+            return head
+                    + new String(
+                            socket.getInputStream().readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length)),
+                            StandardCharsets.ISO_8859_1);
         }
 
         /** Reads to the end of a text; what came where the connection ended first. */
--- a/src/test/java/petrelstand/testing/ServedGateway.java
+++ b/src/test/java/petrelstand/testing/ServedGateway.java
@@ -25,7 +25,9 @@
 import java.util.zip.CRC32;
 import petrelstand.testing.StandIns.Client;
 
-/** Real processes of one gateway, before one storage node that this process plays; they share a folder and an address. */
+/**
+ * Real processes of one gateway, before one storage node that this process plays; they share a folder and an address.
+ */
 public final class ServedGateway implements Closeable {
     private final Path folder;
     private final HttpServer node;
@@ -76,7 +78,9 @@
         }
 
         public void signal(String name) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
         }
     }
 
@@ -92,13 +96,17 @@
         }));
         node.createContext("/", exchange -> serve(exchange, serviceMs));
         node.start();
-        config = JsonParser.parseString(Files.readString(Path.of("src/main/resources/tryout.json"))).getAsJsonObject();
+        config = JsonParser.parseString(Files.readString(Path.of("src/main/resources/tryout.json")))
+                .getAsJsonObject();
         config.addProperty("name", "n1");
         config.addProperty("listen", "127.0.0.1:" + port);
         config.addProperty("discovery", "127.0.0.1:" + discovery.port());
-        config.add("known", JsonParser.parseString("{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s-00000001\","
-                + "\"addr\":\"127.0.0.1:" + node.getAddress().getPort() + "\",\"zone\":\"a\",\"cell\":0,\"state\":\"up\","
-                + "\"started_ms\":0}]}"));
+        config.add(
+                "known",
+                JsonParser.parseString("{\"version\":1,\"full\":true,\"servers\":[{\"id\":\"s-00000001\","
+                        + "\"addr\":\"127.0.0.1:" + node.getAddress().getPort()
+                        + "\",\"zone\":\"a\",\"cell\":0,\"state\":\"up\","
+                        + "\"started_ms\":0}]}"));
         config(config.deepCopy());
     }
 
@@ -125,7 +133,7 @@
                 long bytes = Long.parseLong(query.substring("bytes=".length()).replaceAll("&.*", ""));
                 exchange.sendResponseHeaders(200, query.endsWith("&chunked") ? 0 : bytes);
                 OutputStream out = exchange.getResponseBody();
-                for (long sent = 0; sent < bytes;) {
+                for (long sent = 0; sent < bytes; ) {
                     int piece = (int) Math.min(buffer.length, bytes - sent);
                     java.util.Arrays.fill(buffer, 0, piece, (byte) (sent >> 16));
                     out.write(buffer, 0, piece);
@@ -169,26 +177,37 @@
     /** Starts a process with another main class, and its arguments. */
     public Run start(List<String> main, String... options) throws IOException {
         int operator = free();
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx64m", "-XX:+UseSerialGC", "-XX:MaxDirectMemorySize=16m"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:MaxDirectMemorySize=16m"));
         command.addAll(List.of(options));
         command.addAll(List.of("-cp", System.getProperty("java.class.path")));
         command.addAll(main);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.environment().putAll(Map.of("RELAY_CONFIG", folder.resolve("config.json").toString(),
-                "RELAY_OPERATOR", "127.0.0.1:" + operator, "TMPDIR", folder.toString()));
+        builder.environment()
+                .putAll(Map.of(
+                        "RELAY_CONFIG",
+                        folder.resolve("config.json").toString(),
+                        "RELAY_OPERATOR",
+                        "127.0.0.1:" + operator,
+                        "TMPDIR",
+                        folder.toString()));
         Process process = builder.start();
         started.add(process);
         BlockingQueue<String> lines = new LinkedBlockingQueue<>();
-        Thread reader = new Thread(() -> {
-            try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
-                    StandardCharsets.UTF_8))) {
-                out.lines().forEach(lines::add);
-            } catch (IOException | java.io.UncheckedIOException e) {
-                // It was killed.
-            }
-            lines.add(END);
-        }, "lines");
+        Thread reader = new Thread(
+                () -> {
+                    try (BufferedReader out = new BufferedReader(
+                            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+                        out.lines().forEach(lines::add);
+                    } catch (IOException | java.io.UncheckedIOException e) {
+                        // It was killed.
+                    }
+                    lines.add(END);
+                },
+                "lines");
         reader.setDaemon(true);
         reader.start();
         return new Run(process, operator, lines, new ArrayList<>());
@@ -196,7 +215,8 @@
 
     /** A request's head, up to its length. */
     public static String request(String method, String kind, String query, String txn) {
-        return method + " /" + kind + "/00000000000000a1/7f3a9c21e0b4d655" + query + " HTTP/1.1\r\nHost: b\r\nX-Txn: " + txn
+        return method + " /" + kind + "/00000000000000a1/7f3a9c21e0b4d655" + query + " HTTP/1.1\r\nHost: b\r\nX-Txn: "
+                + txn
                 + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 5000\r\nX-Placement: units=1,shard=0,hosts=1\r\n"
                 + (method.equals("PUT") ? "Idempotency-Key: k" + txn + "\r\n" : "");
     }
--- a/src/test/java/petrelstand/testing/StandIns.java
+++ b/src/test/java/petrelstand/testing/StandIns.java
@@ -186,8 +186,9 @@
 
         public String answer() throws IOException {
             String head = head(in);
-            return head.isEmpty() ? "closed" : head.substring(9, 12) + " "
-                    + new String(in.readNBytes(length(head)), StandardCharsets.UTF_8);
+            return head.isEmpty()
+                    ? "closed"
+                    : head.substring(9, 12) + " " + new String(in.readNBytes(length(head)), StandardCharsets.UTF_8);
         }
 
         @Override
