--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -17,6 +17,7 @@
 import petrelstand.core.Broker;
 import petrelstand.core.Counters;
 import petrelstand.core.Node;
+import petrelstand.core.ServerSide;
 import petrelstand.core.Timers;
 import petrelstand.decision.Policy;
 import petrelstand.decision.Scheduling.ListKind;
@@ -106,14 +107,7 @@
         this.loop = new EventLoop(clock, timers);
         int transfers = rsync == null ? 0 : RSYNC_DESCRIPTORS * rsync.mostTransfers();
         Descriptors parts = Descriptors.of(config.sockets(), transfers);
-        MemoryPlan plan = MemoryPlan.of(
-                Runtime.getRuntime().maxMemory(),
-                config.memoryBytes(),
-                config.sockets(),
-                parts.clients(),
-                parts.nodes(),
-                config.known().nodes().size(),
-                Policy.MOST_VOLUMES);
+        MemoryPlan plan = memoryPlan(config, parts);
         log.accept(plan.line());
         Budgets budgets = Budgets.of(plan);
         NodePool pool = new NodePool(
@@ -130,15 +124,7 @@
                 config.seed(),
                 clock::nowUs,
                 timers,
-                rsync == null
-                        ? pool
-                        : new ByWire(
-                                pool,
-                                new RsyncNodes(
-                                        loop::connect,
-                                        clock::nowUs,
-                                        timers,
-                                        config.settings().may().connectTimeoutMs())),
+                rsync == null ? pool : withRsyncNodes(pool),
                 counters,
                 log);
         this.rsyncFront = rsync == null ? null : new RsyncFront(broker, timers, rsync, log);
@@ -207,6 +193,23 @@
                         log);
     }
 
+    private static MemoryPlan memoryPlan(GatewayConfig config, Descriptors parts) {
+        return MemoryPlan.of(
+                Runtime.getRuntime().maxMemory(),
+                config.memoryBytes(),
+                config.sockets(),
+                parts.clients(),
+                parts.nodes(),
+                config.known().nodes().size(),
+                Policy.MOST_VOLUMES);
+    }
+
+    /** The pool, and beside it the nodes that speak the rsync protocol. */
+    private ServerSide withRsyncNodes(NodePool pool) {
+        double connectMs = config.settings().may().connectTimeoutMs();
+        return new ByWire(pool, new RsyncNodes(loop::connect, clock::nowUs, timers, connectMs));
+    }
+
     /** Switches the accounts on; where they are off nothing of them is loaded. */
     private void account(OperatorConfig.AccountsConfig how) {
         AccountsPage page = AccountsPage.watch(broker, how.nodeCores());
