Test: slow bodies that end together are no burst beside a full store, over loopback

Six bodies in pieces under way while the store would fill, ended in one moment under load, in a started process.

--- a/src/test/java/petrelstand/LimitProcessTest.java
+++ b/src/test/java/petrelstand/LimitProcessTest.java
@@ -33,6 +33,11 @@
     private static final double SLACK = RATE * 0.3;
 
     private static final int CLIENTS = 8;
+    /** Half of the burst, which is the most that may be under way; each body goes in pieces. */
+    private static final int SLOW_BODIES = 6;
+
+    private static final int SLOW_UNITS = 2;
+    private static final int SLOW_BYTES = 100_000;
     /** Both processes serve for so long: twice the rate would exceed the limit by 60. */
     private static final long BOTH_SERVE_MS = 3_000;
 
@@ -42,8 +47,8 @@
     private ServedGateway gateway;
     private final AtomicBoolean over = new AtomicBoolean();
     private final List<Thread> clients = new ArrayList<>();
-    /** When each served request was answered, ns; each takes one unit. */
-    private final ConcurrentSkipListMap<Long, Boolean> served = new ConcurrentSkipListMap<>();
+    /** When each served request was answered, ns, and its units. */
+    private final ConcurrentSkipListMap<Long, Integer> served = new ConcurrentSkipListMap<>();
 
     private final AtomicLong asked = new AtomicLong();
 
@@ -90,7 +95,7 @@
             try (Client client = new Client(gateway.port())) {
                 if (ServedGateway.read(client, "tile-read", Long.toHexString(number))
                         .startsWith("200")) {
-                    served.put(System.nanoTime(), true);
+                    served.put(System.nanoTime(), 1);
                 }
                 TimeUnit.MILLISECONDS.sleep(10);
             } catch (IOException | java.io.UncheckedIOException e) {
@@ -106,7 +111,7 @@
         double lowest = BURST;
         long before = served.firstKey();
         for (long at : served.keySet()) {
-            level = Math.min(BURST, level + RATE * (at - before) / 1e9) - 1;
+            level = Math.min(BURST, level + RATE * (at - before) / 1e9) - served.get(at);
             lowest = Math.min(lowest, level);
             before = at;
         }
@@ -146,4 +151,32 @@
         TimeUnit.MILLISECONDS.sleep(1_500);
         assertLimitHeld();
     }
+
+    /** Bodies that began over time end in one moment, with all that the limit allows right behind them. */
+    @Test
+    void slowBodiesThatEndTogetherAreNoBurstBesideTheFullStore() throws Exception {
+        Run run = serving();
+        TimeUnit.MILLISECONDS.sleep((long) (1000 * BURST / RATE));
+        List<Client> slow = new ArrayList<>();
+        for (int i = 0; i < SLOW_BODIES; i++) {
+            Client client = new Client(gateway.port());
+            client.send(
+                    ServedGateway.request("PUT", "survey-write", "", "s" + i).replace("units=1", "units=" + SLOW_UNITS)
+                            + "Content-Length: " + SLOW_BYTES + "\r\n\r\n" + "z".repeat(SLOW_BYTES - 1));
+            slow.add(client);
+        }
+        TimeUnit.MILLISECONDS.sleep(1_500);
+        askForMuchMore();
+        for (Client client : slow) {
+            client.send("z");
+        }
+        for (Client client : slow) {
+            assertTrue(client.answer().startsWith("200"));
+            served.put(System.nanoTime(), SLOW_UNITS);
+            client.close();
+        }
+        TimeUnit.MILLISECONDS.sleep(1_000);
+        assertEquals(SLOW_BODIES, run.figure("passed.survey-write"));
+        assertLimitHeld();
+    }
 }
