Broker takes the share as the JDK's LongToDoubleFunction

Behaviour stays. Run: BrokerTest, LimitBoundTest, LimitTest, LayersTest, make lint, all green; the whole suite not again.

--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.LongToDoubleFunction;
 import java.util.stream.Collectors;
 import petrelstand.core.Figures.End;
 import petrelstand.decision.Policy;
@@ -54,7 +55,7 @@
     private Gate gate;
 
     private boolean busy;
-    private ShareSource shares = nowUs -> 1;
+    private LongToDoubleFunction shares = nowUs -> 1;
     private double share = 1;
     private long nextId = 1;
     /** No answer is given later, µs. */
@@ -341,21 +342,17 @@
     /**
      * Decides the part of this gateway's due at cold nodes and of volumes' limits that is this process's own. Asked
      * before each event, so that a part that has lapsed is never spent, however long the loop stood still.
+     *
+     * @param by from 0 to 1, at a time in µs
      */
-    public void share(ShareSource by) {
+    public void share(LongToDoubleFunction by) {
         shares = by;
         event(() -> {}, null);
     }
 
-    /** The part of the gateway's due that is this process's own. */
-    public interface ShareSource {
-        /** From 0 to 1, at a time in µs. */
-        double part(long nowUs);
-    }
-
     /** Tells the module of another part, ahead of the event that is about to be handled. */
     private void checkShare() {
-        double part = shares.part(clock.getAsLong());
+        double part = shares.applyAsDouble(clock.getAsLong());
         if (part != share) {
             share = part;
             module.share(ms(clock.getAsLong()), part);
