The event loop reports a stall before it handles the iteration's input

Need: only the membership's own tick noticed that a process had been suspended, and a tick is a timer, which runs after all input. Which came first after a SIGCONT, a datagram or that tick, was left to chance. Change: LoopMonitor counts the iterations (the watchdog reads that count) and tells listeners of an iteration that begins 0.1 s late or more, right after the clock was read. Tasks of other threads are input, so they are run only there; before, those queued while the loop stood still in the middle of an iteration ran at that iteration's old time. The fleet's history has the number of the iteration in each line. Evidence: EventLoopTest.stallIsReportedBeforeInputTasksAndTimers; with one queue for all tasks, on a scratch copy, it fails with [task, stall, input, timer] for [stall, task, input, timer].

--- a/src/main/java/petrelstand/FleetPart.java
+++ b/src/main/java/petrelstand/FleetPart.java
@@ -7,6 +7,7 @@
 import petrelstand.config.FleetConfig;
 import petrelstand.config.GatewayConfig;
 import petrelstand.core.Counters;
+import petrelstand.core.LoopMonitor;
 import petrelstand.core.Timers;
 import petrelstand.fleet.FleetMetrics;
 import petrelstand.fleet.FleetService;
@@ -23,11 +24,13 @@
             GatewayConfig gateway,
             Timers timers,
             LongSupplier nowUs,
+            LoopMonitor loopMonitor,
             Executor loop,
             Counters counters,
             Consumer<String> log) {
         this.config = config;
-        this.service = new FleetService(config, gateway.name(), gateway.seed(), timers, nowUs, loop, counters, log);
+        this.service = new FleetService(
+                config, gateway.name(), gateway.seed(), timers, nowUs, loopMonitor, loop, counters, log);
         if (log instanceof JsonLog json) {
             json.setViewVersion(service::viewVersion);
         }
--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -179,7 +179,8 @@
         }
         this.fleetPart = operator == null || operator.fleet() == null
                 ? null
-                : new FleetPart(operator.fleet(), config, timers, clock::nowUs, loop::execute, counters, log);
+                : new FleetPart(
+                        operator.fleet(), config, timers, clock::nowUs, loop.monitor(), loop::execute, counters, log);
         this.rulesPart = operator == null || operator.rules() == null
                 ? null
                 : new RulesPart(
--- a/src/main/java/petrelstand/Watchdog.java
+++ b/src/main/java/petrelstand/Watchdog.java
@@ -28,11 +28,12 @@
     }
 
     private void run() {
-        StallDetector detector = new StallDetector(System.nanoTime(), loop.iterations());
+        StallDetector detector =
+                new StallDetector(System.nanoTime(), loop.monitor().iterations());
         while (true) {
             LockSupport.parkNanos(StallDetector.PERIOD_NS);
             terminator.haltIfTerminating();
-            if (detector.observe(System.nanoTime(), loop.iterations())) {
+            if (detector.observe(System.nanoTime(), loop.monitor().iterations())) {
                 terminator.end(
                         ExitStatus.LOOP_STALLED,
                         "the loop has not turned for " + StallDetector.LIMIT_NS / StallDetector.PERIOD_NS
--- a/src/main/java/petrelstand/fleet/FleetService.java
+++ b/src/main/java/petrelstand/fleet/FleetService.java
@@ -15,6 +15,7 @@
 import java.util.function.LongSupplier;
 import petrelstand.config.FleetConfig;
 import petrelstand.core.Counters;
+import petrelstand.core.LoopMonitor;
 import petrelstand.core.Timers;
 import petrelstand.members.FleetVisibility;
 import petrelstand.members.Member;
@@ -58,6 +59,7 @@
     private final long seed;
     private final Timers timers;
     private final LongSupplier nowUs;
+    private final LoopMonitor loopMonitor;
     private final Executor loop;
     private final Counters counters;
     private final Consumer<String> log;
@@ -75,6 +77,7 @@
      *
      * @param gatewayName this gateway's name in the fleet if the settings give none
      * @param seed seed of the protocol's random decisions
+     * @param loopMonitor counts the loop's iterations and reports its stalls
      * @param loop executes tasks on the event loop
      */
     public FleetService(
@@ -83,6 +86,7 @@
             long seed,
             Timers timers,
             LongSupplier nowUs,
+            LoopMonitor loopMonitor,
             Executor loop,
             Counters counters,
             Consumer<String> log) {
@@ -91,6 +95,7 @@
         this.seed = seed;
         this.timers = timers;
         this.nowUs = nowUs;
+        this.loopMonitor = loopMonitor;
         this.loop = loop;
         this.counters = counters;
         this.log = line -> log.accept("fleet: " + line);
@@ -260,6 +265,7 @@
             if (!line.has("process")) {
                 line.addProperty("process", name);
             }
+            line.addProperty("turn", loopMonitor.iterations());
             history.append(event, line);
         }
     }
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -28,6 +28,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.component.AbstractLifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
+import petrelstand.core.LoopMonitor;
 import petrelstand.core.Timers;
 
 /**
@@ -35,7 +36,8 @@
  * would otherwise give to a thread pool.
  *
  * <p>Each iteration selects, reads the clock, handles the selected channels and then runs the timers that are due.
- * Input that arrived before a timer was due is therefore handled before the timer, even after a stall of the loop.
+ * Input that arrived before a timer was due is therefore handled before the timer, even after a stall of the loop. The
+ * stall itself is reported before that input, by the {@link LoopMonitor}.
  */
 public final class EventLoop extends SelectorManager {
     /** Receives the result of {@link #connect}, on the loop's thread. */
@@ -61,14 +63,13 @@
 
     private final LoopClock clock;
     private final Timers timers;
+    private final LoopMonitor monitor = new LoopMonitor();
     private final LoopExecutor executor;
     private final Map<SocketAddress, Function<EndPoint, Connection>> connectionFactories = new HashMap<>();
     /** Accepted channels whose connections have not been created yet. */
     private final Set<SelectableChannel> pendingAccepts = ConcurrentHashMap.newKeySet();
 
     private int closingListeners;
-    /** Written only by the loop's thread. */
-    private volatile long iterations;
 
     /** Creates a loop that updates the clock and runs the timers; {@code start()} starts its thread. */
     public EventLoop(LoopClock clock, Timers timers) {
@@ -97,9 +98,9 @@
         executor.fatalErrorHandler = handler;
     }
 
-    /** Returns the number of iterations so far; may be called from any thread. */
-    public long iterations() {
-        return iterations;
+    /** Returns what counts this loop's iterations and reports its stalls. */
+    public LoopMonitor monitor() {
+        return monitor;
     }
 
     /** Ends a select that is waiting, so that the loop starts another iteration; may be called from any thread. */
@@ -416,16 +417,18 @@
         }
 
         private int runIteration(Selector selector) throws IOException {
-            iterations++;
             executor.selector = selector;
             runGuarded(() -> timers.runDue(clock.nowUs()));
-            executor.runQueued();
+            executor.runOwnTasks();
+            long dueUs = executor.isEmpty() ? Math.max(clock.nowUs(), timers.nextDueUs()) : clock.nowUs();
             long waitUs = timers.nextDueUs() - clock.readUs();
             int selected = waitUs <= 0 || !executor.isEmpty()
                     ? selector.selectNow()
                     : selector.select(waitUs > MAX_SELECT_MS * 1000 ? MAX_SELECT_MS : (waitUs + 999) / 1000);
             clock.update();
-            executor.runQueued();
+            runGuarded(() -> monitor.beginIteration(clock.nowUs(), dueUs));
+            executor.runOthersTasks();
+            executor.runOwnTasks();
             return selected;
         }
 
@@ -437,9 +440,11 @@
 
     /**
      * Starts the loop's thread for the first task, which is Jetty's selector, and queues later tasks for that thread.
+     * Tasks of other threads are input: they are run only right after the clock was read.
      */
     private static final class LoopExecutor implements Executor {
-        private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+        private final Queue<Runnable> othersTasks = new ConcurrentLinkedQueue<>();
+        private final Queue<Runnable> ownTasks = new ArrayDeque<>();
         private volatile Thread thread;
         private volatile Selector selector;
         private volatile Thread.UncaughtExceptionHandler fatalErrorHandler;
@@ -453,8 +458,10 @@
                     thread.setUncaughtExceptionHandler(fatalErrorHandler);
                 }
                 thread.start();
+            } else if (Thread.currentThread() == thread) {
+                ownTasks.add(task);
             } else {
-                tasks.add(task);
+                othersTasks.add(task);
                 wake();
             }
         }
@@ -473,14 +480,24 @@
             }
         }
 
+        /** Returns whether no task is queued; on the loop's thread. */
         boolean isEmpty() {
-            return tasks.isEmpty();
+            return ownTasks.isEmpty() && othersTasks.isEmpty();
         }
 
-        /** Runs the tasks queued by now; tasks that these queue wait for the next call. */
-        void runQueued() {
+        /** Runs the tasks queued by the loop's thread; tasks that these queue wait for the next call. */
+        void runOwnTasks() {
+            runAll(ownTasks);
+        }
+
+        /** Runs the tasks queued by other threads; tasks that are queued meanwhile wait for the next call. */
+        void runOthersTasks() {
+            runAll(othersTasks);
+        }
+
+        private static void runAll(Queue<Runnable> queue) {
             ArrayDeque<Runnable> due = new ArrayDeque<>();
-            for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
+            for (Runnable task = queue.poll(); task != null; task = queue.poll()) {
                 due.add(task);
             }
             due.forEach(EventLoop::runGuarded);
--- a/src/test/java/petrelstand/net/EventLoopTest.java
+++ b/src/test/java/petrelstand/net/EventLoopTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -24,6 +25,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import petrelstand.core.LoopMonitor;
 import petrelstand.core.Timers;
 
 /** Runs the event loop on loopback sockets. */
@@ -239,6 +241,54 @@
         }
     }
 
+    /** Guards against input that is handled as if no time had passed since the stall began. */
+    @Test
+    void stallIsReportedBeforeInputTasksAndTimers() throws Exception {
+        List<String> order = new CopyOnWriteArrayList<>();
+        CountDownLatch opened = new CountDownLatch(1);
+        CountDownLatch allEvents = new CountDownLatch(4);
+        Consumer<String> record = event -> {
+            order.add(event);
+            allEvents.countDown();
+        };
+        ServerSocketChannel server =
+                loop.listen(new InetSocketAddress("127.0.0.1", 0), endPoint -> new IgnoringConnection(endPoint) {
+                    @Override
+                    public void onOpen() {
+                        super.onOpen();
+                        fillInterested();
+                        opened.countDown();
+                    }
+
+                    @Override
+                    public void onFillable() {
+                        record.accept("input");
+                    }
+                });
+        try (Socket client = new Socket("127.0.0.1", ((InetSocketAddress) server.getLocalAddress()).getPort())) {
+            assertTrue(opened.await(20, TimeUnit.SECONDS));
+            CountDownLatch stalled = new CountDownLatch(1);
+            CountDownLatch resume = new CountDownLatch(1);
+            loop.execute(() -> {
+                loop.monitor().addStallListener((nowUs, durationUs) -> record.accept("stall"));
+                timers.schedule(clock.nowUs() + 1_000, () -> record.accept("timer"));
+                stalled.countDown();
+                try {
+                    resume.await(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            assertTrue(stalled.await(20, TimeUnit.SECONDS));
+            client.getOutputStream().write('x');
+            loop.execute(() -> record.accept("task"));
+            TimeUnit.MICROSECONDS.sleep(2 * LoopMonitor.STALL_THRESHOLD_US);
+            resume.countDown();
+            assertTrue(allEvents.await(20, TimeUnit.SECONDS));
+        }
+        assertEquals(List.of("stall", "task", "input", "timer"), order);
+    }
+
     /** Start times of nodes from discovery are Unix times and are compared with the loop's clock. */
     @Test
     void clockShowsUnixTimeAndNeverGoesBack() {
