A gateway that was stopped rejoins its fleet before it handles what waited

So it was not the phase of two timers, as the issue supposed, but input before timers, and others were told something by an outdated member. Change: the fleet listens to the loop's stalls (LoopMonitor) and calls Membership.detectStall, the check that was in its tick, before any input. The lease holder needs no second look: it compares its lease with the time at each decision. FleetSim continues a stopped process as the loop does.

--- a/src/main/java/petrelstand/RulesPart.java
+++ b/src/main/java/petrelstand/RulesPart.java
@@ -356,6 +356,10 @@
         }
         counters.increment("rules.taken");
         RulesMessage message = envelope.rulesMessage();
+        fleet.recordMessage(
+                "received",
+                envelope.sender(),
+                message == null ? "raft" : message.getClass().getSimpleName());
         noteEpoch(envelope.epoch());
         if (envelope.generation() > 0
                 && (generations.size() < MAX_TRACKED_VOTERS || generations.containsKey(envelope.sender()))) {
--- a/src/main/java/petrelstand/fleet/FleetService.java
+++ b/src/main/java/petrelstand/fleet/FleetService.java
@@ -37,6 +37,8 @@
     static final long FOLDER_TIMEOUT_MS = 1_000;
 
     private static final long MICROS_PER_MILLI = 1000;
+    /** Iterations of the loop after a stall whose messages are recorded in the history. */
+    private static final int ITERATIONS_RECORDED_AFTER_STALL = 5;
 
     /** Creates the membership protocol; tests supply defective ones. */
     public interface MembershipFactory {
@@ -71,6 +73,8 @@
     private Runnable onLeft;
     private volatile long viewVersion;
     private long bytesSent;
+    /** Number of the iteration from which on messages are no longer recorded. */
+    private long messagesRecordedUntil;
 
     /**
      * Creates the service; {@link #open} and {@link #start} set it running.
@@ -172,9 +176,15 @@
                 + config.listenAddress());
         recordEvent("started", memberJson(self));
         transport.start();
+        loopMonitor.addStallListener(this::loopStalled);
         tick();
     }
 
+    private void loopStalled(long stallEndUs, long durationUs) {
+        messagesRecordedUntil = loopMonitor.iterations() + ITERATIONS_RECORDED_AFTER_STALL;
+        membership.detectStall(stallEndUs);
+    }
+
     private void tick() {
         membership.tick(nowUs.getAsLong());
         if (membership.hasLeft()) {
@@ -187,6 +197,10 @@
     private void receive(Envelope envelope) {
         if (membership != null) {
             counters.increment("fleet.taken");
+            recordMessage(
+                    "received",
+                    envelope.senderName(),
+                    envelope.message().getClass().getSimpleName());
             membership.receive(nowUs.getAsLong(), envelope);
         }
     }
@@ -242,6 +256,7 @@
     /** Sends a rules message, which may get lost. */
     public void sendRulesMessage(String address, byte[] content) {
         counters.increment("rules.sent");
+        recordMessage("sent", address, "rules");
         bytesSent += transport.send(address, DatagramAuthenticator.RULES_MAGIC, content);
     }
 
@@ -270,6 +285,22 @@
         }
     }
 
+    /**
+     * Appends a message to the history file if it belongs to one of the first iterations after a stall of the loop.
+     *
+     * @param event {@code received} or {@code sent}
+     * @param peer name of the sender, or address of the recipient
+     * @param message kind of the message
+     */
+    public void recordMessage(String event, String peer, String message) {
+        if (history != null && loopMonitor.iterations() < messagesRecordedUntil) {
+            JsonObject line = new JsonObject();
+            line.addProperty("peer", peer);
+            line.addProperty("message", message);
+            recordEvent(event, line);
+        }
+    }
+
     /** Version of the view; may be called from any thread. */
     public long viewVersion() {
         return viewVersion;
@@ -285,6 +316,7 @@
     @Override
     public void send(String address, Envelope message) {
         counters.increment("fleet.sent");
+        recordMessage("sent", address, message.message().getClass().getSimpleName());
         bytesSent += transport.send(address, message);
     }
 
--- a/src/main/java/petrelstand/lab/faults/FleetSim.java
+++ b/src/main/java/petrelstand/lab/faults/FleetSim.java
@@ -89,6 +89,18 @@
             at(time.nowUs() + MembershipTiming.TICK_INTERVAL_US, () -> tick(of));
         }
 
+        /** Continues a stopped process as the gateway's loop does: the stall is noticed, then the input is handled. */
+        void resume(long of) {
+            if (of != life || !up) {
+                return;
+            }
+            stopped = false;
+            probe.entered(number);
+            module.detectStall(time.nowUs());
+            probe.left(number);
+            drain();
+        }
+
         private void drain() {
             while (!waiting.isEmpty()) {
                 take(waiting.poll());
@@ -295,7 +307,7 @@
             case STOP -> {
                 long life = process.life;
                 process.stopped = true;
-                at(time.nowUs() + fault.lengthUs(), () -> process.stopped &= process.life != life);
+                at(time.nowUs() + fault.lengthUs(), () -> process.resume(life));
             }
             default -> {
                 if (fault.kind().ofLinks()) {
--- a/src/main/java/petrelstand/members/Membership.java
+++ b/src/main/java/petrelstand/members/Membership.java
@@ -16,8 +16,9 @@
  *
  * <p>The class does no I/O and is deterministic: messages and time go in, messages and changes come out. It is not
  * thread-safe. Times are microseconds of a monotonic clock. {@link #tick} must be called every
- * {@link MembershipTiming#TICK_INTERVAL_US}; a late call means that this process was stalled. The design is described
- * in docs/design/members.md.
+ * {@link MembershipTiming#TICK_INTERVAL_US}; a late call means that this process was stalled. A surrounding process
+ * that notices a stall before its next tick calls {@link #detectStall} before anything else. The design is described in
+ * docs/design/members.md.
  */
 public class Membership {
     /** Maximum number of known members, including tombstones. */
@@ -212,15 +213,25 @@
 
     // ---- Time ----
 
-    /** Advances the protocol; must be called every {@link MembershipTiming#TICK_INTERVAL_US}. */
-    public void tick(long nowUs) {
+    /**
+     * Handles the time since the last call of this method as a stall if it was much longer than a tick's interval. Must
+     * be called after a stall before messages are received, so that none is handled with an outdated view.
+     */
+    public void detectStall(long nowUs) {
         long elapsedUs = nowUs - lastTickUs;
         outbox.refill(elapsedUs);
         lastTickUs = nowUs;
+        if (!leaveProtocol.isFinished()) {
+            handleStall(nowUs, elapsedUs - MembershipTiming.TICK_INTERVAL_US);
+        }
+    }
+
+    /** Advances the protocol; must be called every {@link MembershipTiming#TICK_INTERVAL_US}. */
+    public void tick(long nowUs) {
+        detectStall(nowUs);
         if (leaveProtocol.isFinished()) {
             return;
         }
-        handleStall(nowUs, elapsedUs - MembershipTiming.TICK_INTERVAL_US);
         if (leaveProtocol.isDue(nowUs)) {
             leaveProtocol.finish(nowUs);
             return;
