After a stall a node list that has arrived is heard before the requests that came with it

Seen: 6 of 20 requests went to a node that the agent's waiting answer had taken off the list, in each of three runs with the loop held still for 0.2 s. Cause: the selected channels are read in any order after a stall. Change: the gateway's stall listener reads the discovery connection first (NodeListWatcher.readPending), then looks for clients that left. Tests: CrossingsTest.nodeListThatArrivedDuringAStallAppliesToRequestsThatArrivedToo, expected 0 sent, was 6, 6, 6 with the call taken out, 3 of 3 pass with it. noAttemptBeginsAfterADeadlineThatPassedDuringAStall is new and passed at once: Broker's send looks at the deadline.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -16,6 +16,7 @@
 import petrelstand.config.RsyncConfig;
 import petrelstand.core.Broker;
 import petrelstand.core.Counters;
+import petrelstand.core.LoopMonitor;
 import petrelstand.core.Node;
 import petrelstand.core.NodeTransport;
 import petrelstand.core.Timers;
@@ -132,7 +133,6 @@
         this.rsyncFront = rsyncConfig == null ? null : new RsyncFront(broker, timers, rsyncConfig, log);
         this.lifecycle = new Lifecycle(Lifecycle.Delays.of(config.settings()));
         this.httpFront = new HttpFront(broker, timers, memoryLimits.clientConnections(), lifecycle, bodyBudgets);
-        loop.monitor().addStallListener((nowUs, durationUs) -> httpFront.findDepartedClients());
         this.retunePart = new RetunePart(broker, httpFront, pool, lifecycle, timers, clock::nowUs, log);
         this.operationPart = config.operatorAddress() == null
                 ? null
@@ -162,6 +162,7 @@
                 this::nodeListReceived,
                 counters,
                 log);
+        loop.monitor().addStallListener(this::handleStall);
         this.stateKeeper = operator == null || operator.state() == null
                 ? null
                 : StateKeeper.onDisk(
@@ -278,6 +279,12 @@
         loop.stop();
     }
 
+    /** Reads what decides whether requests are sent, before the input that arrived with it: see {@link LoopMonitor}. */
+    private void handleStall(long nowUs, long durationUs) {
+        nodeListWatcher.readPending();
+        httpFront.findDepartedClients();
+    }
+
     private void startOnLoop() {
         warmUp();
         if (stateKeeper != null) {
--- a/src/main/java/petrelstand/discovery/NodeListWatcher.java
+++ b/src/main/java/petrelstand/discovery/NodeListWatcher.java
@@ -132,6 +132,15 @@
         startPoll();
     }
 
+    /**
+     * Delivers an answer that has already arrived; to be called after a stall of the loop, before requests are read.
+     */
+    public void readPending() {
+        if (connection != null) {
+            connection.onFillable();
+        }
+    }
+
     private void startPoll() {
         startPoll(shortWaitCallsLeft > 0 ? SHORT_WAIT_MS : LONG_WAIT_MS);
     }
--- a/src/test/java/petrelstand/CrossingsTest.java
+++ b/src/test/java/petrelstand/CrossingsTest.java
@@ -209,28 +209,85 @@
     @Test
     void noAttemptBeginsForClientsThatLeftDuringAStall() throws Exception {
         start();
+        List<Peer> clients = clientsWithRequests(20, 30_000);
+        List<Peer> attempts = acceptFewerThan(clients.size());
+        whileLoopIsBlocked(() -> {
+            for (Peer client : clients) {
+                client.close();
+            }
+            TimeUnit.MILLISECONDS.sleep(200);
+            answerAll(attempts);
+        });
+        awaitTrue(() -> counter("client_gone") + counter("answered.served") == clients.size());
+        assertEquals(attempts.size(), counter("sent"), "attempts begun after their clients left");
+    }
+
+    /** Guards against attempts that begin, after a stall of the loop, for requests whose deadline has passed. */
+    @Test
+    void noAttemptBeginsAfterADeadlineThatPassedDuringAStall() throws Exception {
+        start();
+        List<Peer> clients = clientsWithRequests(20, 1_500);
+        List<Peer> attempts = acceptFewerThan(clients.size());
+        whileLoopIsBlocked(() -> {
+            TimeUnit.MILLISECONDS.sleep(1_600);
+            answerAll(attempts);
+        });
+        for (Peer client : clients) {
+            assertTrue(client.readMessage().matches("(?s)HTTP/1.1 (200|503|504).*"));
+        }
+        assertEquals(attempts.size(), counter("sent"), "attempts begun after their deadlines");
+    }
+
+    /** Guards against requests that are sent, after a stall of the loop, by a list that was replaced during it. */
+    @Test
+    void nodeListThatArrivedDuringAStallAppliesToRequestsThatArrivedToo() throws Exception {
+        start(closeAfterTest(LoopbackPeers.storageNode(1)).port());
         List<Peer> clients = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            clients.add(client().write(ScriptedPeers.readRequest("tile-read", "t" + i, 30_000)));
+            clients.add(client());
         }
-        awaitCounter("taken.tile-read", clients.size());
+        awaitCounter("connections.clients", clients.size());
+        // The start did not wait for the answer of the first call.
+        closeAfterTest(discovery.accept());
+        Peer agent = closeAfterTest(discovery.accept());
+        agent.readMessage();
+        whileLoopIsBlocked(() -> {
+            for (int i = 0; i < clients.size(); i++) {
+                clients.get(i).write(ScriptedPeers.readRequest("tile-read", "t" + i, 30_000));
+            }
+            agent.write(ScriptedPeers.okResponse("{\"version\":2,\"full\":true,\"servers\":[]}"));
+            TimeUnit.MILLISECONDS.sleep(200);
+        });
+        for (Peer client : clients) {
+            assertEquals("503", status(client.readMessage()));
+        }
+        assertEquals(0, counter("sent"), "attempts at a node that was gone");
+    }
+
+    private List<Peer> clientsWithRequests(int count, int remainingMs) throws Exception {
+        List<Peer> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            clients.add(client().write(ScriptedPeers.readRequest("tile-read", "t" + i, remainingMs)));
+        }
+        awaitCounter("taken.tile-read", count);
+        return clients;
+    }
+
+    /** Accepts the attempts of the requests that do not wait in the gateway; some must wait. */
+    private List<Peer> acceptFewerThan(int requests) throws Exception {
         long sent = counter("sent");
-        assertTrue(sent < clients.size(), "no request waits");
+        assertTrue(sent < requests, "no request waits");
         List<Peer> attempts = new ArrayList<>();
         for (int i = 0; i < sent; i++) {
             attempts.add(acceptRequestAtNode());
         }
-        whileLoopIsBlocked(() -> {
-            for (Peer client : clients) {
-                client.close();
-            }
-            TimeUnit.MILLISECONDS.sleep(200);
-            for (Peer attempt : attempts) {
-                attempt.write(ScriptedPeers.okResponse("late"));
-            }
-        });
-        awaitTrue(() -> counter("client_gone") + counter("answered.served") == clients.size());
-        assertEquals(sent, counter("sent"), "attempts begun after their clients left");
+        return attempts;
+    }
+
+    private static void answerAll(List<Peer> attempts) throws IOException {
+        for (Peer attempt : attempts) {
+            attempt.write(ScriptedPeers.okResponse("late"));
+        }
     }
 
     // ---- The first node list ----
