A listener whose closing fails is no longer waited for at the exit

Cause: EventLoop.stopListening counts the listener before it cancels its key and drains its backlog, and a RuntimeException on the way (a selector or channel in the wrong state) left the count up; Gateway.isReadyToExit asks it. Change: such an exception is logged like an IOException, and the listener is closed and counted off. Test: EventLoopTest.listenerWhoseClosingFailsIsNotPending, with a channel that was never bound; before, it was pending.

--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -177,7 +177,7 @@
                     key.cancel();
                     executor.selector.selectNow();
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 logListenerError(e);
             }
             drainBacklog(server, LISTEN_BACKLOG);
@@ -205,7 +205,10 @@
         pendingAccepts.remove(channel);
     }
 
-    /** Accepts at most {@code limit} queued connections over as many iterations as needed, then closes the listener. */
+    /**
+     * Accepts at most {@code limit} queued connections over as many iterations as needed, then closes the listener,
+     * also after an exception.
+     */
     private void drainBacklog(ServerSocketChannel server, int limit) {
         try {
             for (int count = 0; count < limit; count++) {
@@ -219,7 +222,7 @@
                 }
                 accepted(channel);
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             logListenerError(e);
         }
         try {
@@ -230,7 +233,7 @@
         closingListeners--;
     }
 
-    private static void logListenerError(IOException e) {
+    private static void logListenerError(Exception e) {
         System.err.println("petrelstand: loop: error while closing a listener: " + e);
     }
 
--- a/src/test/java/petrelstand/net/EventLoopTest.java
+++ b/src/test/java/petrelstand/net/EventLoopTest.java
@@ -289,6 +289,20 @@
         assertEquals(List.of("stall", "task", "input", "timer"), order);
     }
 
+    /** Guards against an exit that waits for a listener whose closing failed. */
+    @Test
+    void listenerWhoseClosingFailsIsNotPending() throws Exception {
+        ServerSocketChannel unbound = ServerSocketChannel.open();
+        unbound.configureBlocking(false);
+        CompletableFuture<Boolean> pending = new CompletableFuture<>();
+        loop.execute(() -> {
+            loop.stopListening(unbound);
+            timers.schedule(clock.nowUs() + 200_000, () -> pending.complete(loop.hasPendingAccepts()));
+        });
+        assertEquals(false, pending.get(20, TimeUnit.SECONDS));
+        assertEquals(false, unbound.isOpen());
+    }
+
     /** Start times of nodes from discovery are Unix times and are compared with the loop's clock. */
     @Test
     void clockShowsUnixTimeAndNeverGoesBack() {
