A node list that could not be applied is asked for again

Cause: NodeListWatcher set its version before the listener had taken the list, and caught parsing and applying together. Change: parsing and applying are told apart; the version moves on once the list is applied, and whatever the listener throws is a failed call, after which the same version is asked for. Test: NodeListWatcherTest.listThatTheListenerFailsOnIsAskedForAgain, with both kinds; before, the list was not asked for.

--- a/src/main/java/petrelstand/discovery/NodeListWatcher.java
+++ b/src/main/java/petrelstand/discovery/NodeListWatcher.java
@@ -262,22 +262,35 @@
             try {
                 NodeList list =
                         NodeList.parse(StandardCharsets.UTF_8.decode(body).toString(), zones);
-                counters.increment("discovery.answers");
-                if (consecutiveFailures > 0) {
-                    log.accept("discovery: the agent answers again");
-                }
-                consecutiveFailures = 0;
-                version = list.version();
-                listener.accept(list);
-                if (!last) {
-                    startPoll();
-                }
+                deliver(list);
             } catch (IllegalArgumentException e) {
                 finished = false;
                 fail(e.getMessage());
             }
         }
 
+        /**
+         * Delivers a list. The version moves on only once the listener has taken it, else the list is asked for again.
+         */
+        private void deliver(NodeList list) {
+            try {
+                listener.accept(list);
+            } catch (RuntimeException e) {
+                finished = false;
+                fail("the list of version " + list.version() + " could not be applied: " + e);
+                return;
+            }
+            counters.increment("discovery.answers");
+            if (consecutiveFailures > 0) {
+                log.accept("discovery: the agent answers again");
+            }
+            consecutiveFailures = 0;
+            version = list.version();
+            if (!last) {
+                startPoll();
+            }
+        }
+
         @Override
         public void onFailure(Failure how) {
             fail(
--- a/src/test/java/petrelstand/discovery/NodeListWatcherTest.java
+++ b/src/test/java/petrelstand/discovery/NodeListWatcherTest.java
@@ -20,6 +20,8 @@
 
     private final BrokerFixture harness = new BrokerFixture();
     private final List<NodeList> received = new ArrayList<>();
+    /** Thrown by the listener at the next list; null for none. */
+    private RuntimeException failOnce;
 
     private NodeListWatcher startWatcher(long version) {
         NodeListWatcher watcher = new NodeListWatcher(
@@ -30,13 +32,22 @@
                 "agent",
                 List.of("a"),
                 version,
-                received::add,
+                this::receive,
                 harness.counters,
                 harness.log::add);
         watcher.start();
         return watcher;
     }
 
+    private void receive(NodeList list) {
+        RuntimeException failure = failOnce;
+        failOnce = null;
+        if (failure != null) {
+            throw failure;
+        }
+        received.add(list);
+    }
+
     private static String listAnswer(long version, boolean full) {
         String body = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[]}";
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
@@ -76,6 +87,26 @@
         return agent;
     }
 
+    /** Guards against a change that is never told because the listener failed on it once. */
+    @Test
+    void listThatTheListenerFailsOnIsAskedForAgain() {
+        for (RuntimeException thrown : List.of(new IllegalArgumentException("bad"), new IllegalStateException("bad"))) {
+            received.clear();
+            failOnce = thrown;
+            startWatcher(41);
+            MemoryEndPoint agent = harness.connectLast();
+            agent.takeReceived();
+            agent.send(listAnswer(43, false));
+            assertEquals(List.of(), received);
+            harness.advance(NodeListWatcher.RETRY_DELAY_US);
+            assertTrue(agent.takeReceived().startsWith("GET /v1/endpoints?index=41&wait=200"), "asked for again");
+            agent.send(listAnswer(43, false));
+            assertEquals(1, received.size());
+            assertTrue(agent.takeReceived().startsWith("GET /v1/endpoints?index=43&wait="));
+        }
+        assertEquals(2, harness.counters.get("discovery.failures"));
+    }
+
     @Test
     void silentAgentIsCalledOnNewConnectionWithin200Ms() {
         startWatcher(41);
