The line on a blocked version names the gateway that blocks it

Seen by an operator's eyes: 'gateway a can't load it' where a had loaded it or was gone, and b blocked it; following the line, an operator forgets the wrong gateway. Cause: LeaseGrantor looked for the first gateway with any load error, not for one that meets the condition that blocks. Change: one method finds the blocking gateway, for the condition and for the line. Test: LeaseGrantorTest, two cases; both named a, or said nothing new, before. AgreementTest passes.

--- a/src/main/java/petrelstand/agreement/LeaseGrantor.java
+++ b/src/main/java/petrelstand/agreement/LeaseGrantor.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import petrelstand.agreement.RulesMessage.LeaseAnswer;
@@ -250,11 +251,16 @@
      * gateway is gone or the pending version is withdrawn.
      */
     private boolean isActivationBlocked() {
-        return registry.pending() != 0
-                && gateways.values().stream()
-                        .anyMatch(gateway -> !gateway.loadError.isEmpty()
-                                && gateway.preparedVersion < registry.pending()
-                                && lastTickUs < gateway.lastHeardUs + timing.expiredAfterUs());
+        return blockingGateway().isPresent();
+    }
+
+    /** A gateway that was heard lately and can't load the pending version. */
+    private Optional<GatewayState> blockingGateway() {
+        return gateways.values().stream()
+                .filter(gateway -> !gateway.loadError.isEmpty()
+                        && gateway.preparedVersion < registry.pending()
+                        && lastTickUs < gateway.lastHeardUs + timing.expiredAfterUs())
+                .findFirst();
     }
 
     /** Notifies gateways that are behind, and activates the pending version when that is due. */
@@ -283,13 +289,10 @@
         if (registry.pending() == 0) {
             return;
         }
-        if (isActivationBlocked()) {
-            GatewayState blocking = gateways.values().stream()
-                    .filter(gateway -> !gateway.loadError.isEmpty())
-                    .findFirst()
-                    .orElseThrow();
-            String line = "version " + registry.pending() + " stays pending: gateway " + blocking.name
-                    + " can't load it: " + blocking.loadError;
+        Optional<GatewayState> blocking = blockingGateway();
+        if (blocking.isPresent()) {
+            String line = "version " + registry.pending() + " stays pending: gateway " + blocking.get().name
+                    + " can't load it: " + blocking.get().loadError;
             if (!line.equals(lastBlockedLine)) {
                 lastBlockedLine = line;
                 actions.log(line);
