--- a/src/main/java/petrelstand/consensus/WireCodec.java
+++ b/src/main/java/petrelstand/consensus/WireCodec.java
@@ -763,10 +763,14 @@
             reader.readList(MAX_PROPOSALS, () -> {
                 long id = reader.readLong();
                 String[] pieces = new String[Math.min(reader.readNonNegativeInt(), RegistryCommand.MAX_PIECES)];
-                reader.readList(
-                        RegistryCommand.MAX_PIECES,
-                        () -> pieces[Math.min(pieces.length - 1, reader.readNonNegativeInt())] =
-                                reader.readText(RegistryCommand.PIECE_CHARS));
+                reader.readList(RegistryCommand.MAX_PIECES, () -> {
+                    int index = reader.readNonNegativeInt();
+                    if (index >= pieces.length) {
+                        throw new IOException("piece " + index + " of a proposal of " + pieces.length + " pieces");
+                    }
+                    pieces[index] = reader.readText(RegistryCommand.PIECE_CHARS);
+                    return index;
+                });
                 return proposals.put(id, Arrays.asList(pieces));
             });
             reader.expect(JsonToken.END_ARRAY);
