The line on a history file that can't be written has its prefix once

Seen: 'fleet: fleet: cannot write the history file'. Cause: HistoryWriter added the prefix that FleetService's log adds. Test: FleetServiceStallTest.fullDiskUnderTheHistoryIsLoggedOnce writes to a full device; it had the prefix twice before.

--- a/src/main/java/petrelstand/fleet/HistoryWriter.java
+++ b/src/main/java/petrelstand/fleet/HistoryWriter.java
@@ -22,7 +22,7 @@
     private final ArrayBlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final AtomicLong dropped = new AtomicLong();
 
-    /** Opens the file for appending and starts the writing thread. */
+    /** Opens the file for appending and starts the writing thread. The log adds the fleet's prefix to each line. */
     HistoryWriter(Path file, Consumer<String> log) throws IOException {
         BufferedWriter writer = Files.newBufferedWriter(
                 file, StandardCharsets.UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
@@ -36,7 +36,7 @@
                             }
                         }
                     } catch (IOException e) {
-                        log.accept("fleet: cannot write the history file, no more events are recorded: "
+                        log.accept("cannot write the history file, no more events are recorded: "
                                 + e.getClass().getSimpleName());
                     } catch (InterruptedException e) {
                         Thread.currentThread().interrupt();
--- a/src/test/java/petrelstand/fleet/FleetServiceStallTest.java
+++ b/src/test/java/petrelstand/fleet/FleetServiceStallTest.java
@@ -6,8 +6,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import petrelstand.config.IniFile;
@@ -28,15 +28,16 @@
     private long nowUs = SECOND_US;
     private final Timers timers = new Timers();
     private final LoopMonitor monitor = new LoopMonitor();
-    private final List<String> lines = new ArrayList<>();
+    private final List<String> lines = new CopyOnWriteArrayList<>();
 
-    private FleetService start() throws Exception {
+    private FleetService start(String... settings) throws Exception {
         Path key = Files.writeString(folder.resolve("fleet.key"), "00112233445566778899aabbccddeeff\n");
         Files.setPosixFilePermissions(key, PosixFilePermissions.fromString("rw-------"));
         OperatorConfig operator = OperatorConfig.load(
                 new IniFile(
                         folder.resolve("p.ini"),
-                        "[fleet]\nname = charts\nlisten = 127.0.0.1:0\nadvertise = 127.0.0.1:1\nkey = fleet.key\n"),
+                        "[fleet]\nname = charts\nlisten = 127.0.0.1:0\nadvertise = 127.0.0.1:1\nkey = fleet.key\n"
+                                + String.join("\n", settings)),
                 new BrokerFixture().settings,
                 Files::readString);
         FleetService service = new FleetService(
@@ -55,6 +56,19 @@
         }
     }
 
+    /** Guards against a line for operators whose prefix stands there twice. */
+    @Test
+    void fullDiskUnderTheHistoryIsLoggedOnce() throws Exception {
+        start("history = /dev/full");
+        run(SECOND_US);
+        for (int i = 0; i < 1_000 && lines.stream().noneMatch(line -> line.contains("history")); i++) {
+            Thread.sleep(5);
+        }
+        assertEquals(
+                List.of("fleet: cannot write the history file, no more events are recorded: IOException"),
+                lines.stream().filter(line -> line.contains("history")).toList());
+    }
+
     @Test
     void lateIterationRejoinsBeforeAnyTimerRuns() throws Exception {
         FleetService service = start();
