accounts report tells one error for a file that is no record

Seen: two lines on standard error, the second of which ('there is no record to report on') adds nothing. Change: that line is for a folder without records only; each file that can't be read has its own line. Test: CliTest.accountsReportTellsOneErrorForAFileThatIsNoRecord; it had two lines before.

--- a/src/main/java/petrelstand/cli/AccountsCommand.java
+++ b/src/main/java/petrelstand/cli/AccountsCommand.java
@@ -85,7 +85,8 @@
             AccountsRecord.NameTable names = null;
             List<LatencyHistory.SecondStats> seconds = new ArrayList<>();
             List<AccountsRecord.MinuteRecord> minutes = new ArrayList<>();
-            for (Path file : files()) {
+            List<Path> files = files();
+            for (Path file : files) {
                 try {
                     if (Files.size(file) > MOST_FILE) {
                         throw new IOException("it is longer than " + MOST_FILE + " bytes");
@@ -102,8 +103,10 @@
                 }
             }
             err.flush();
-            if (names == null) {
+            if (files.isEmpty()) {
                 err.println("there is no record to report on");
+            }
+            if (names == null) {
                 return 1;
             }
             int place = requestClass == null ? -1 : names.classes().indexOf(requestClass);
--- a/src/test/java/petrelstand/cli/CliTest.java
+++ b/src/test/java/petrelstand/cli/CliTest.java
@@ -133,4 +133,16 @@
                 err.toString().contains(SnapshotFiles.fileName(9) + ": offset 16: it says it is generation 1"),
                 err.toString());
     }
+
+    /** Guards against a second line that adds nothing to the error about a file. */
+    @Test
+    void accountsReportTellsOneErrorForAFileThatIsNoRecord() throws Exception {
+        Path file = Files.writeString(folder.resolve("notes.txt"), "no record");
+        assertEquals(1, run("accounts", "report", file.toString()));
+        assertEquals(1, err.toString().lines().count(), err.toString());
+        assertTrue(err.toString().startsWith(file + ": "), err.toString());
+        Path empty = Files.createDirectory(folder.resolve("empty"));
+        assertEquals(1, run("accounts", "report", empty.toString()));
+        assertEquals("there is no record to report on", err.toString().strip());
+    }
 }
