--- a/src/test/java/petrelstand/CrossingsTest.java
+++ b/src/test/java/petrelstand/CrossingsTest.java
@@ -7,10 +7,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import petrelstand.config.GatewayConfig;
@@ -25,6 +30,7 @@
 class CrossingsTest extends GatewayTestBase {
     private final CountDownLatch ended = new CountDownLatch(1);
     private final AtomicLong clientsAtEnd = new AtomicLong(-1);
+    private final ExecutorService threads = Executors.newCachedThreadPool();
     private Listener node;
     private Listener discovery;
     private int port;
@@ -364,6 +370,56 @@
 
     // ---- The end of the process ----
 
+    /**
+     * Guards against requests of new clients that are read and not answered, or closed unread although idle connections
+     * could make room.
+     */
+    @Test
+    void crowdOfIdleConnectionsMakesRoomForNewClientsDuringShutdown() throws Exception {
+        closeAfterTest((AutoCloseable) threads::shutdownNow);
+        start(closeAfterTest(LoopbackPeers.storageNode(1)).port(), "\"sockets\":1024", "\"sockets\":370");
+        int bound = Descriptors.of(370, 0).clients();
+        for (int i = 0; i < bound; i++) {
+            Peer idle = client();
+            if (i % 2 == 0) {
+                idle.write(ScriptedPeers.readRequest("tile-read", "idle" + i, 30_000));
+                assertEquals("200", status(idle.readMessage()));
+            }
+        }
+        long servedBefore = counter("answered.served");
+        gateway.execute(gateway::drain);
+        long acceptedUntilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(400);
+        List<CompletableFuture<List<String>>> newClients = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            int client = i;
+            newClients.add(CompletableFuture.supplyAsync(() -> statusesUntil(acceptedUntilNs, client), threads));
+        }
+        List<String> statuses = new ArrayList<>();
+        for (CompletableFuture<List<String>> newClient : newClients) {
+            statuses.addAll(newClient.get(20, TimeUnit.SECONDS));
+        }
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+        Map<String, Long> byStatus =
+                statuses.stream().collect(Collectors.groupingBy(each -> each, TreeMap::new, Collectors.counting()));
+        System.out.println("new clients during shutdown beside " + bound + " idle connections: " + byStatus);
+        assertEquals(byStatus.get("200"), counter("answered.served") - servedBefore, "read and not answered");
+        assertEquals(Set.of("200"), byStatus.keySet(), byStatus.toString());
+    }
+
+    /** Sends requests on new connections, one after another, and returns the status of each answer. */
+    private List<String> statusesUntil(long endNs, int client) {
+        List<String> statuses = new ArrayList<>();
+        for (int i = 0; System.nanoTime() < endNs; i++) {
+            try (Peer peer = Peer.connect(port)) {
+                peer.write(ScriptedPeers.readRequest("tile-read", "new" + client + "-" + i, 30_000));
+                statuses.add(status(peer.readMessage()));
+            } catch (IOException e) {
+                statuses.add("reset");
+            }
+        }
+        return statuses;
+    }
+
     /**
      * Guards against connections in the backlog that are lost at the exit: the loop is blocked when listening ends, so
      * that it handles this first.
