The loop's executor and scheduler are classes of their own; VoteFilesTest is RaftFilesTest

The two inner classes move unchanged but for accessors in place of fields. VoteFilesTest tests RaftFiles since that was renamed. No behaviour changes.

--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -10,15 +10,10 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -26,7 +21,6 @@
 import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
-import org.eclipse.jetty.util.component.AbstractLifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
 import petrelstand.core.LoopMonitor;
 import petrelstand.core.Timers;
@@ -95,7 +89,7 @@
      * an end of the thread without a call to {@code stop()}. Must be called before the start.
      */
     public void setFatalErrorHandler(Thread.UncaughtExceptionHandler handler) {
-        executor.fatalErrorHandler = handler;
+        executor.setFatalErrorHandler(handler);
     }
 
     /** Returns what counts this loop's iterations and reports its stalls. */
@@ -110,20 +104,20 @@
 
     /** Returns the stack frame that the loop's thread executes, for diagnostics; may be called from any thread. */
     public String currentStackFrame() {
-        Thread thread = executor.thread;
+        Thread thread = executor.thread();
         StackTraceElement[] trace = thread == null ? new StackTraceElement[0] : thread.getStackTrace();
         return trace.length == 0 ? "an unknown location" : trace[0].toString();
     }
 
     @Override
     protected void doStop() throws Exception {
-        executor.stopping = true;
+        executor.expectEnd();
         super.doStop();
     }
 
     /** Waits until the loop's thread has ended. */
     public void join() throws InterruptedException {
-        executor.thread.join();
+        executor.thread().join();
     }
 
     /** Listens on an address without sharing it with other processes; port 0 picks a free port. */
@@ -172,10 +166,10 @@
         closingListeners++;
         executor.execute(() -> {
             try {
-                SelectionKey key = server.keyFor(executor.selector);
+                SelectionKey key = server.keyFor(executor.selector());
                 if (key != null) {
                     key.cancel();
-                    executor.selector.selectNow();
+                    executor.selector().selectNow();
                 }
             } catch (IOException | RuntimeException e) {
                 logListenerError(e);
@@ -262,7 +256,7 @@
      * Runs a task and logs an exception that it throws. Jetty would treat the exception as a broken selector and close
      * it with all connections. For an {@link Error} see {@link FatalErrors}.
      */
-    private static void runGuarded(Runnable task) {
+    static void runGuarded(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
@@ -420,7 +414,7 @@
         }
 
         private int runIteration(Selector selector) throws IOException {
-            executor.selector = selector;
+            executor.setSelector(selector);
             runGuarded(() -> timers.runDue(clock.nowUs()));
             executor.runOwnTasks();
             long dueUs = nextIterationUs();
@@ -447,86 +441,4 @@
             FatalErrors.rethrowIfError(cause);
         }
     }
-
-    /**
-     * Starts the loop's thread for the first task, which is Jetty's selector, and queues later tasks for that thread.
-     * Tasks of other threads are input: they are run only right after the clock was read.
-     */
-    private static final class LoopExecutor implements Executor {
-        private final Queue<Runnable> othersTasks = new ConcurrentLinkedQueue<>();
-        private final Queue<Runnable> ownTasks = new ArrayDeque<>();
-        private volatile Thread thread;
-        private volatile Selector selector;
-        private volatile Thread.UncaughtExceptionHandler fatalErrorHandler;
-        private volatile boolean stopping;
-
-        @Override
-        public void execute(Runnable task) {
-            if (thread == null) {
-                thread = new Thread(() -> runSelector(task), "loop");
-                if (fatalErrorHandler != null) {
-                    thread.setUncaughtExceptionHandler(fatalErrorHandler);
-                }
-                thread.start();
-            } else if (Thread.currentThread() == thread) {
-                ownTasks.add(task);
-            } else {
-                othersTasks.add(task);
-                wake();
-            }
-        }
-
-        private void runSelector(Runnable selectorTask) {
-            selectorTask.run();
-            if (!stopping) {
-                throw new IllegalStateException("the event loop's selector ended without a call to stop()");
-            }
-        }
-
-        void wake() {
-            Selector currentSelector = selector;
-            if (currentSelector != null && Thread.currentThread() != thread) {
-                currentSelector.wakeup();
-            }
-        }
-
-        /** Returns whether no task is queued; on the loop's thread. */
-        boolean isEmpty() {
-            return ownTasks.isEmpty() && othersTasks.isEmpty();
-        }
-
-        /** Runs the tasks queued by the loop's thread; tasks that these queue wait for the next call. */
-        void runOwnTasks() {
-            runAll(ownTasks);
-        }
-
-        /** Runs the tasks queued by other threads; tasks that are queued meanwhile wait for the next call. */
-        void runOthersTasks() {
-            runAll(othersTasks);
-        }
-
-        private static void runAll(Queue<Runnable> queue) {
-            ArrayDeque<Runnable> due = new ArrayDeque<>();
-            for (Runnable task = queue.poll(); task != null; task = queue.poll()) {
-                due.add(task);
-            }
-            due.forEach(EventLoop::runGuarded);
-        }
-    }
-
-    /** Schedules Jetty's timeouts on the loop's timers. */
-    private static final class LoopScheduler extends AbstractLifeCycle implements Scheduler {
-        private final LoopClock clock;
-        private final Timers timers;
-
-        LoopScheduler(LoopClock clock, Timers timers) {
-            this.clock = clock;
-            this.timers = timers;
-        }
-
-        @Override
-        public Task schedule(Runnable task, long delay, TimeUnit units) {
-            return timers.schedule(clock.nowUs() + units.toMicros(delay), task)::cancel;
-        }
-    }
 }
--- a/src/test/java/petrelstand/store/RaftFilesTest.java
+++ b/src/test/java/petrelstand/store/RaftFilesTest.java
@@ -16,7 +16,7 @@
 import petrelstand.consensus.RaftFiles;
 
 /** Crashes a simulated disk that loses, truncates and reorders unsynced writes: no flushed vote or entry is lost. */
-class VoteFilesTest {
+class RaftFilesTest {
     private static final DefaultRaftModelFactory MODEL = new DefaultRaftModelFactory();
     private static final int WRITES = 70;
 
