--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.eclipse.jetty.io.Connection;
@@ -59,6 +60,7 @@
     private static final int REQUESTS_PER_WARM_UP = 25;
 
     private static final int MAX_HOT_RESTART_WARM_UPS = 16;
+    private static final long WARM_UP_PAUSE_NS = 50_000_000;
     /** How long the start waits for discovery's first node list. */
     private static final long FIRST_LIST_TIMEOUT_US = 800_000;
     /** Leaves enough of the 6 s in which a started process must be ready. */
@@ -308,10 +310,12 @@
 
     /**
      * Plays requests in memory so that the classes are loaded before the first client. With hot restarts there is time
-     * for more rounds.
+     * for more rounds; beside an old process that still serves, each is followed by a pause that leaves it the CPU and
+     * the time to write its learned state for this one.
      */
     private void warmUp() {
         int maxRounds = operationPart != null ? MAX_HOT_RESTART_WARM_UPS : 1;
+        boolean pauses = operationPart != null && operationPart.replacesProcess();
         long startNs = System.nanoTime();
         long served = 0;
         int rounds = 0;
@@ -319,6 +323,7 @@
         while (rounds < maxRounds && System.nanoTime() - startNs < MAX_WARM_UP_NS) {
             served += JvmWarmUp.run(config.settings(), REQUESTS_PER_WARM_UP);
             rounds++;
+            LockSupport.parkNanos(pauses ? WARM_UP_PAUSE_NS : 0);
         }
         log.accept("rehearsed: " + served + " of " + rounds * REQUESTS_PER_WARM_UP + " requests in memory");
     }
--- a/src/main/java/petrelstand/OperationPart.java
+++ b/src/main/java/petrelstand/OperationPart.java
@@ -129,6 +129,11 @@
         }
     }
 
+    /** Returns whether this process replaces another one. */
+    boolean replacesProcess() {
+        return otherProcess != OtherProcess.NONE;
+    }
+
     /** Listens at the operators' address and starts to scan for a process that replaces this one. */
     void listen(EventLoop loop, String address) throws IOException {
         loop.listen(SocketAddresses.parse(address), operatorApi::accept);
