--- a/review/standins/standins/Client.java
+++ b/review/standins/standins/Client.java
@@ -1,6 +1,7 @@
 package standins;
 
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -53,10 +54,6 @@
         out.flush();
     }
 
-    public void send(byte[] bytes, int offset, int length) throws IOException {
-        out.write(bytes, offset, length);
-    }
-
     /** Reads an answer to its last byte; each read waits at most so long. */
     public Answer readAnswer(int timeoutMs) throws IOException {
         return readAnswer(timeoutMs, (bytes, length) -> {});
@@ -67,7 +64,7 @@
         socket.setSoTimeout(timeoutMs);
         Messages.Head head = Messages.readHead(in);
         if (head == null) {
-            throw new java.io.EOFException("the connection was closed with no answer");
+            throw new EOFException("the connection was closed with no answer");
         }
         int status = Integer.parseInt(head.firstLine().split(" ")[1]);
         return new Answer(status, Messages.readBody(in, head, true, sink));
--- a/review/standins/standins/Discovery.java
+++ b/review/standins/standins/Discovery.java
@@ -6,14 +6,15 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
+
+/** Discovery's agent: the whole list, and watches on its changes. Nothing changes in these cases. */
+public final class Discovery implements AutoCloseable {
+    private static final int VERSION = 1;
 
-/** Discovery's agent: the whole list, and watches on its changes. */
-public class Discovery implements AutoCloseable {
     private final ServerSocket server;
     private final List<StorageNode> nodes;
-    private final List<String> changes = new ArrayList<>();
 
     public Discovery(List<StorageNode> nodes) throws IOException {
         this.nodes = List.copyOf(nodes);
@@ -32,12 +33,9 @@
     }
 
     /** The whole list, as a gateway's file holds it. */
-    public synchronized String list() {
-        StringBuilder entries = new StringBuilder();
-        for (StorageNode node : nodes) {
-            entries.append(entries.length() == 0 ? "" : ",").append(node.entry("up"));
-        }
-        return "{\"version\":" + (1 + changes.size()) + ",\"full\":true,\"servers\":[" + entries + "]}";
+    public String list() {
+        return "{\"version\":" + VERSION + ",\"full\":true,\"servers\":["
+                + nodes.stream().map(StorageNode::entry).collect(Collectors.joining(",")) + "]}";
     }
 
     private void serve(Socket socket) throws IOException, InterruptedException {
@@ -53,15 +51,12 @@
         }
     }
 
-    private synchronized String watch(String target) throws InterruptedException {
-        int index = Integer.parseInt(target.replaceAll(".*index=([0-9]+).*", "$1"));
-        long waitMs = target.contains("wait=") ? Long.parseLong(target.replaceAll(".*wait=([0-9]+).*", "$1")) : 0;
-        long endMs = System.currentTimeMillis() + waitMs;
-        while (index > changes.size() && System.currentTimeMillis() < endMs) {
-            wait(Math.max(1, endMs - System.currentTimeMillis()));
+    /** A watch waits to its end and tells that nothing has changed. */
+    private static String watch(String target) throws InterruptedException {
+        if (target.contains("wait=")) {
+            Thread.sleep(Long.parseLong(target.replaceAll(".*wait=([0-9]+).*", "$1")));
         }
-        List<String> told = index > changes.size() ? List.of() : changes.subList(Math.max(0, index - 1), changes.size());
-        return "{\"version\":" + (1 + changes.size()) + ",\"full\":false,\"servers\":[" + String.join(",", told) + "]}";
+        return "{\"version\":" + VERSION + ",\"full\":false,\"servers\":[]}";
     }
 
     @Override
--- a/review/standins/standins/EndlessAnswer.java
+++ b/review/standins/standins/EndlessAnswer.java
@@ -61,6 +61,7 @@
             usual.start(8, 100);
             Case.sleepUntil(record, TROUBLE_AT_SECONDS);
             Threads.start("export", () -> export(record, gateway.port()));
+            Threads.start("front", () -> pollReady(record, gateway.port()));
             while (record.seconds() < LENGTH_SECONDS && gateway.isAlive()) {
                 Thread.sleep(50);
             }
@@ -90,6 +91,21 @@
         out.write(Messages.ascii("0\r\n\r\n"));
     }
 
+    /** Asks whether the gateway is ready, for the record alone: the result does not depend on it. */
+    private static void pollReady(Record record, int port) throws InterruptedException {
+        while (true) {
+            Thread.sleep(500);
+            double atSeconds = record.seconds();
+            String seen;
+            try (Client client = new Client(port)) {
+                seen = Integer.toString(client.get("/ready", 1_000).status());
+            } catch (IOException e) {
+                seen = "no answer: " + e.getMessage();
+            }
+            record.line("GET /ready sent_at=%.3f: %s", atSeconds, seen);
+        }
+    }
+
     private static void export(Record record, int port) throws Exception {
         String txn = Client.newTxn();
         long[] bytes = new long[1];
--- a/review/standins/standins/Gateway.java
+++ b/review/standins/standins/Gateway.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** A gateway's process, started with the command {@code run} of the deploy file. */
@@ -73,13 +74,9 @@
         return process.exitValue();
     }
 
-    public long pid() {
-        return process.pid();
-    }
-
     /** The last lines of the gateway's log. */
     public String logTail(int lines) throws IOException {
-        java.util.List<String> all = Files.readAllLines(log);
+        List<String> all = Files.readAllLines(log);
         return String.join("\n", all.subList(Math.max(0, all.size() - lines), all.size()));
     }
 
--- a/review/standins/standins/StorageNode.java
+++ b/review/standins/standins/StorageNode.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A storage node on a loopback address: one thread for each connection, which carries one request at a time. */
@@ -18,7 +19,6 @@
             String method,
             String target,
             String txn,
-            long bodyBytes,
             InputStream input) {
         public String requestClass() {
             return target.split("/")[1];
@@ -37,9 +37,6 @@
 
     /** Told of what happens on the node's connections. */
     public interface Observer {
-        /** The head of a request has come; its body may not have. */
-        default void begun(StorageNode node, long connection, String target, String txn) {}
-
         /** A request has come whole, and the node begins it. */
         default void run(Request request) {}
 
@@ -55,7 +52,6 @@
     private final Service service;
     private final Observer observer;
     private final int listedPort;
-    private volatile boolean hung;
 
     public StorageNode(int number, Service service, Observer observer) throws IOException {
         this(number, service, observer, 0);
@@ -80,22 +76,12 @@
         return shard;
     }
 
-    /** From now on the node is silent: it reads nothing, writes nothing and ends no connection. */
-    public void hang() {
-        hung = true;
-    }
-
-    /** The node goes on where it stood. */
-    public void goOn() {
-        hung = false;
-    }
-
     /** The node as discovery lists it. */
-    public String entry(String state) {
+    public String entry() {
         return String.format(
                 "{\"id\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"tromso-dc1\",\"kind\":\"std-2core\",\"cell\":%d,"
-                        + "\"state\":\"%s\",\"weight\":1.0,\"started_ms\":0}",
-                id, listedPort, shard, state);
+                        + "\"state\":\"up\",\"weight\":1.0,\"started_ms\":0}",
+                id, listedPort, shard);
     }
 
     private void accept() throws IOException {
@@ -109,7 +95,7 @@
     private void serve(Socket socket) throws IOException, InterruptedException {
         long connection = CONNECTIONS.incrementAndGet();
         try (socket) {
-            InputStream in = new BufferedInputStream(new HangingStream(socket.getInputStream()), 64 * 1024);
+            InputStream in = new BufferedInputStream(socket.getInputStream(), 64 * 1024);
             OutputStream out = socket.getOutputStream();
             while (true) {
                 Messages.Head head = Messages.readHead(in);
@@ -117,20 +103,17 @@
                     return;
                 }
                 String[] words = head.firstLine().split(" ");
-                observer.begun(this, connection, words[1], head.field("x-txn"));
-                long bodyBytes = Messages.readBody(in, head, false, (bytes, length) -> {});
+                Messages.readBody(in, head, false, (bytes, length) -> {});
                 Request request = new Request(
                         this,
                         connection,
                         words[0],
                         words[1],
                         head.field("x-txn"),
-                        bodyBytes,
                         in);
                 observer.run(request);
                 try {
                     service.serve(request, out);
-                    awaitNotHung();
                 } catch (IOException e) {
                     observer.cut(request, e);
                     throw e;
@@ -141,36 +124,11 @@
         }
     }
 
-    private void awaitNotHung() throws InterruptedException {
-        while (hung) {
-            Thread.sleep(5);
-        }
-    }
-
-    /** Reads nothing while the node hangs. */
-    private final class HangingStream extends java.io.FilterInputStream {
-        HangingStream(InputStream in) {
-            super(in);
-        }
-
-        @Override
-        public int read(byte[] buffer, int offset, int length) throws IOException {
-            try {
-                awaitNotHung();
-                int n = super.read(buffer, offset, length);
-                awaitNotHung();
-                return n;
-            } catch (InterruptedException e) {
-                throw new IOException(e);
-            }
-        }
-    }
-
     /** Writes a whole answer with a length. */
     public static void answer(OutputStream out, byte[] body) throws IOException {
         byte[] head = Messages.ascii("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: "
                 + body.length + "\r\n\r\n");
-        byte[] all = java.util.Arrays.copyOf(head, head.length + body.length);
+        byte[] all = Arrays.copyOf(head, head.length + body.length);
         System.arraycopy(body, 0, all, head.length, body.length);
         out.write(all);
         out.flush();
