A connection that has answered carries nothing for 10 ms: second answers stay unserved

Cause: NodeConnectionPool.pickIdle preferred a connection that had rested for 2 ms, but where there was no other idle one it handed out the one that had just answered. A second answer that was on its way then went to the next request, and the connection stayed one answer behind, since answers don't name their request.

Fix: whether a connection may carry a request is its own state (UpstreamConnection.isSettled): one that has answered must have been silent for 10 ms. Otherwise another settled one is taken, or a new one is opened; at the limit the longest idle one gives way.

Discovery reuses its connection at once as before: a copy there is harmless, by NodeListWatcherTest.secondCopyOfAnAnswerDelaysNoChange (passes with and without the fix).

--- a/src/main/java/petrelstand/http/NodeConnectionPool.java
+++ b/src/main/java/petrelstand/http/NodeConnectionPool.java
@@ -52,10 +52,6 @@
      * request can be retried. Short compared with any aim.
      */
     static final long BUFFER_BEFORE_STREAM_US = 20_000;
-    /**
-     * Time for which a connection is not reused if another is idle; unexpected bytes after an answer arrive by then.
-     */
-    private static final long SETTLE_US = 2_000;
     /** Interval at which idle connections are checked for their age. */
     private static final long EXPIRY_INTERVAL_US = 1_000_000;
 
@@ -159,22 +155,18 @@
         }
     }
 
-    /** Sends a call on an idle connection to the node, or on a new one. */
+    /** Sends a call on a settled idle connection to the node, or on a new one. */
     private void assignConnection(Node node, PooledCall call) {
         call.address = node.address();
-        ArrayDeque<UpstreamConnection> idle = idleByAddress.get(node.address());
         long nowUs = clock.getAsLong();
-        while (idle != null && !idle.isEmpty()) {
-            UpstreamConnection connection = pickIdle(idle, nowUs);
-            idle.remove(connection);
-            if (idle.isEmpty()) {
-                idleByAddress.remove(node.address());
-            }
+        UpstreamConnection connection = takeSettled(node.address(), nowUs);
+        while (connection != null) {
             if (nowUs - connection.idleSinceUs() <= maxReuseIdleUs && connection.closeUnlessQuiet()) {
                 call.sendOn(connection);
                 return;
             }
             connection.closeSilently();
+            connection = takeSettled(node.address(), nowUs);
         }
         if (connectionCount >= maxConnections && !closeOldestIdle()) {
             counters.increment("connections.none_left");
@@ -184,18 +176,23 @@
         openConnection(call);
     }
 
-    /**
-     * Returns the most recently used connection that has been idle for {@link #SETTLE_US}, or else the one that has
-     * been idle longest.
-     */
-    private static UpstreamConnection pickIdle(ArrayDeque<UpstreamConnection> idle, long nowUs) {
+    /** Removes and returns the most recently used settled connection to the address; null if there is none. */
+    private UpstreamConnection takeSettled(String address, long nowUs) {
+        ArrayDeque<UpstreamConnection> idle = idleByAddress.get(address);
+        if (idle == null) {
+            return null;
+        }
         for (Iterator<UpstreamConnection> newest = idle.descendingIterator(); newest.hasNext(); ) {
             UpstreamConnection connection = newest.next();
-            if (nowUs - connection.idleSinceUs() >= SETTLE_US) {
+            if (connection.isSettled(nowUs)) {
+                newest.remove();
+                if (idle.isEmpty()) {
+                    idleByAddress.remove(address);
+                }
                 return connection;
             }
         }
-        return idle.peekFirst();
+        return null;
     }
 
     private boolean closeOldestIdle() {
@@ -312,6 +309,9 @@
             scheduleExpiry();
         } else if (addressByConnection.remove(connection) != null) {
             connectionCount--;
+            if (connection.receivedExtraBytes()) {
+                counters.increment("connections.extra_bytes");
+            }
             ArrayDeque<UpstreamConnection> idle = idleByAddress.get(address);
             if (idle != null && idle.remove(connection) && idle.isEmpty()) {
                 idleByAddress.remove(address);
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -36,6 +36,12 @@
     static final int STREAM_FROM_BYTES = HttpProtocol.MAX_BUFFERED_BODY_BYTES;
     /** Read size for larger bodies. */
     private static final int LARGE_READ_BYTES = 32 * 1024;
+    /**
+     * Time for which a connection must be silent after an answer before it may carry another request. A node may send a
+     * second copy of its answer some milliseconds late; on a connection in use it would be taken for the next answer,
+     * since answers don't name their request.
+     */
+    static final long SETTLE_US = 10_000;
     /** Limit of interim answers (1xx) before the final one. */
     private static final int MAX_INTERIM_ANSWERS = 16;
 
@@ -63,6 +69,10 @@
     private boolean partialReported;
     private long receivedBytes;
     private long idleSinceUs;
+    /** At least one answer has been received on this connection. */
+    private boolean receivedAnswer;
+    /** Bytes have been received that belong to no request, such as a second copy of an answer. */
+    private boolean receivedExtraBytes;
     /** The answer that is being streamed; null if the answer is buffered. */
     private AnswerStream answerStream;
     /** The receiver is processing a piece of the answer; nothing is read until it asks for more. */
@@ -96,6 +106,16 @@
         return idleSinceUs;
     }
 
+    /** Whether bytes that belong to an earlier answer would have arrived by now, so that the next answer is its own. */
+    boolean isSettled(long nowUs) {
+        return !receivedAnswer || nowUs - idleSinceUs >= SETTLE_US;
+    }
+
+    /** Whether the connection was closed because of bytes that belong to no request. */
+    boolean receivedExtraBytes() {
+        return receivedExtraBytes;
+    }
+
     /** Sets the time since which the connection has been idle. */
     void markIdle(long nowUs) {
         idleSinceUs = nowUs;
@@ -193,8 +213,12 @@
      */
     boolean closeUnlessQuiet() {
         try {
-            if (state == State.IDLE && getEndPoint().fill(ensureInput()) == 0) {
-                return true;
+            if (state == State.IDLE) {
+                int readBytes = getEndPoint().fill(ensureInput());
+                if (readBytes == 0) {
+                    return true;
+                }
+                receivedExtraBytes = readBytes > 0;
             }
         } catch (IOException e) {
             // Closed below.
@@ -305,11 +329,13 @@
         while (state != State.CLOSED && BufferUtil.hasContent(input)) {
             if (answerComplete) {
                 // Bytes after a complete answer: the answer is valid, but the connection can't be reused.
+                receivedExtraBytes = true;
                 keepAlive = false;
                 finishAnswer();
                 return;
             }
             if (call == null) {
+                receivedExtraBytes = true;
                 fail(true);
                 return;
             }
@@ -366,6 +392,7 @@
             return;
         }
         answerComplete = false;
+        receivedAnswer = true;
         if (state == State.SENDING && status == 200) {
             // Nodes start a request after its last byte, so this can't be its answer.
             fail(true);
--- a/src/test/java/petrelstand/discovery/NodeListWatcherTest.java
+++ b/src/test/java/petrelstand/discovery/NodeListWatcherTest.java
@@ -76,6 +76,26 @@
         assertEquals(1, received.size());
     }
 
+    /** Guards against a change that is lost or late after a second copy was taken for the next call's answer. */
+    @Test
+    void secondCopyOfAnAnswerDelaysNoChange() {
+        startWatcher(41);
+        MemoryEndPoint agent = harness.connectLast();
+        agent.takeReceived();
+        agent.send(listAnswer(43, true));
+        harness.advance(1_000);
+        agent.send(listAnswer(43, true));
+        harness.advance(1_000);
+        // The call after the first answer is still to be answered, and is when the list changes.
+        agent.send(listAnswer(44, false));
+        assertEquals(
+                List.of(43L, 43L, 44L), received.stream().map(NodeList::version).toList());
+        agent.send(listAnswer(44, false));
+        String calls = agent.takeReceived();
+        assertTrue(calls.substring(calls.lastIndexOf("GET ")).startsWith("GET /v1/endpoints?index=44&wait="), calls);
+        assertEquals(0, harness.counters.get("discovery.failures"));
+    }
+
     /** Answers the calls with a short wait without changes; returns the agent with a call of the long wait pending. */
     private HeldInputEndPoint answerShortWaitCalls() {
         HeldInputEndPoint agent = harness.connectLast();
