A connection reads at most 128 KiB in a turn of the loop, whoever reads it

Cause: UpstreamConnection.readAvailable reads until nothing more has arrived. While the node's bytes are there and the client takes each piece at once, the turn does not end. Only ClientConnection had a bound; RelaySession and OperatorConnection read in the same way.

Evidence: 256 KiB that lie ready on a socket were read in one turn, before the byte of another connection.

Fix: the bound is where the socket is read (LoopEndPoint, ReadLimiter), so it holds for nodes, clients, discovery, operators and both sides of rsync; ClientConnection's own bound is gone. Beyond it a read returns nothing, and the next select goes on. 128 KiB holds the largest message that is buffered whole, so that after a stall it is still read before the timers that are due. A node list may be larger; where what has arrived must be read first (a stall, a time-out, another address) UpstreamConnection.readArrived reads on, up to the list's 1 MiB: CrossingsTest.nodeListThatArrivedDuringAStall... with 300 KB fails where it is read by turns (200 for 503).

--- a/src/main/java/petrelstand/discovery/NodeListWatcher.java
+++ b/src/main/java/petrelstand/discovery/NodeListWatcher.java
@@ -137,7 +137,7 @@
      */
     public void readPending() {
         if (connection != null) {
-            connection.onFillable();
+            connection.readArrived(MAX_LIST_BYTES);
         }
     }
 
@@ -193,9 +193,7 @@
         /** Delivers an answer that has already arrived, then ends the call without starting another one. */
         private void readPendingAndEnd() {
             last = true;
-            if (connection != null) {
-                connection.onFillable();
-            }
+            readPending();
             finish();
         }
 
@@ -303,7 +301,7 @@
             UpstreamConnection current = connection;
             if (current != null) {
                 // An answer that arrived while the loop was stalled has not been read yet.
-                current.onFillable();
+                current.readArrived(MAX_LIST_BYTES);
                 if (finished) {
                     return;
                 }
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -261,17 +261,11 @@
 
     private void readInput() {
         try {
-            for (int turnBytes = 0; state != State.CLOSED; ) {
-                if (turnBytes >= HttpFront.MAX_READ_BYTES_PER_TURN) {
-                    awaitInput();
-                    return;
-                }
+            while (state != State.CLOSED) {
                 if (state == State.LINGERING || readAheadExceeded) {
-                    int readBytes = discardInput();
-                    if (readBytes <= 0) {
+                    if (discardInput() <= 0) {
                         return;
                     }
-                    turnBytes += readBytes;
                     continue;
                 }
                 if (bodyStream != null && bodyHeld && bodyStream.isStarted() && state == State.IN_PROGRESS) {
@@ -302,7 +296,6 @@
                     awaitInput();
                     return;
                 }
-                turnBytes += readBytes;
                 arrivalTimes.recordRead(readBytes, front.broker().nowUs());
                 parse();
             }
--- a/src/main/java/petrelstand/http/HttpFront.java
+++ b/src/main/java/petrelstand/http/HttpFront.java
@@ -46,10 +46,8 @@
 
     /** Longest time for which a lingering connection discards input. */
     static final long MAX_LINGER_US = 5_000_000;
-    /**
-     * Bytes that one connection may read in a turn of the event loop, so that a fast sender can't hold up the others.
-     */
-    static final int MAX_READ_BYTES_PER_TURN = 64 * 1024;
+
+    private static final int DISCARD_BUFFER_BYTES = 64 * 1024;
     /** Age at which a new connection that has sent nothing counts as silent. */
     static final long SILENT_AFTER_US = 100_000;
     /** Time before a partial request may be evicted if connections are short. */
@@ -67,7 +65,7 @@
     /** Ids of the requests that are open or have an attempt in progress. */
     private final Set<String> openTxnIds = new HashSet<>();
     /** Shared target of reads whose bytes are discarded; used on the event loop's thread only. */
-    private final ByteBuffer discardBuffer = BufferUtil.allocateDirect(MAX_READ_BYTES_PER_TURN);
+    private final ByteBuffer discardBuffer = BufferUtil.allocateDirect(DISCARD_BUFFER_BYTES);
     /** Optional pages by path. */
     private Map<String, Supplier<String>> pages = Map.of();
 
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -275,6 +275,21 @@
         return call == expectedCall;
     }
 
+    /**
+     * Reads what has arrived, also beyond what one turn of the event loop allows.
+     *
+     * @param maxBytes limit of the bytes read; up to one turn's allowance more may be read
+     */
+    public void readArrived(long maxBytes) {
+        long limit = receivedBytes + maxBytes;
+        long receivedBefore;
+        do {
+            receivedBefore = receivedBytes;
+            extendTurn();
+            onFillable();
+        } while (state != State.CLOSED && receivedBytes > receivedBefore && receivedBytes < limit);
+    }
+
     @Override
     public void onFillable() {
         // A read outside of a read event may have paused at a piece while read interest is still registered.
@@ -284,8 +299,8 @@
     }
 
     /**
-     * Reads all available input; returns false if the connection is closed. A complete answer is delivered only when no
-     * more input is available.
+     * Reads the input that is available in this turn; returns false if the connection is closed. A complete answer is
+     * delivered only when no more input is available.
      */
     private boolean readAvailable() {
         try {
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
-import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -19,9 +18,6 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
-import org.eclipse.jetty.util.BufferUtil;
-import org.eclipse.jetty.util.thread.Scheduler;
 import petrelstand.core.LoopMonitor;
 import petrelstand.core.Timers;
 
@@ -32,6 +28,10 @@
  * <p>Each iteration selects, reads the clock, handles the selected channels and then runs the timers that are due.
  * Input that arrived before a timer was due is therefore handled before the timer, even after a stall of the loop. The
  * stall itself is reported before that input, by the {@link LoopMonitor}.
+ *
+ * <p>An iteration has two turns: the timers and tasks before the select, and the input after it. In a turn a connection
+ * reads no more than the {@link ReadLimiter} allows; a read beyond that returns 0 bytes, as if no more had arrived, and
+ * the connection is selected again in the next iteration.
  */
 public final class EventLoop extends SelectorManager {
     /** Receives the result of {@link #connect}, on the loop's thread. */
@@ -64,6 +64,8 @@
     private final Set<SelectableChannel> pendingAccepts = ConcurrentHashMap.newKeySet();
 
     private int closingListeners;
+    /** Number of the current turn; a turn limits what a connection may read. */
+    private long turn;
 
     /** Creates a loop that updates the clock and runs the timers; {@code start()} starts its thread. */
     public EventLoop(LoopClock clock, Timers timers) {
@@ -312,53 +314,7 @@
 
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new ResetReportingEndPoint((SocketChannel) channel, selector, key, getScheduler());
-    }
-
-    /**
-     * Throws an exception on every read after a connection reset. Jetty's end point reports a reset as the end of
-     * input, so that an answer without a Content-Length that was cut off by a reset would seem complete.
-     */
-    private static final class ResetReportingEndPoint extends SocketChannelEndPoint {
-        private IOException reset;
-
-        ResetReportingEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
-            super(channel, selector, key, scheduler);
-        }
-
-        @Override
-        public Runnable onSelected() {
-            try {
-                return super.onSelected();
-            } catch (Error e) {
-                FatalErrors.report(e);
-                throw e;
-            }
-        }
-
-        @Override
-        public int fill(ByteBuffer buffer) throws IOException {
-            if (reset != null) {
-                throw reset;
-            }
-            if (isInputShutdown()) {
-                return -1;
-            }
-            int position = BufferUtil.flipToFill(buffer);
-            try {
-                int filled = getChannel().read(buffer);
-                if (filled < 0) {
-                    shutdownInput();
-                }
-                return filled;
-            } catch (IOException e) {
-                reset = e;
-                shutdownInput();
-                throw e;
-            } finally {
-                BufferUtil.flipToFlush(buffer, position);
-            }
-        }
+        return new LoopEndPoint((SocketChannel) channel, selector, key, getScheduler(), new ReadLimiter(() -> turn));
     }
 
     @Override
@@ -415,12 +371,14 @@
 
         private int runIteration(Selector selector) throws IOException {
             executor.setSelector(selector);
+            turn++;
             runGuarded(() -> timers.runDue(clock.nowUs()));
             executor.runOwnTasks();
             long dueUs = nextIterationUs();
             long waitUs = dueUs - clock.readUs();
             int selected = waitUs <= 0 ? selector.selectNow() : selector.select((waitUs + 999) / 1000);
             clock.update();
+            turn++;
             runGuarded(() -> monitor.beginIteration(clock.nowUs(), dueUs));
             executor.runOthersTasks();
             executor.runOwnTasks();
--- a/src/main/java/petrelstand/net/LoopConnection.java
+++ b/src/main/java/petrelstand/net/LoopConnection.java
@@ -34,6 +34,16 @@
         getEndPoint().fillInterested(fillableCallback);
     }
 
+    /**
+     * Lets this connection read up to the turn's limit once more in the current turn. Only for input of bounded size
+     * that has to be read before anything else.
+     */
+    protected final void extendTurn() {
+        if (getEndPoint() instanceof LoopEndPoint endPoint) {
+            endPoint.extendTurn();
+        }
+    }
+
     /** Creates a callback that Jetty runs directly on the loop's thread; neither function may block. */
     public static Callback nonBlockingCallback(Runnable succeeded, Consumer<Throwable> failed) {
         return new Callback() {
--- a/src/test/java/petrelstand/CrossingsTest.java
+++ b/src/test/java/petrelstand/CrossingsTest.java
@@ -18,6 +18,8 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import petrelstand.config.GatewayConfig;
 import petrelstand.testing.Configs;
 import petrelstand.testing.LoopbackPeers;
@@ -264,9 +266,13 @@
         assertEquals(attempts.size(), counter("sent"), "attempts begun after their deadlines");
     }
 
-    /** Guards against requests that are sent, after a stall of the loop, by a list that was replaced during it. */
-    @Test
-    void nodeListThatArrivedDuringAStallAppliesToRequestsThatArrivedToo() throws Exception {
+    /**
+     * Guards against requests that are sent, after a stall of the loop, by a list that was replaced during it, also by
+     * one that is larger than what a connection may read in a turn.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 300_000})
+    void nodeListThatArrivedDuringAStallAppliesToRequestsThatArrivedToo(int indentBytes) throws Exception {
         start(closeAfterTest(LoopbackPeers.storageNode(1)).port());
         List<Peer> clients = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
@@ -281,7 +287,8 @@
             for (int i = 0; i < clients.size(); i++) {
                 clients.get(i).write(ScriptedPeers.readRequest("tile-read", "t" + i, 30_000));
             }
-            agent.write(ScriptedPeers.okResponse("{\"version\":2,\"full\":true,\"servers\":[]}"));
+            agent.write(ScriptedPeers.okResponse(
+                    "{\"version\":2,\"full\":true,\"servers\":[" + " ".repeat(indentBytes) + "]}"));
             TimeUnit.MILLISECONDS.sleep(200);
         });
         for (Peer client : clients) {
--- a/src/test/java/petrelstand/LoopbackTest.java
+++ b/src/test/java/petrelstand/LoopbackTest.java
@@ -262,7 +262,7 @@
     @Test
     void stalledClientIsClosedWithBoundedBuffering() throws Exception {
         AtomicLong sent = new AtomicLong();
-        Server daemon = closeAfterTest(LoopbackPeers.endlessDaemon(endlessStart(), sent));
+        Server daemon = closeAfterTest(LoopbackPeers.endlessDaemon(GoldenTransfers.pullWithEndlessFile(), sent));
         start(closeAfterTest(LoopbackPeers.storageNode(1)), 300, Map.of(daemon.port(), "HEALTHY"));
         Client client = closeAfterTest(Client.withSmallReceiveBuffer(rsyncPort));
         client.requestModule("charts");
@@ -274,24 +274,10 @@
         assertTrue(sent.get() < 24L << 20, "the daemon could send " + sent);
     }
 
-    /** Returns the golden pull up to its data, then one token of a gigabyte. */
-    private static byte[] endlessStart() {
-        byte[] files = java.util.Arrays.copyOf(GoldenTransfers.pullFromNode(), 4 + 4 + filesLength());
-        byte[] token = GoldenTransfers.hex(
-                "01000000" + "0080" + "00000000" + "00000000" + "00000000" + "00000000" + "00000040");
-        byte[] head = GoldenTransfers.hex("1a000007");
-        return GoldenTransfers.join(files, head, token);
-    }
-
-    private static int filesLength() {
-        byte[] down = GoldenTransfers.pullFromNode();
-        return (down[4] & 0xff) | (down[5] & 0xff) << 8 | (down[6] & 0xff) << 16;
-    }
-
     @Test
     void tileReadsAreServedWhileRsyncClientsStall() throws Exception {
         AtomicLong sent = new AtomicLong();
-        Server daemon = closeAfterTest(LoopbackPeers.endlessDaemon(endlessStart(), sent));
+        Server daemon = closeAfterTest(LoopbackPeers.endlessDaemon(GoldenTransfers.pullWithEndlessFile(), sent));
         start(closeAfterTest(LoopbackPeers.storageNode(2)), 20_000, Map.of(daemon.port(), "HEALTHY"));
         Client stalled = closeAfterTest(Client.withSmallReceiveBuffer(rsyncPort));
         stalled.requestModule("charts");
--- a/src/test/java/petrelstand/net/EventLoopTest.java
+++ b/src/test/java/petrelstand/net/EventLoopTest.java
@@ -6,8 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +21,7 @@
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.util.BufferUtil;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -241,6 +244,66 @@
         }
     }
 
+    /** Guards against a peer that sends without pause and so keeps the loop from its other connections and timers. */
+    @Test
+    void inputOfOneConnectionIsReadOverSeveralTurns() throws Exception {
+        int sentBytes = 2 * ReadLimiter.MAX_BYTES_PER_TURN + 1;
+        List<Integer> reads = new CopyOnWriteArrayList<>();
+        CountDownLatch opened = new CountDownLatch(2);
+        CountDownLatch allRead = new CountDownLatch(sentBytes + 1);
+        ServerSocketChannel server =
+                loop.listen(new InetSocketAddress("127.0.0.1", 0), endPoint -> new IgnoringConnection(endPoint) {
+                    @Override
+                    public void onOpen() {
+                        super.onOpen();
+                        fillInterested();
+                        opened.countDown();
+                    }
+
+                    @Override
+                    public void onFillable() {
+                        int turnBytes = 0;
+                        ByteBuffer input = BufferUtil.allocate(4096);
+                        try {
+                            for (int filled = 1; filled > 0; turnBytes += Math.max(0, filled)) {
+                                BufferUtil.clear(input);
+                                filled = getEndPoint().fill(input);
+                            }
+                        } catch (IOException e) {
+                            throw new UncheckedIOException(e);
+                        }
+                        reads.add(turnBytes);
+                        fillInterested();
+                        for (int i = 0; i < turnBytes; i++) {
+                            allRead.countDown();
+                        }
+                    }
+                });
+        int port = ((InetSocketAddress) server.getLocalAddress()).getPort();
+        try (Socket fast = new Socket("127.0.0.1", port);
+                Socket other = new Socket("127.0.0.1", port)) {
+            assertTrue(opened.await(20, TimeUnit.SECONDS));
+            CountDownLatch stalled = new CountDownLatch(1);
+            CountDownLatch resume = new CountDownLatch(1);
+            loop.execute(() -> {
+                stalled.countDown();
+                try {
+                    resume.await(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            assertTrue(stalled.await(20, TimeUnit.SECONDS));
+            fast.getOutputStream().write(new byte[sentBytes]);
+            other.getOutputStream().write('x');
+            resume.countDown();
+            assertTrue(allRead.await(20, TimeUnit.SECONDS), reads.toString());
+        }
+        assertTrue(reads.stream().allMatch(bytes -> bytes <= ReadLimiter.MAX_BYTES_PER_TURN), reads.toString());
+        int otherRead = reads.indexOf(1);
+        assertTrue(otherRead == 0 || otherRead == 1, reads.toString());
+    }
+
     /** Guards against input that is handled as if no time had passed since the stall began. */
     @Test
     void stallIsReportedBeforeInputTasksAndTimers() throws Exception {
--- a/src/test/java/petrelstand/rsync/GoldenTransfers.java
+++ b/src/test/java/petrelstand/rsync/GoldenTransfers.java
@@ -49,6 +49,12 @@
                 frame(0, join(NDX_DONE, NDX_DONE, NDX_DONE, STATISTICS)));
     }
 
+    /** Bytes of the daemon for a pull up to its data, then the start of one token of a gigabyte. */
+    public static byte[] pullWithEndlessFile() {
+        byte[] endlessToken = hex("01000000" + "0080" + "00000000" + "00000000" + "00000000" + "00000000" + "00000040");
+        return join(CHECKSUM_SEED, frame(0, FILE_LIST), hex("1a000007"), endlessToken);
+    }
+
     /** Bytes of the client after the arguments of a pull: no filters, a file request, three phases, the goodbye. */
     public static byte[] pullFromClient() {
         return join(hex("00000000"), FILE_REQUEST, NDX_DONE, NDX_DONE, NDX_DONE, NDX_DONE);
--- a/src/test/java/petrelstand/testing/LoopbackPeers.java
+++ b/src/test/java/petrelstand/testing/LoopbackPeers.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 /** Fake storage nodes, rsync daemons and clients on loopback, with blocking sockets and a thread each. */
 public final class LoopbackPeers {
@@ -75,11 +76,26 @@
         thread.start();
     }
 
+    /** Writes a storage node's answer. */
+    public interface AnswerWriter {
+        void write(OutputStream out) throws IOException;
+    }
+
     /** Starts a storage node that answers each request with its id after a time. */
     public static Server storageNode(long serviceMs) throws IOException {
+        return storageNode(serviceMs, head -> false, out -> {});
+    }
+
+    /** Starts a storage node that answers with its id, except for requests whose head has an answer of its own. */
+    public static Server storageNode(long serviceMs, Predicate<String> hasOwnAnswer, AnswerWriter ownAnswer)
+            throws IOException {
         return new Server((socket, in, out) -> {
             for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
                 in.readNBytes(contentLength(head));
+                if (hasOwnAnswer.test(head)) {
+                    ownAnswer.write(out);
+                    continue;
+                }
                 Thread.sleep(serviceMs);
                 String body = "node:" + headerField(head, "X-Txn");
                 out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
@@ -178,10 +194,15 @@
 
         /** Sends a read and returns status and body. */
         public String get(String requestClass, String txn) throws IOException {
+            requestRead(requestClass, txn);
+            return readAnswer();
+        }
+
+        /** Sends a read. */
+        public void requestRead(String requestClass, String txn) {
             send("GET /" + requestClass + "/00000000000000a1/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Txn: " + txn
                     + "\r\nX-Qos-Policy: basic\r\nX-Remaining-Ms: 30000\r\n"
                     + "X-Placement: units=1,shard=3,hosts=1\r\n\r\n");
-            return readAnswer();
         }
 
         public String readAnswer() throws IOException {
