An answer's head decides whether it is large, and so which pause it may make

Cause: the 150 ms are for answers that are buffered whole. streamPartialAnswer decided what kind an answer is by what had come of its body, once, 20 ms after the head; with no byte there it stayed a small one, whatever its Content-Length.

Fix: the head of a 200 that announces over 64 KiB or gives no length makes it a large answer, with the limit of streamed ones (10 s) from then on; it is passed on from the first bytes of its body. Until then the deadline holds. An incomplete head and a small answer keep the 150 ms (stalledHeadFails, stalledAnswerFailsAndSlowAnswerIsAwaited).

--- a/src/main/java/petrelstand/http/NodeConnectionPool.java
+++ b/src/main/java/petrelstand/http/NodeConnectionPool.java
@@ -43,9 +43,9 @@
      * may exceed that size before streaming starts.
      */
     static final int MAX_BUFFERED_ANSWER_BYTES = 128 * 1024;
-    /** Longest pause within a buffered answer; nodes write those in one go. */
+    /** Longest pause within an answer that is buffered whole; nodes write those in one go. */
     static final long ANSWER_STALL_TIMEOUT_US = 150_000;
-    /** Longest pause within a streamed body or answer, while the gateway waits for the node. */
+    /** Longest pause within a streamed body or a large answer, while the gateway waits for the node. */
     static final long STREAM_STALL_TIMEOUT_US = 10_000_000;
     /**
      * Time for which the beginning of a large answer is buffered, up to 64 KiB: if the connection breaks meanwhile, the
@@ -353,8 +353,8 @@
         }
 
         /**
-         * Limits the time of an answer that begins but doesn't end on a connection that stays open; otherwise it would
-         * be awaited until the client's deadline.
+         * Limits the pauses of an answer that begins but doesn't end on a connection that stays open; otherwise it
+         * would be awaited until the client's deadline. Nodes write small answers in one go, but not large ones.
          */
         @Override
         public void onPartialAnswer() {
@@ -364,7 +364,12 @@
 
         private void watchForStall(long receivedBefore) {
             timers.schedule(clock.getAsLong() + ANSWER_STALL_TIMEOUT_US, () -> {
-                if (!streaming && connection.closeIfStalled(this, receivedBefore)) {
+                if (streaming) {
+                    return;
+                }
+                if (connection.isReceivingLargeAnswer(this)) {
+                    watchStreamForStall();
+                } else if (connection.closeIfStalled(this, receivedBefore)) {
                     watchForStall(connection.receivedBytes());
                 }
             });
--- a/src/main/java/petrelstand/http/UpstreamConnection.java
+++ b/src/main/java/petrelstand/http/UpstreamConnection.java
@@ -67,6 +67,11 @@
     private boolean keepAlive;
     private boolean answerComplete;
     private boolean partialReported;
+    /** The head of a 200 answer announces a body over {@link #STREAM_FROM_BYTES}, or doesn't rule it out. */
+    private boolean largeAnswer;
+    /** A large answer is streamed from its next bytes on. */
+    private boolean streamDue;
+
     private long receivedBytes;
     private long idleSinceUs;
     /** At least one answer has been received on this connection. */
@@ -139,6 +144,7 @@
         state = State.SENDING;
         call = newCall;
         partialReported = false;
+        streamDue = false;
         interimAnswers = 0;
         UpstreamCall.StreamedBody streamedBody = newCall.streamedBody();
         if (streamedBody != null) {
@@ -420,6 +426,7 @@
         ByteBuffer answerBody = body.takeContent();
         HttpFields answerFields = fields;
         fields = null;
+        largeAnswer = false;
         if (keepAlive && state == State.WAITING) {
             state = State.IDLE;
             releaseInput();
@@ -438,6 +445,7 @@
     public void startResponse(HttpVersion newVersion, int newStatus, String reason) {
         version = newVersion;
         status = newStatus;
+        largeAnswer = false;
         fields = HttpFields.build();
         body.takeContent();
         keepAlive = version == HttpVersion.HTTP_1_1;
@@ -468,7 +476,9 @@
             fail(true);
             return true;
         }
-        body.announcedLength(Math.min(maxBodyBytes, fields.getLongField(HttpHeader.CONTENT_LENGTH)));
+        long length = fields.getLongField(HttpHeader.CONTENT_LENGTH);
+        largeAnswer = status == 200 && (length > STREAM_FROM_BYTES || length < 0);
+        body.announcedLength(Math.min(maxBodyBytes, length));
         return false;
     }
 
@@ -482,21 +492,25 @@
             return true;
         }
         long length = fields.getLongField(HttpHeader.CONTENT_LENGTH);
-        return status == 200 && body.size() > STREAM_FROM_BYTES && startAnswerStream(length);
+        boolean large = status == 200 && body.size() > STREAM_FROM_BYTES || largeAnswer && streamDue;
+        return large && startAnswerStream(length);
+    }
+
+    /** Whether an answer that is or may become large is being received for the given call. */
+    boolean isReceivingLargeAnswer(UpstreamCall expectedCall) {
+        return call == expectedCall && state == State.WAITING && largeAnswer && !answerComplete;
     }
 
-    /** Starts to stream the buffered part of a large answer, unless its streaming has already started. */
+    /**
+     * Starts to stream a large answer, unless that has already started: with what is buffered, or else as soon as the
+     * first bytes of its body arrive.
+     */
     void streamPartialAnswer(UpstreamCall expectedCall) {
-        long length = fields == null ? -1 : fields.getLongField(HttpHeader.CONTENT_LENGTH);
-        boolean large = length > STREAM_FROM_BYTES || fields != null && length < 0;
-        if (call == expectedCall
-                && state == State.WAITING
+        streamDue |= call == expectedCall && state == State.WAITING;
+        if (isReceivingLargeAnswer(expectedCall)
                 && answerStream == null
-                && !answerComplete
-                && status == 200
-                && large
                 && body.size() > 0
-                && !startAnswerStream(length)
+                && !startAnswerStream(fields.getLongField(HttpHeader.CONTENT_LENGTH))
                 && !isFillInterested()) {
             fillInterested();
         }
--- a/src/test/java/petrelstand/http/HttpFrontTest.java
+++ b/src/test/java/petrelstand/http/HttpFrontTest.java
@@ -750,6 +750,78 @@
         assertFalse(node.isOpen());
     }
 
+    private static String exportRequest(int number) {
+        return readRequest(number, "").replace("/tile-read/", "/bulk-export/").replace("-Ms: 1400", "-Ms: 5000");
+    }
+
+    /** Fails if a large answer is cut off, or held back, because its node pauses after the head and within the body. */
+    @Test
+    void largeAnswerThatPausesAfterItsHeadIsServed() {
+        String piece = "0123456789abcdef".repeat(1024);
+        String chunk = Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n";
+        for (boolean chunked : new boolean[] {false, true}) {
+            HttpFrontTest fresh = new HttpFrontTest();
+            fresh.listOneNode();
+            fresh.client.send(exportRequest(1));
+            MemoryEndPoint node = fresh.harness.connectLast();
+            node.send("HTTP/1.1 200 OK\r\n"
+                    + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + 16 * piece.length()) + "\r\n\r\n");
+            StringBuilder received = new StringBuilder();
+            for (int i = 1; i <= 16; i++) {
+                fresh.harness.advance(2 * NodeConnectionPool.ANSWER_STALL_TIMEOUT_US);
+                node.send(chunked ? chunk : piece);
+                received.append(fresh.client.takeReceived());
+                assertEquals(i * piece.length(), bodyOf(received).length(), "held back at piece " + i);
+                assertTrue(node.isOpen(), "piece " + i);
+            }
+            node.send(chunked ? "0\r\n\r\n" : "");
+            received.append(fresh.client.takeReceived());
+            assertEquals(List.of("200"), statuses(received.toString()));
+            assertEquals(piece.repeat(16), bodyOf(received));
+            assertEquals(1, fresh.harness.counters.get("sent"));
+            assertTrue(node.isOpen());
+        }
+    }
+
+    /** Returns the body of an answer as far as it has been received, without the framing of its chunks. */
+    private static String bodyOf(CharSequence answer) {
+        String[] parts = answer.toString().split("\r\n\r\n", 2);
+        return parts[0].contains("chunked")
+                ? ("\r\n" + parts[1])
+                        .replaceAll("\r\n(\r\n)?[0-9a-fA-F]{1,5}\r\n", "")
+                        .strip()
+                : parts[1];
+    }
+
+    /** The deadline holds as long as no byte of a large answer's body has come. */
+    @Test
+    void largeAnswerWithoutBodyIsAwaitedUntilTheDeadline() {
+        listOneNode();
+        client.send(exportRequest(1));
+        MemoryEndPoint node = harness.connectLast();
+        node.send("HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n\r\n");
+        harness.advance(4_900_000);
+        assertEquals("", client.takeReceived());
+        assertTrue(node.isOpen());
+        harness.advance(100_001);
+        assertEquals(1, statuses(client.takeReceived()).size());
+        assertFalse(node.isOpen());
+    }
+
+    /** Fails if a node that stops within its head is awaited like one that has announced a large answer. */
+    @Test
+    void stalledHeadFails() {
+        listOneNode();
+        client.send(readRequest(1, ""));
+        MemoryEndPoint node = harness.connectLast();
+        node.send("HTTP/1.1 200 OK\r\nContent-Le");
+        harness.advance(NodeConnectionPool.ANSWER_STALL_TIMEOUT_US - 1);
+        assertTrue(node.isOpen());
+        harness.advance(1);
+        assertFalse(node.isOpen());
+        assertEquals(1, harness.counters.get("outcome.error"));
+    }
+
     @Test
     void requestReportedOverIsRefusedWithoutRetry() {
         listOneNode();
