--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -45,7 +45,10 @@
  * <p>Not safe for use by several threads. All times are of the host's clock, in milliseconds.
  */
 public final class Policy implements HostEvents {
-    /** Length of a slot, the time step of the emulation and of the rate, as a fraction of the tightest aim. */
+    /**
+     * Length of a slot, the time step of the emulation and of the rate, as a fraction of the tightest aim. Aims follow
+     * the work of a request, so values in slots hold for sites that are slower or faster by any factor.
+     */
     public static final double SLOT_AIM_FRACTION = 0.2;
     /** Span over which a node's service rate is measured, ms. */
     public static final double RATE_SPAN_MS = 10_000;
@@ -58,15 +61,21 @@
     /** Upper bound of a window, requests: nodes serve in order of arrival, so an urgent request cannot overtake. */
     public static final double MAX_WINDOW = 8;
     /**
-     * Lower bound of the sum of all hosts' windows at an overloaded node, requests. A host whose window is below one
-     * request pauses after each answer.
+     * Lower bound of the sum of all hosts' windows at an overloaded node, requests: a node serves a few at once. A host
+     * whose window is below one request pauses after each answer.
      */
     public static final double MIN_COMBINED_WINDOW = 4;
-    /** Fraction of the tightest aim above which a node's latency halves its window. */
+    /**
+     * Fraction of the tightest aim above which a node's latency halves its window. The rest of the aim is for waiting
+     * in this host, where the order by deadline acts.
+     */
     static final double MAX_LATENCY_AIM_FRACTION = 0.3;
     /** Factor by which a node's window is larger for entitled requests. */
     static final double ENTITLED_WINDOW_FACTOR = 2;
-    /** Weight of the newest sample in the moving averages of a node's latency and of a volume's usage. */
+    /**
+     * Weight of the newest sample in the moving averages of a node's latency and of a volume's usage; they reach about
+     * ten samples back.
+     */
     static final double EWMA_WEIGHT = 0.1;
     /** Latency assumed of a node that has not answered yet, in slots. */
     public static final double INITIAL_LATENCY_SLOTS = 2;
@@ -82,7 +91,7 @@
     static final double MIN_LATENCY_FRACTION = 0.7;
     /** Fraction of its aim within which an excess request must end, which leaves room for entitled ones. */
     static final double EXCESS_AIM_FRACTION = 0.5;
-    /** Span over which the units that this host served a volume are counted, ms. */
+    /** Span over which the units that this host served a volume are counted, ms; some periods of a node's meter. */
     static final double USAGE_SPAN_MS = 3_000;
     /** Margin between the final answer and the client's deadline, in ticks of the host. */
     static final double ANSWER_MARGIN_TICKS = 2;
@@ -395,6 +404,7 @@
     /**
      * Returns the node's service rate in units per slot. Few measured slots are weighed with the mean of all nodes. The
      * rate is at least window over latency: a mean that is too low would refuse the very requests that could raise it.
+     * The price is that slow answers show late that a node is overloaded.
      */
     private double unitsPerSlot(double nowMs, Node node, PendingRequest pending) {
         double initialRate = INITIAL_REQUESTS_PER_SLOT * settings.meanUnits();
@@ -411,7 +421,8 @@
 
     /**
      * Counts the slot only if the window kept a request waiting. A request that waits for a cold budget, a limit, its
-     * key or a silent node says nothing about the service rate.
+     * key or a silent node says nothing about the service rate; counting it would refuse work for the whole rate span.
+     * The price is that a node which falls silent again and again keeps the rate of its good moments.
      */
     private void endSlot(double nowMs, Node node) {
         if (node.slotBacklogged) {
@@ -521,7 +532,7 @@
 
     /**
      * Refuses queued requests of lesser worth that never ran, least first, until the new one fits. Returns false, and
-     * refuses none, if even all of them are not enough.
+     * refuses none, if even all of them are not enough. The design has no such step; it resembles buffer stealing.
      */
     private boolean evictLessValuable(double nowMs, Node node, PendingRequest pending) {
         Set<PendingRequest> victims = new LinkedHashSet<>();
@@ -650,8 +661,9 @@
     }
 
     /**
-     * Returns whether the window has room for the request. A silent node gets a test request now and then, an unsafe
-     * one only if no other kind is queued: it could not be refused afterwards.
+     * Returns whether the window has room for the request. A silent node gets a test request now and then, since what
+     * is sent into silence misses its aim. The test is unsafe only if no other kind is queued: an unsafe request could
+     * not be refused afterwards. The price is that a node with one long request at a time looks silent.
      */
     private boolean hasWindowRoom(double nowMs, Node node, PendingRequest pending) {
         if (nowMs < node.pausedUntilMs) {
@@ -687,8 +699,9 @@
     }
 
     /**
-     * Returns whether another test request may be sent to a silent node. The interval grows with the unanswered
-     * attempts and with the number of hosts, which bounds the tests of all hosts together.
+     * Returns whether another test request may be sent to a silent node: what is in flight may be lost, and only an
+     * answer can tell. The interval grows with the unanswered attempts and with the number of hosts, since all hosts
+     * test; that bounds the tests of all of them together.
      */
     private boolean isTestDue(double nowMs, Node node) {
         double hostsPerWindow = settings.hosts() / MAX_WINDOW;
@@ -699,7 +712,7 @@
 
     /**
      * Frees the window of attempts that later ones overtook long ago. Otherwise a lost request or answer would occupy
-     * the window until the client's deadline.
+     * the window until the client's deadline. The price is that very heavy work is taken for lost.
      */
     private void releaseLostAttempts(double nowMs, Node node) {
         for (Attempt attempt : List.copyOf(node.inFlight)) {
@@ -881,7 +894,8 @@
     }
 
     /**
-     * A tick overdue by more than a slot means that this host was paused, so no node counts as silent for that time.
+     * A tick overdue by more than a slot means that this host was paused, so no node counts as silent for that time. A
+     * node that fell silent meanwhile is found later by as much.
      */
     private void detectPause(double nowMs) {
         if (nowMs > nextTickMs + slotMs) {
--- a/src/main/java/petrelstand/lifecycle/StallDetector.java
+++ b/src/main/java/petrelstand/lifecycle/StallDetector.java
@@ -10,7 +10,11 @@
 public final class StallDetector {
     /** The time between two observations. */
     public static final long PERIOD_NS = 1_000_000_000L;
-    /** Longer than the longest intended turn, the warm-up at the start, on a machine short of CPU. */
+    /**
+     * Longer than the longest intended turn, the warm-up at the start: 1.8 s and one more round, which takes a second
+     * or two on a quarter of a core. The rest is margin, since ending a process that would have gone on costs all of
+     * its connections.
+     */
     public static final long LIMIT_NS = 15 * PERIOD_NS;
 
     private long lastNs;
--- a/src/main/java/petrelstand/state/SnapshotEvaluator.java
+++ b/src/main/java/petrelstand/state/SnapshotEvaluator.java
@@ -22,13 +22,21 @@
  * that enforce a rule (levels of limits, units sent to a cold node) do not decay; their worst case is assumed.
  */
 public final class SnapshotEvaluator {
+    /** A node's rate is mostly its machine's, but other programs on the machine come and go within seconds. */
     static final double RATE_HALF_LIFE_MS = 60_000;
-    /** Shorter than the half-life of rates, since latency also depends on the current load. */
+    /**
+     * Shorter than the half-life of rates, since latency also depends on the current load, which a surge of some 10 s
+     * changes.
+     */
     static final double LATENCY_HALF_LIFE_MS = 20_000;
 
     static final double WINDOW_HALF_LIFE_MS = 20_000;
+    /** Nodes fall silent for 8 to 26 s; a recorded silence is believed for two of these half-lives. */
     static final double SILENCE_HALF_LIFE_MS = 10_000;
-    /** Half-life of the fraction of a volume's traffic that this gateway serves. */
+    /**
+     * Half-life of the fraction of a volume's traffic that this gateway serves. The gateway with most of a volume's
+     * traffic changes every 7 to 17 s.
+     */
     static final double LOCAL_FRACTION_HALF_LIFE_MS = 30_000;
     /** Older snapshots are rejected. */
     public static final double MAX_AGE_MS = 900_000;
--- a/src/main/java/petrelstand/store/SnapshotFormat.java
+++ b/src/main/java/petrelstand/store/SnapshotFormat.java
@@ -27,7 +27,7 @@
 public final class SnapshotFormat {
     /** The only version that is written and read. */
     public static final int VERSION = 1;
-    /** Maximum length of a file. */
+    /** Maximum length of a file; 4,096 nodes and 4,096 volumes take some 0.6 MB. */
     public static final int MAX_FILE_BYTES = 2 << 20;
 
     static final int HEADER_BYTES = 16;
