Test: the largest buffered answer that arrives during a stall goes before its deadline

Guards the bound of what a connection reads in a turn: an answer of 64 KiB with a head of 7 KB that arrived while the loop stood still past its deadline is served, since 128 KiB are read in one turn. No fault of the program is mended here.

--- a/src/test/java/petrelstand/CrossingsTest.java
+++ b/src/test/java/petrelstand/CrossingsTest.java
@@ -297,6 +297,25 @@
         assertEquals(0, counter("sent"), "attempts at a node that was gone");
     }
 
+    /**
+     * Guards against a limit of what is read in a turn that cuts an answer in two, so that its deadline comes first.
+     */
+    @Test
+    void largestBufferedAnswerThatArrivedDuringAStallIsServed() throws Exception {
+        start();
+        Peer client = client().write(ScriptedPeers.readRequest("tile-read", "t1", 2_000));
+        Peer attempt = acceptRequestAtNode();
+        String body = "x".repeat(64 * 1024);
+        whileLoopIsBlocked(() -> {
+            attempt.write(
+                    ScriptedPeers.okResponse(body).replace("\r\n\r\n", "\r\nX-Pad: " + "y".repeat(7_000) + "\r\n\r\n"));
+            TimeUnit.MILLISECONDS.sleep(2_500);
+        });
+        String answer = client.readMessage();
+        assertEquals("200", status(answer));
+        assertTrue(answer.endsWith("\r\n\r\n" + body));
+    }
+
     private List<Peer> clientsWithRequests(int count, int remainingMs) throws Exception {
         List<Peer> clients = new ArrayList<>();
         for (int i = 0; i < count; i++) {
