The module is told of a request only while it is open, and an exchange waits for it

The log: "the decision module sent request N, which is not open; ignored".

Cause: what is read in one go reaches the module afterwards (Broker.runSimultaneously). The client's end finished and closed the exchange at once; then the module was told of the request, sent an attempt for an exchange that was gone, and never heard of an outcome. The attempt kept its place in the window, its units their room in the limit.

Fix, in the broker, which owns the exchanges: the module is told of a request only if it is still open by then, of its client's leaving only if it knows the request, and an exchange stays open until the module has handled all of its events. The same kind: after an exception of the module that failed a request it is told that the client has gone (before, it kept the request).

Check: ModuleNotices; at an exchange's close each beginning that the module was told has one end, else module_unbalanced is counted and the first one logged. /counters shows what the module holds: module.requests, .in_flight, .held_units.

BrokerTest's property and its orders in one turn, and HttpFrontSearchTest, now look at the module's load or the check as well.

--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -19,6 +19,7 @@
 import petrelstand.decision.Scheduling.HostEvents;
 import petrelstand.decision.Scheduling.LearnedNode;
 import petrelstand.decision.Scheduling.LearnedState;
+import petrelstand.decision.Scheduling.ModuleLoad;
 import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.NodeListKind;
 import petrelstand.decision.Scheduling.NodeState;
@@ -255,17 +256,25 @@
                 demand.gatewaySetSize(),
                 demand.clientRepeat(),
                 demand.write());
-        dispatch(() -> module.requestReceived(toMs(now), request), exchange);
+        dispatch(() -> tellRequest(exchange, request, now), exchange);
         return exchange;
     }
 
+    /** Tells the module of a request, unless its client has left before the module could hear of it. */
+    private void tellRequest(Exchange exchange, Request request, long receivedUs) {
+        if (!exchange.isFinished()) {
+            exchange.notices().requestBegun();
+            module.requestReceived(toMs(receivedUs), request);
+        }
+    }
+
     private long overdueDelayUs() {
         return Math.min(MAX_OVERDUE_DELAY_US, (long)
                 (OVERDUE_DELAY_GRACE_FRACTION * 1000 * settings.rules().answerGraceMs()));
     }
 
     private void refuse(Exchange exchange, long retryAfterUs) {
-        if (exchange != null && finish(exchange, RequestResult.REFUSED)) {
+        if (finish(exchange, RequestResult.REFUSED)) {
             counters.increment("answered.refused");
             exchange.client().refused(retryAfterUs);
         }
@@ -298,13 +307,20 @@
     }
 
     private void notifyClientGone(Exchange exchange) {
-        dispatch(() -> module.clientGone(toMs(clock.getAsLong()), exchange.id()), exchange);
+        dispatch(() -> tellClientGone(exchange), exchange);
         if (exchange.isCommitted()) {
             exchange.attempts().forEach(attempt -> abandon(attempt, Outcome.CANCELLED));
         }
         closeIfDone(exchange);
     }
 
+    private void tellClientGone(Exchange exchange) {
+        if (exchange.notices().isRequestBegun()) {
+            exchange.notices().requestEnded();
+            module.clientGone(toMs(clock.getAsLong()), exchange.id());
+        }
+    }
+
     /** Applies the node list or changes to it, as {@code kind} says, and passes them to the module. */
     public void updateNodes(NodeListKind kind, Collection<Node> listed) {
         List<NodeEntry> entries = new ArrayList<>();
@@ -375,6 +391,13 @@
         dispatch(() -> module.restore(toMs(clock.getAsLong()), learned), null);
     }
 
+    /** The counters and what the decision module holds, as lines "name value". */
+    public String statusLines() {
+        ModuleLoad load = module.load();
+        return counters.toLines() + "module.requests " + load.requests() + "\nmodule.in_flight " + load.inFlight()
+                + "\nmodule.held_units " + Math.round(load.heldUnits()) + "\n";
+    }
+
     // ---- Attempts ----
 
     void attemptCommitted(Attempt attempt) {
@@ -450,7 +473,15 @@
                 attempt.volumeUsage().otherGatewayUnits(),
                 exchange.isFinished(),
                 orderedLoad(load));
-        dispatch(() -> module.attemptEnded(toMs(now), end), exchange);
+        dispatch(() -> tellAttemptEnd(exchange, end, now), exchange);
+    }
+
+    private void tellAttemptEnd(Exchange exchange, AttemptEnd end, long endedUs) {
+        exchange.notices().attemptEnded();
+        if (end.requestClosed()) {
+            exchange.notices().requestEnded();
+        }
+        module.attemptEnded(toMs(endedUs), end);
     }
 
     /** The load values in the order of the settings' names, -1 for a missing one; empty if no load was reported. */
@@ -478,6 +509,9 @@
      * @param exchange the exchange that the event concerns; null if none
      */
     private void dispatch(Runnable event, Exchange exchange) {
+        if (exchange != null) {
+            exchange.eventQueued();
+        }
         pendingEvents.add(() -> {
             try {
                 updateShare();
@@ -490,9 +524,11 @@
                 if (exchange != null && finish(exchange, RequestResult.FAILED)) {
                     counters.increment("answered.failed");
                     exchange.client().failed(exchange.lastAttempt());
+                    notifyClientGone(exchange);
                 }
             }
             if (exchange != null) {
+                exchange.eventHandled();
                 closeIfDone(exchange);
             }
         });
@@ -530,12 +566,24 @@
     }
 
     private void closeIfDone(Exchange exchange) {
-        if (exchange.isFinished() && !exchange.hasActiveAttempt() && exchanges.remove(exchange.id()) != null) {
+        if (exchange.isDone() && exchanges.remove(exchange.id()) != null) {
+            if (!exchange.notices().isBalanced(exchange.attempts().size())) {
+                reportImbalance(exchange.id());
+            }
             observer.requestClosed(exchange.id(), clock.getAsLong());
             exchange.client().exchangeClosed(exchange);
         }
     }
 
+    /** Counts a request of which the module was not told each beginning and its end; the first one is logged. */
+    private void reportImbalance(long request) {
+        counters.increment("module_unbalanced");
+        if (counters.get("module_unbalanced") == 1) {
+            log.accept("core: the decision module was not told of each beginning and its end for request " + request
+                    + "; further ones are only counted (module_unbalanced)");
+        }
+    }
+
     /** Carries out the actions of the decision module. */
     private final class ModuleActions implements HostActions {
         @Override
@@ -543,6 +591,7 @@
             Exchange exchange = exchanges.get(request);
             if (exchange == null) {
                 log.accept("core: the decision module sent request " + request + ", which is not open; ignored");
+                reportImbalance(request);
                 return;
             }
             long now = clock.getAsLong();
@@ -576,13 +625,21 @@
 
         @Override
         public void refuse(long request, double retryAfterMs) {
-            Broker.this.refuse(exchanges.get(request), toUs(Math.max(0, retryAfterMs)));
+            Exchange exchange = exchanges.get(request);
+            if (exchange != null) {
+                exchange.notices().requestEnded();
+                Broker.this.refuse(exchange, toUs(Math.max(0, retryAfterMs)));
+            }
         }
 
         @Override
         public void fail(long request) {
             Exchange exchange = exchanges.get(request);
-            if (exchange != null && finish(exchange, RequestResult.FAILED)) {
+            if (exchange == null) {
+                return;
+            }
+            exchange.notices().requestEnded();
+            if (finish(exchange, RequestResult.FAILED)) {
                 counters.increment("answered.failed");
                 exchange.client().failed(exchange.lastAttempt());
             }
--- a/src/main/java/petrelstand/core/Exchange.java
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -20,6 +20,10 @@
     private boolean committed;
     private boolean bodyStreamed;
     private Timers.Timer overdueTimer;
+    /** Events of this exchange that the module has not handled yet. */
+    private int pendingEvents;
+
+    private final ModuleNotices notices = new ModuleNotices();
 
     Exchange(long id, Demand demand, RequestClass requestClass, Object message, ClientHandler client, long acceptedUs) {
         this.id = id;
@@ -90,6 +94,26 @@
         committed = true;
     }
 
+    /** Records an event that waits for the module. */
+    void eventQueued() {
+        pendingEvents++;
+    }
+
+    /** Records that the module has handled an event. */
+    void eventHandled() {
+        pendingEvents--;
+    }
+
+    /** True if the exchange is over: it has its final answer, no active attempt, and the module knows all of it. */
+    boolean isDone() {
+        return finished && pendingEvents == 0 && !hasActiveAttempt();
+    }
+
+    /** What the module has been told of this exchange. */
+    ModuleNotices notices() {
+        return notices;
+    }
+
     /** True from the first piece of a streamed request body on. */
     boolean isBodyStreamed() {
         return bodyStreamed;
--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -23,6 +23,7 @@
 import petrelstand.decision.Scheduling.LearnedNode;
 import petrelstand.decision.Scheduling.LearnedState;
 import petrelstand.decision.Scheduling.LearnedVolume;
+import petrelstand.decision.Scheduling.ModuleLoad;
 import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.NodeListKind;
 import petrelstand.decision.Scheduling.NodeState;
@@ -955,6 +956,16 @@
         }
     }
 
+    @Override
+    public ModuleLoad load() {
+        int inFlight =
+                nodes.values().stream().mapToInt(node -> node.inFlight.size()).sum();
+        double heldUnits = volumes.values().stream()
+                .mapToDouble(volume -> volume.limit.held())
+                .sum();
+        return new ModuleLoad(pendingRequests.size(), inFlight, heldUnits);
+    }
+
     // ---- Rules that every attempt must keep ----
 
     private boolean maySend(double nowMs, Node node, PendingRequest pending) {
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -389,6 +389,18 @@
         }
     }
 
+    /**
+     * What a module holds for requests that have not ended; all 0 while no request is open.
+     *
+     * @param requests requests without an end
+     * @param inFlight attempts that occupy the windows of the nodes
+     * @param heldUnits units held in the limits of the volumes
+     */
+    public record ModuleLoad(int requests, int inFlight, double heldUnits) {
+        /** The load of a module that holds nothing. */
+        public static final ModuleLoad NONE = new ModuleLoad(0, 0, 0);
+    }
+
     /** Events that a host reports. Each call carries the time of the host's clock, which never goes back. */
     public interface HostEvents {
         /** The node list or changes of it arrived; the entries are empty if a call failed. */
@@ -438,6 +450,11 @@
             return LearnedState.empty(nowMs);
         }
 
+        /** Returns what the module holds for open requests; changes no decision. */
+        default ModuleLoad load() {
+            return ModuleLoad.NONE;
+        }
+
         /**
          * Restores what an earlier run learned, each value already weighed by its age and bounded. Must come before the
          * first node list: a node that the list does not name with the same start time is forgotten.
--- a/src/main/java/petrelstand/decision/TokenBucket.java
+++ b/src/main/java/petrelstand/decision/TokenBucket.java
@@ -39,6 +39,11 @@
         return held <= 0 || held + units <= capacity / 2;
     }
 
+    /** Returns the units that are held. */
+    double held() {
+        return held;
+    }
+
     /** Takes units and reduces the capacity by them until they are released. */
     void hold(double nowMs, double units) {
         take(nowMs, units);
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -601,7 +601,7 @@
                         front.lifecycle().isReady() ? 200 : 503,
                         front.lifecycle().isReady() ? "ready\n" : "not ready\n");
             } else if (target.equals("/counters")) {
-                answerLocally(200, front.broker().counters().toLines());
+                answerLocally(200, front.broker().statusLines());
             } else if (front.page(target) != null) {
                 answerLocally(200, front.page(target).get());
             } else {
--- a/src/test/java/petrelstand/core/BrokerTest.java
+++ b/src/test/java/petrelstand/core/BrokerTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import petrelstand.config.SettingsReader;
+import petrelstand.decision.Scheduling.HostActions;
 import petrelstand.decision.Scheduling.HostEvents;
 import petrelstand.decision.Scheduling.NodeEntry;
 import petrelstand.decision.Scheduling.NodeListKind;
@@ -340,6 +341,90 @@
         test.harness.advance(6_000_000);
         assertEquals(0, test.broker.openRequests());
         assertTrue(test.started.stream().allMatch(Attempt::isEnded));
+        test.assertModuleHoldsNothing();
+    }
+
+    private void assertModuleHoldsNothing() {
+        String status = broker.statusLines();
+        assertTrue(status.contains("module.requests 0\nmodule.in_flight 0\nmodule.held_units 0\n"), status);
+        assertEquals(0, harness.counters.get("module_unbalanced"));
+        assertEquals(0, harness.counters.get("module_faults"));
+    }
+
+    /**
+     * Guards against a request that stays in the module for good because its client left before the module heard of it.
+     */
+    @Test
+    void requestThatEndsBeforeTheModuleHearsOfItIsNotTold() {
+        listNode();
+        for (int i = 0; i < 100; i++) {
+            broker.runSimultaneously(() -> broker.clientGone(submit(0, 3, 1_000_000).exchange));
+        }
+        assertEquals(List.of(), started);
+        assertEquals(0, broker.openRequests());
+        assertModuleHoldsNothing();
+        submit(0, 3, 1_000_000);
+        assertEquals(1, started.size(), "the window is free");
+    }
+
+    /** A module that throws on some of its events and records all of them. */
+    private static HostEvents throwingModule(List<String> told, String throwsOn) {
+        return (HostEvents) java.lang.reflect.Proxy.newProxyInstance(
+                BrokerTest.class.getClassLoader(), new Class<?>[] {HostEvents.class}, (proxy, method, args) -> {
+                    told.add(method.getName());
+                    if (method.getName().equals(throwsOn)) {
+                        throw new IllegalStateException("broken");
+                    }
+                    return null;
+                });
+    }
+
+    /** Guards against a request that the module keeps for good after an exception of its own failed it. */
+    @Test
+    void moduleIsToldOfTheEndOfARequestThatItsExceptionFailed() {
+        List<String> told = new ArrayList<>();
+        Broker faulty = new Broker(
+                harness.settings,
+                (now, settings, actions) -> throwingModule(told, "requestReceived"),
+                () -> harness.nowUs,
+                harness.timers,
+                transport,
+                harness.counters,
+                harness.log::add);
+        Client client = new Client();
+        faulty.submit(new Demand(0, 0, 5, 9, 2, 3, 1, false, false, 1_000_000), "ask", client, exchange -> {});
+        assertEquals(List.of("failed"), client.answers);
+        assertEquals(List.of("requestReceived", "clientGone"), told);
+        assertEquals(0, faulty.openRequests());
+        assertEquals(0, harness.counters.get("module_unbalanced"));
+    }
+
+    /**
+     * The check of beginnings and ends finds an attempt for a request that is not open, and logs the first one only.
+     */
+    @Test
+    void attemptForARequestThatIsNotOpenIsCountedAndLoggedOnce() {
+        List<HostActions> actionsOfModule = new ArrayList<>();
+        new Broker(
+                harness.settings,
+                (now, settings, actions) -> {
+                    actionsOfModule.add(actions);
+                    return throwingModule(new ArrayList<>(), "");
+                },
+                () -> harness.nowUs,
+                harness.timers,
+                transport,
+                harness.counters,
+                harness.log::add);
+        actionsOfModule.get(0).send(77, 1, 0);
+        actionsOfModule.get(0).send(78, 1, 0);
+        assertEquals(2, harness.counters.get("module_unbalanced"));
+        assertEquals(
+                1,
+                harness.log.stream()
+                        .filter(line -> line.contains("module_unbalanced"))
+                        .count(),
+                harness.log.toString());
     }
 
     // ---- Events in the same turn of the loop ----
@@ -404,6 +489,7 @@
         String message = order + " " + outcome + " class " + classIndex + ": " + client.answers;
         assertEquals(clientLeft ? 0 : 1, client.answers.size(), message);
         assertEquals(0, broker.openRequests(), message);
+        assertModuleHoldsNothing();
         long outcomes = java.util.stream.Stream.of(Outcome.values())
                 .mapToLong(
                         value -> harness.counters.get("outcome." + value.name().toLowerCase(java.util.Locale.ROOT)))
--- a/src/test/java/petrelstand/http/HttpFrontSearchTest.java
+++ b/src/test/java/petrelstand/http/HttpFrontSearchTest.java
@@ -188,6 +188,7 @@
             harness.advance(80_000_000);
             checkSentRequests();
             assertEquals(0, harness.broker.openRequests(), "open requests");
+            assertEquals(0, harness.counters.get("module_unbalanced"), "beginnings without one end");
             assertEquals(0, front.openTxnIdCount(), "ids of open requests");
             assertEquals(0, front.connectionCount(), "connections");
             assertEquals(
--- a/src/test/java/petrelstand/http/HttpFrontTest.java
+++ b/src/test/java/petrelstand/http/HttpFrontTest.java
@@ -24,6 +24,8 @@
 
 /** The HTTP front and the pool of node connections, on connections in memory. */
 class HttpFrontTest {
+    private static final int DEPARTED_REQUESTS = 100_000;
+
     private final BrokerFixture harness = new BrokerFixture();
     private final NodeConnectionPool pool = new NodeConnectionPool(
             harness::dial,
@@ -1244,6 +1246,47 @@
         assertTrue(client.takeReceived().contains("taken.tile-read 1\n"));
     }
 
+    /**
+     * Guards against requests whose client's end is read with them and that stay in the module: they filled windows and
+     * limits until everyone was refused.
+     */
+    @Test
+    void departedClientsLeaveNothingInTheModule() {
+        BrokerFixture limited = new BrokerFixture(BrokerFixture.SETTINGS + "plans.0.limit=60\nplans.0.burst=40\n");
+        NodeConnectionPool limitedPool = new NodeConnectionPool(
+                limited::dial,
+                () -> limited.nowUs,
+                limited.timers,
+                limited.counters,
+                limited.settings,
+                "backend.local",
+                40);
+        HttpFront limitedFront = new HttpFront(limited.broker(limitedPool), limited.timers, 50, lifecycle);
+        limited.setNodes(BrokerFixture.node("s-00000001", 3, NodeState.READY, 0));
+        limited.advance(10_000_000);
+        HeldInputEndPoint present = HeldInputEndPoint.open(limitedFront::accept);
+        MemoryEndPoint node = null;
+        for (int i = 0; i < DEPARTED_REQUESTS; i++) {
+            HeldInputEndPoint departed = HeldInputEndPoint.open(limitedFront::accept);
+            departed.addInputSilently(readRequest(i, ""));
+            departed.addEofSilently();
+            departed.notifyOfInput();
+            if (i % 100 == 0) {
+                present.send(readRequest(1_000_000 + i, ""));
+                node = node == null ? limited.connectLast() : node;
+                node.send(okAnswer("x"));
+                assertEquals(List.of("200"), statuses(present.takeReceived()), "after " + i);
+                limited.advance(100_000);
+            }
+        }
+        assertEquals(DEPARTED_REQUESTS, limited.counters.get("client_gone"));
+        assertEquals(DEPARTED_REQUESTS / 100, limited.counters.get("sent"));
+        String status = limited.broker.statusLines();
+        assertTrue(status.contains("module.requests 0\nmodule.in_flight 0\nmodule.held_units 0\n"), status);
+        assertEquals(0, limited.counters.get("module_unbalanced"));
+        assertEquals(0, limitedFront.openTxnIdCount());
+    }
+
     /**
      * Model: there are never more answers than requests, answers of nodes arrive in the order of the requests, and in
      * the end each complete request of a connected client has an answer.
