What a cold node received and did not serve counts against its budget

Cause: beyond the stated budget Policy.withinColdBudget counts what is in flight, relying on "a node receives at most what it finishes plus what is in flight". An attempt that fails within 2 ms leaves the flight, and the node has finished nothing.

Fix: what reached a cold node and was not served (error, reset, time-out, cancelled, rejected, given up as lost) counts as in flight for one overload period. A host whose part is below one request stays bounded by its pace alone.

Not run: many started processes at one node.

--- a/src/main/java/petrelstand/decision/Policy.java
+++ b/src/main/java/petrelstand/decision/Policy.java
@@ -213,6 +213,10 @@
         final SlidingSum measuredSlots = new SlidingSum(RATE_SPAN_MS);
         final SlidingSum servedUnits = new SlidingSum(RATE_SPAN_MS);
         final SlidingSum coldSentUnits = new SlidingSum(rules.fallMs());
+        /**
+         * Units that reached the node and were not served: what ended, in the last overload period, without an answer.
+         */
+        final SlidingSum coldUnservedUnits = new SlidingSum(rules.fallMs());
         /** Paces sends to a cold node where this host may have less than one request in flight; one token a send. */
         final TokenBucket coldPacer = new TokenBucket(0, 1, 0);
         /** Units that the node served in the current slot. */
@@ -721,6 +725,7 @@
             double lostAfterMs = LOST_ATTEMPT_LATENCIES * node.latencyMs * sizeFactor(pending);
             if (attempt.sentMs() < Math.min(node.newestAnsweredSentMs, nowMs - lostAfterMs)) {
                 node.inFlight.remove(attempt);
+                noteUnserved(nowMs, node, pending);
                 pending.possibleExecution = Objects.requireNonNullElse(pending.possibleExecution, attempt);
             }
         }
@@ -772,7 +777,9 @@
         }
         Attempt attempt = pending.attempts.get(end.attempt());
         Node node = nodes.getOrDefault(attempt.node().id, attempt.node());
-        node.inFlight.remove(attempt);
+        if (node.inFlight.remove(attempt) && end.outcome().reachedNode() && end.outcome() != Outcome.SERVED) {
+            noteUnserved(nowMs, node, pending);
+        }
         if (!end.outcome().neverRan()) {
             pending.possibleExecution = Objects.requireNonNullElse(pending.possibleExecution, attempt);
             boolean mayRunYet = end.outcome() != Outcome.SERVED && end.outcome() != Outcome.ERROR;
@@ -1048,6 +1055,13 @@
         return Math.max(statedLimit, budgetShare * combinedByAnswers / settings.hosts());
     }
 
+    /** Counts units that a cold node has received and that are no longer in flight although it did not serve them. */
+    private void noteUnserved(double nowMs, Node node, PendingRequest pending) {
+        if (isCold(nowMs, node)) {
+            node.coldUnservedUnits.add(nowMs, pending.units());
+        }
+    }
+
     /** Returns the tokens of a cold node's pacer, which refills at the in-flight limit per service time. */
     private double coldPacerLevel(double nowMs, Node node) {
         node.coldPacer.reconfigure(nowMs, 1000 * coldInFlightLimit(nowMs, node) / coldServiceMs(nowMs, node), 1);
@@ -1057,20 +1071,24 @@
     /**
      * Rule on cold nodes: within its budget a host sends freely, beyond it up to its in-flight limit, or paced where
      * that is below one request. A host that just started waits one overload period, since its earlier run may have
-     * spent the budget. Relies on the units that requests state.
+     * spent the budget. What ended without being served counts as in flight for one overload period: a node that fails
+     * or rejects at once has received it, and has not finished it. A paced host is bounded by its pace whatever becomes
+     * of its requests. Relies on the units that requests state.
      */
     private boolean withinColdBudget(double nowMs, Node node, PendingRequest pending) {
         if (!isCold(nowMs, node)) {
             return true;
         }
         double limit = coldInFlightLimit(nowMs, node);
-        double unitsInFlight = pending.units()
+        double unservedUnits = node.coldUnservedUnits.sum(nowMs);
+        double unfinishedUnits = unservedUnits
                 + node.inFlight.stream()
                         .mapToDouble(attempt -> attempt.pending().units())
                         .sum();
+        boolean paced = node.inFlight.isEmpty() && (limit < 1 || unservedUnits == 0);
         boolean allowed = !node.suspect
-                && (unitsInFlight <= settings.meanUnits() * limit
-                        || node.inFlight.isEmpty() && coldPacerLevel(nowMs, node) >= 1);
+                && (unfinishedUnits + pending.units() <= settings.meanUnits() * limit
+                        || paced && coldPacerLevel(nowMs, node) >= 1);
         allowed |= node.coldSentUnits.sum(nowMs) + pending.units() <= coldBudgetUnits(nowMs, node);
         return allowed && nowMs >= startedMs + rules.fallMs();
     }
--- a/src/main/java/petrelstand/decision/Scheduling.java
+++ b/src/main/java/petrelstand/decision/Scheduling.java
@@ -70,6 +70,11 @@
             return this != TIMED_OUT && this != OVER;
         }
 
+        /** False if the outcome proves that the request did not reach the node whole. */
+        public boolean reachedNode() {
+            return this != NOT_CONNECTED && this != NOT_SENT;
+        }
+
         /** True if the outcome proves that the node did none of the request's work. */
         public boolean neverRan() {
             return neverRan;
--- a/src/test/java/petrelstand/decision/ManyHostsTest.java
+++ b/src/test/java/petrelstand/decision/ManyHostsTest.java
@@ -81,6 +81,37 @@
         return sends;
     }
 
+    /**
+     * Simulates hosts that each get one request of mean size every 200 ms for a node that just started and ends each
+     * attempt at once without serving it. Returns the send times.
+     */
+    private static List<Double> sendsToFailingNode(int count, Outcome outcome, double forMs) {
+        List<FakeHost> hosts = hosts(new TestSettings(), count);
+        double startedMs = START_MS + 5_000;
+        hosts.forEach(host -> {
+            host.runTo(startedMs);
+            host.listNodes(node(1, 0, NodeState.READY, startedMs));
+        });
+        List<Double> sends = new ArrayList<>();
+        for (double now = startedMs; now < startedMs + forMs; now += 20) {
+            for (FakeHost host : hosts) {
+                int ended = host.sent.size();
+                host.runTo(now);
+                if (((int) (now - startedMs) / 20 + hosts.indexOf(host)) % 10 == 0) {
+                    host.request(new TestRequest()
+                            .units(2)
+                            .volume(hosts.indexOf(host))
+                            .timeLeftMs(4000));
+                }
+                for (; ended < host.sent.size(); ended++) {
+                    sends.add(now);
+                    host.endAttempt(host.sent.get(ended), outcome);
+                }
+            }
+        }
+        return sends;
+    }
+
     /** Returns the node's capacity as a multiple of that at its start: from 1 to 5 in ten seconds. */
     private static double warmth(double ageMs) {
         return (0.2 + 0.8 * ageMs / 10_000) / 0.2;
@@ -107,6 +138,17 @@
         }
     }
 
+    /** Guards against a budget of what is in flight alone, which attempts that fail at once never use up. */
+    @Test
+    void coldNodeThatFailsAtOnceIsNotOverloaded() {
+        for (Outcome outcome : List.of(Outcome.ERROR, Outcome.RESET, Outcome.REJECTED, Outcome.OVER)) {
+            for (int count : new int[] {1, 4, 20, 30, 150}) {
+                double load = largestLoad(sendsToFailingNode(count, outcome, 8_000), 5);
+                assertTrue(load > 0 && load <= 1, count + " hosts sent " + load + " after " + outcome);
+            }
+        }
+    }
+
     /** Guards against dividing the stated capacity into parts of less than a request, which would serve nobody. */
     @Test
     void fastColdNodeGetsMoreThanItsStatedCapacity() {
