Review scripts: 2 where the build is missing or a run is cut off

Need: the virtual machine itself ends with 1 where a class is missing, which read as a broken rule.

Change: the cases end with 10, 11 or 12, and run.sh makes 0, 1 and 2 of them; anything else is 2.

Result: without target/review-2 a script ends with 2.

--- a/review/standins-2/Cluster.java
+++ b/review/standins-2/Cluster.java
@@ -9,11 +9,11 @@
 
 /** What a case runs in: a temporary folder, the record, discovery, storage nodes and gateways, all on loopback. */
 final class Cluster implements AutoCloseable {
-    /** Exit codes of a case. */
-    static final int HELD = 0;
+    /** Exit codes of this process; run.sh makes 0, 1 and 2 of them. The virtual machine itself may end with 1. */
+    static final int HELD = 10;
 
-    static final int BROKEN = 1;
-    static final int COULD_NOT_RUN = 2;
+    static final int BROKEN = 11;
+    static final int COULD_NOT_RUN = 12;
 
     final Path root = Path.of("").toAbsolutePath();
     final Path folder = Files.createTempDirectory("review-2-");
@@ -40,8 +40,9 @@
         try (Cluster cluster = new Cluster(Path.of(args[0], "record.txt"))) {
             code = body.run(cluster) ? BROKEN : HELD;
             cluster.record.result(code == BROKEN ? "the rule was BROKEN" : "the rule held");
-        } catch (Exception e) {
+        } catch (Throwable e) {
             e.printStackTrace();
+            code = COULD_NOT_RUN;
         }
         System.exit(code);
     }
