--- a/review/standins-2/Settings.java
+++ b/review/standins-2/Settings.java
@@ -10,11 +10,9 @@
     double coldUnits = 16;
     double unitMean = 2.09;
     int shards = 10;
-    /** Changes the settings' text. */
-    java.util.function.UnaryOperator<String> tweak = text -> text;
 
     String settingsJson() {
-        return tweak.apply(String.format(
+        return String.format(
                 Locale.ROOT,
                 """
                 {"balancers":%d,"index":%d,"zone":0,"tier":0,"period_ms":2.0,"discovery":"push","service_type":"stores",
@@ -46,7 +44,7 @@
                 index,
                 Double.toString(coldUnits),
                 shards,
-                Double.toString(unitMean)));
+                Double.toString(unitMean));
     }
 
     /** The whole file; {@code known} is a list in discovery's form. */
