--- a/src/test/java/petrelstand/testing/LoopbackPeers.java
+++ b/src/test/java/petrelstand/testing/LoopbackPeers.java
@@ -233,7 +233,7 @@
     }
 
     /** Reads a message's head; empty if the input ends first. */
-    private static String readHead(InputStream in) throws IOException {
+    static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int b = in.read();
@@ -245,7 +245,7 @@
         return head.toString();
     }
 
-    private static int contentLength(String head) {
+    static int contentLength(String head) {
         String length = headerField(head, "Content-Length");
         return length.isEmpty() ? 0 : Integer.parseInt(length);
     }
