No first byte goes to a node for a client that is not known to be there

Cause: a client's end is seen only while all in front of it is read, and the gateway took a client for present as long as it had not seen it leave, also while it did not read: a body that waits for its node is read ahead to 256 KiB and no further. When the node's connection came up late, Attempt.beginWrite knew nothing of the close behind the rest. The same after a stall: a turn reads 128 KiB, and the request went out before the next turn.

Change: ClientPresence keeps since when the client's end may lie behind unread input, counted from the loop's last poll, or for a new connection from before it was accepted. Attempt.beginWrite asks it for every attempt; ClientConnection reads on once, to 512 KiB; unknown for over 80 ms: refused, or failed where an earlier attempt may have run. Input that was held back has 5 ms to arrive. The broker acts after the parser has returned.

Why it works: sending depends on a present observation with an age, not on the absence of a past one, in the one place that all attempts pass.

The search around stalls sends bytes ahead too now. Ruled out: refusing at once where reading is paused, which would refuse large writes that wait some ms for a new connection.

--- a/src/main/java/petrelstand/core/Attempt.java
+++ b/src/main/java/petrelstand/core/Attempt.java
@@ -99,10 +99,13 @@
 
     /**
      * Checks, immediately before the first byte is written to a connection, that the attempt is still wanted. Returns
-     * false if the attempt has ended. It is ended here if its exchange has finished, or if its node began to drain, was
-     * removed, moved or restarted while the connection was being opened.
+     * false if the attempt has ended. It is ended here if its exchange has finished, if its node began to drain, was
+     * removed, moved or restarted while the connection was being opened, or if its client may have left.
      */
     public boolean beginWrite() {
+        if (!ended && !exchange.isFinished() && exchange.client().presence() != ClientPresence.State.PRESENT) {
+            broker.clientUnseen(this);
+        }
         if (!ended && exchange.isFinished()) {
             end(Outcome.CANCELLED, null, null);
         } else if (!ended && !broker.isStillListed(node)) {
@@ -111,6 +114,14 @@
         return !ended;
     }
 
+    /**
+     * Whether {@link #beginWrite} should be called after {@link ClientPresence#SETTLE_US} instead of now, because it
+     * will be known then whether the client is still there.
+     */
+    public boolean isClientSettling() {
+        return !ended && !exchange.isFinished() && exchange.client().presence() == ClientPresence.State.SETTLING;
+    }
+
     /** Reports that the last byte of the request was written to the node. */
     public void requestWritten() {
         if (!ended) {
--- a/src/main/java/petrelstand/core/Broker.java
+++ b/src/main/java/petrelstand/core/Broker.java
@@ -360,6 +360,36 @@
         closeIfDone(exchange);
     }
 
+    /**
+     * Gives up an attempt of which nothing was written, because its client may have left. Answers the request, unless
+     * another attempt is active: as refused, or as failed if an earlier attempt may have run.
+     */
+    void clientUnseen(Attempt attempt) {
+        if (attempt.exchange().isFinished()) {
+            return;
+        }
+        counters.increment("client_unseen");
+        runSimultaneously(() -> {
+            Exchange exchange = attempt.exchange();
+            if (exchange.attempts().stream().noneMatch(other -> other != attempt && !other.isEnded())) {
+                answerUnseen(exchange, attempt);
+            }
+            attempt.end(Outcome.NOT_SENT, null, null);
+        });
+    }
+
+    private void answerUnseen(Exchange exchange, Attempt unsent) {
+        boolean mayHaveRun = exchange.attempts().stream()
+                .anyMatch(other -> other != unsent && !other.outcome().neverRan());
+        if (!mayHaveRun) {
+            refuse(exchange, 0);
+        } else if (finish(exchange, RequestResult.FAILED)) {
+            counters.increment("answered.failed");
+            exchange.client().failed(exchange.lastAttempt());
+        }
+        dispatch(() -> tellClientGone(exchange), exchange);
+    }
+
     private void tellClientGone(Exchange exchange) {
         if (exchange.notices().isRequestBegun()) {
             exchange.notices().requestEnded();
--- a/src/main/java/petrelstand/core/ClientHandler.java
+++ b/src/main/java/petrelstand/core/ClientHandler.java
@@ -28,6 +28,15 @@
         throw new UnsupportedOperationException("the requests of this client arrive whole");
     }
 
+    /**
+     * Whether the client is known to be there, asked immediately before the first byte of an attempt is written. May
+     * report {@link Broker#clientGone}, if the client turns out to have left. A handler that sees the end of its
+     * client's connection at once need not implement this.
+     */
+    default ClientPresence.State presence() {
+        return ClientPresence.State.PRESENT;
+    }
+
     /** Called when the exchange is finished and its last attempt has ended; nothing refers to it any more. */
     default void exchangeClosed(Exchange exchange) {}
 }
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import petrelstand.core.Attempt;
 import petrelstand.core.ClientHandler;
+import petrelstand.core.ClientPresence;
 import petrelstand.core.Demand;
 import petrelstand.core.Exchange;
 import petrelstand.core.RequestCounts.RequestResult;
@@ -56,6 +57,8 @@
     private static final int LARGE_INPUT_BYTES = 32 * 1024;
     /** Limit of the input buffer, for pipelined requests and for a body that no node has been chosen for yet. */
     static final int MAX_READ_AHEAD_BYTES = 256 * 1024;
+    /** Limit of the input buffer for the last look at a client whose request is about to be sent. */
+    static final int MAX_LAST_READ_AHEAD_BYTES = 2 * MAX_READ_AHEAD_BYTES;
     /** Bytes of a large body that are buffered before its request is submitted, so that another node can be tried. */
     private static final int BODY_PREFIX_BYTES = 16 * 1024;
 
@@ -65,6 +68,8 @@
     private final InputBuffer input;
 
     private final ArrivalTimes arrivalTimes = new ArrivalTimes();
+    private final ClientPresence presence;
+    private int maxReadAheadBytes = MAX_READ_AHEAD_BYTES;
     private State state = State.READING;
     private boolean parsing;
     /** Reading is paused, because the input buffer holds a piece of the body that is not written to the node yet. */
@@ -141,6 +146,7 @@
         this.overLimit = overLimit;
         this.closeOnOpen = closeOnOpen;
         this.openedUs = front.broker().nowUs();
+        this.presence = new ClientPresence(quietUs(openedUs));
     }
 
     State state() {
@@ -204,7 +210,7 @@
             return false;
         }
         try {
-            int readBytes = getEndPoint().fill(input.allocated());
+            int readBytes = fill(input.allocated());
             if (readBytes > 0) {
                 arrivalTimes.recordRead(readBytes, front.broker().nowUs());
                 parse();
@@ -285,19 +291,19 @@
                 }
                 if (bodyStream != null && bodyHeld && bodyStream.isStarted() && state == State.IN_PROGRESS) {
                     // The input buffer holds an unwritten piece of the body; reading would overwrite it.
-                    readPaused = true;
+                    pauseReading();
                     return;
                 }
                 enlargeInputForBody();
-                if (!input.ensureSpace(MAX_READ_AHEAD_BYTES)) {
+                if (!input.ensureSpace(maxReadAheadBytes)) {
                     if (bodyStream != null && state == State.IN_PROGRESS) {
-                        readPaused = true;
+                        pauseReading();
                         return;
                     }
                     readAheadExceeded = true;
                     continue;
                 }
-                int readBytes = getEndPoint().fill(input.bytes());
+                int readBytes = fill(input.bytes());
                 if (readBytes < 0) {
                     onInputEnd();
                     return;
@@ -314,6 +320,48 @@
         }
     }
 
+    /** Reads input as {@link EndPoint#fill} does, and records whether some may be left. */
+    private int fill(ByteBuffer buffer) throws IOException {
+        int readBytes = getEndPoint().fill(buffer);
+        long nowUs = front.broker().nowUs();
+        if (readBytes == 0 && isReadLimited()) {
+            presence.inputRemains(quietUs(nowUs));
+        } else if (readBytes == 0) {
+            presence.inputDrained(nowUs);
+        }
+        return readBytes;
+    }
+
+    private void pauseReading() {
+        readPaused = true;
+        presence.inputRemains(quietUs(front.broker().nowUs()));
+    }
+
+    /**
+     * Whether the client is known to be there. Where its end may lie behind unread input, reads on to a larger limit
+     * first, whatever the turn of the loop allows.
+     */
+    @Override
+    public ClientPresence.State presence() {
+        if (state == State.IN_PROGRESS
+                && (readPaused || presence.at(front.broker().nowUs()) == ClientPresence.State.UNKNOWN)) {
+            lookForInputEnd();
+        }
+        return presence.at(front.broker().nowUs());
+    }
+
+    private void lookForInputEnd() {
+        maxReadAheadBytes = MAX_LAST_READ_AHEAD_BYTES;
+        int bufferedBefore;
+        do {
+            bufferedBefore = input.remaining();
+            extendTurn();
+            readPaused = false;
+            onFillable();
+        } while (state == State.IN_PROGRESS && isReadLimited() && input.remaining() > bufferedBefore);
+        maxReadAheadBytes = MAX_READ_AHEAD_BYTES;
+    }
+
     /** Reads what has arrived, if a request is in progress, to learn whether the client has left. */
     void readIfInProgress() {
         if (state == State.IN_PROGRESS) {
@@ -357,7 +405,7 @@
     private int discardInput() throws IOException {
         releaseInput();
         BufferUtil.clear(front.discardBuffer());
-        int readBytes = getEndPoint().fill(front.discardBuffer());
+        int readBytes = fill(front.discardBuffer());
         if (readBytes < 0) {
             onInputEnd();
         } else if (readBytes == 0) {
@@ -390,11 +438,15 @@
 
     /**
      * Parses buffered requests while none is in progress, and the rest of a streamed body while its node asks for it.
+     * The broker acts on a request after the parser has returned, since it may have the client's input read on.
      */
     private void parse() {
-        if (parsing) {
-            return;
+        if (!parsing) {
+            front.broker().runSimultaneously(this::parseInput);
         }
+    }
+
+    private void parseInput() {
         parsing = true;
         try {
             // The parser reports the end of a body only on a further call, even without remaining input.
--- a/src/main/java/petrelstand/http/NodeConnectionPool.java
+++ b/src/main/java/petrelstand/http/NodeConnectionPool.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import petrelstand.core.Attempt;
+import petrelstand.core.ClientPresence;
 import petrelstand.core.Counters;
 import petrelstand.core.Node;
 import petrelstand.core.NodeTransport;
@@ -396,16 +397,28 @@
             this.request = (ForwardedMessage.Request) attempt.exchange().message();
         }
 
-        /** Sends the attempt unless nobody waits for it any more; the new connection is then kept as idle. */
+        /**
+         * Sends the attempt unless nobody waits for it any more, or it is not known yet whether somebody does; the
+         * connection is then kept as idle.
+         */
         @Override
         void sendOn(UpstreamConnection idleConnection) {
-            if (attempt.beginWrite()) {
+            if (attempt.isClientSettling()) {
+                onConnectionChange(idleConnection, true);
+                timers.schedule(clock.getAsLong() + ClientPresence.SETTLE_US, this::sendAfterSettling);
+            } else if (attempt.beginWrite()) {
                 super.sendOn(idleConnection);
             } else {
                 onConnectionChange(idleConnection, true);
             }
         }
 
+        private void sendAfterSettling() {
+            if (!attempt.isEnded()) {
+                assignConnection(attempt.node(), this);
+            }
+        }
+
         @Override
         public void onRequestWritten() {
             attempt.requestWritten();
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -63,6 +63,14 @@
     /** Accepted channels whose connections have not been created yet. */
     private final Set<SelectableChannel> pendingAccepts = ConcurrentHashMap.newKeySet();
 
+    /** The listeners whose queued connections were not all accepted, with a time at which these had not come up. */
+    private final Map<SelectableChannel, Long> listenersBehindSinceUs = new HashMap<>();
+
+    /** A time at which the connection being accepted had not come up. */
+    private long acceptNotConnectedUs;
+    /** The time up to which all events had been handled when the current iteration began. */
+    private long polledUs;
+
     private int closingListeners;
     /** Number of the current turn; a turn limits what a connection may read. */
     private long turn;
@@ -176,7 +184,7 @@
             } catch (IOException | RuntimeException e) {
                 logListenerError(e);
             }
-            drainBacklog(server, LISTEN_BACKLOG);
+            drainBacklog(server, LISTEN_BACKLOG, polledUs);
         });
     }
 
@@ -205,22 +213,24 @@
      * Accepts at most {@code limit} queued connections over as many iterations as needed, then closes the listener,
      * also after an exception.
      */
-    private void drainBacklog(ServerSocketChannel server, int limit) {
+    private void drainBacklog(ServerSocketChannel server, int limit, long notConnectedUs) {
         try {
             for (int count = 0; count < limit; count++) {
                 if (count == DRAINED_PER_ITERATION) {
-                    executor.execute(() -> drainBacklog(server, limit - DRAINED_PER_ITERATION));
+                    executor.execute(() -> drainBacklog(server, limit - DRAINED_PER_ITERATION, notConnectedUs));
                     return;
                 }
                 SocketChannel channel = server.accept();
                 if (channel == null) {
                     break;
                 }
+                acceptNotConnectedUs = notConnectedUs;
                 accepted(channel);
             }
         } catch (IOException | RuntimeException e) {
             logListenerError(e);
         }
+        listenersBehindSinceUs.remove(server);
         try {
             server.close();
         } catch (IOException e) {
@@ -278,7 +288,13 @@
     @Override
     protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
         try {
-            return super.doAccept(server);
+            long notConnectedUs = listenersBehindSinceUs.computeIfAbsent(server, key -> polledUs);
+            SelectableChannel channel = super.doAccept(server);
+            if (channel == null) {
+                listenersBehindSinceUs.remove(server);
+            }
+            acceptNotConnectedUs = notConnectedUs;
+            return channel;
         } catch (Error e) {
             FatalErrors.report(e);
             throw e;
@@ -309,12 +325,29 @@
         }
         socket.configureBlocking(false);
         socket.socket().setTcpNoDelay(true);
-        accept(socket, connectionFactory);
+        accept(socket, new AcceptedChannel(connectionFactory, acceptNotConnectedUs));
     }
 
+    /**
+     * What is known of a channel that was accepted.
+     *
+     * @param connectionFactory creates its connection
+     * @param notConnectedUs a time at which it had not come up
+     */
+    private record AcceptedChannel(Function<EndPoint, Connection> connectionFactory, long notConnectedUs) {}
+
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new LoopEndPoint((SocketChannel) channel, selector, key, getScheduler(), new ReadLimiter(() -> turn));
+        long notConnectedUs =
+                key.attachment() instanceof AcceptedChannel accepted ? accepted.notConnectedUs() : polledUs;
+        return new LoopEndPoint(
+                (SocketChannel) channel,
+                selector,
+                key,
+                getScheduler(),
+                new ReadLimiter(() -> turn),
+                () -> polledUs,
+                notConnectedUs);
     }
 
     @Override
@@ -322,9 +355,7 @@
         if (attachment instanceof Connector connector) {
             return connector.connected(endPoint);
         }
-        @SuppressWarnings("unchecked")
-        Function<EndPoint, Connection> connectionFactory = (Function<EndPoint, Connection>) attachment;
-        return connectionFactory.apply(endPoint);
+        return ((AcceptedChannel) attachment).connectionFactory().apply(endPoint);
     }
 
     @Override
@@ -352,6 +383,9 @@
 
     /** Runs the tasks and timers between selects. */
     private final class LoopSelector extends ManagedSelector {
+        /** When the previous iteration was due at the latest; a stall may have delayed it. */
+        private long previousDueUs = Long.MAX_VALUE;
+
         LoopSelector(int id) {
             super(EventLoop.this, id);
         }
@@ -375,6 +409,8 @@
             runGuarded(() -> timers.runDue(clock.nowUs()));
             executor.runOwnTasks();
             long dueUs = nextIterationUs();
+            polledUs = Math.min(clock.nowUs(), previousDueUs);
+            previousDueUs = dueUs;
             long waitUs = dueUs - clock.readUs();
             int selected = waitUs <= 0 ? selector.selectNow() : selector.select((waitUs + 999) / 1000);
             clock.update();
--- a/src/main/java/petrelstand/net/LoopConnection.java
+++ b/src/main/java/petrelstand/net/LoopConnection.java
@@ -49,6 +49,19 @@
         return getEndPoint() instanceof UnreadInput endPoint ? endPoint.unreadBytes() : 0;
     }
 
+    /** Whether a read that returned 0 bytes may have left some, because the turn's limit was used up. */
+    protected final boolean isReadLimited() {
+        return getEndPoint() instanceof UnreadInput endPoint && endPoint.isReadLimited();
+    }
+
+    /**
+     * A time at which no input had arrived that this connection has not been told of, and not after a given one; see
+     * {@link UnreadInput#quietUs}.
+     */
+    protected final long quietUs(long nowUs) {
+        return getEndPoint() instanceof UnreadInput endPoint ? Math.min(nowUs, endPoint.quietUs()) : nowUs;
+    }
+
     /** Creates a callback that Jetty runs directly on the loop's thread; neither function may block. */
     public static Callback nonBlockingCallback(Runnable succeeded, Consumer<Throwable> failed) {
         return new Callback() {
--- a/src/main/java/petrelstand/net/LoopEndPoint.java
+++ b/src/main/java/petrelstand/net/LoopEndPoint.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -16,16 +17,30 @@
  */
 final class LoopEndPoint extends SocketChannelEndPoint implements UnreadInput {
     private final ReadLimiter readLimiter;
+    private final LongSupplier polledUs;
+    /** A time at which the connection had not come up; {@link Long#MAX_VALUE} once all input has been read. */
+    private long notConnectedUs;
+
     private IOException reset;
 
+    /**
+     * Creates an end point.
+     *
+     * @param polledUs the time up to which all events have been handled
+     * @param notConnectedUs a time at which the connection had not come up
+     */
     LoopEndPoint(
             SocketChannel channel,
             ManagedSelector selector,
             SelectionKey key,
             Scheduler scheduler,
-            ReadLimiter readLimiter) {
+            ReadLimiter readLimiter,
+            LongSupplier polledUs,
+            long notConnectedUs) {
         super(channel, selector, key, scheduler);
         this.readLimiter = readLimiter;
+        this.polledUs = polledUs;
+        this.notConnectedUs = notConnectedUs;
     }
 
     /** Lets the connection read up to the turn's limit once more in the current turn. */
@@ -42,6 +57,16 @@
         }
     }
 
+    @Override
+    public boolean isReadLimited() {
+        return reset == null && !isInputShutdown() && readLimiter.allowedBytes() == 0;
+    }
+
+    @Override
+    public long quietUs() {
+        return Math.min(notConnectedUs, polledUs.getAsLong());
+    }
+
     @Override
     public Runnable onSelected() {
         try {
@@ -72,6 +97,8 @@
             int filled = getChannel().read(buffer);
             if (filled < 0) {
                 shutdownInput();
+            } else if (filled == 0) {
+                notConnectedUs = Long.MAX_VALUE;
             } else {
                 readLimiter.recordRead(filled);
             }
--- a/src/main/java/petrelstand/net/MemoryEndPoint.java
+++ b/src/main/java/petrelstand/net/MemoryEndPoint.java
@@ -41,6 +41,16 @@
         return unreadBytes;
     }
 
+    @Override
+    public boolean isReadLimited() {
+        return false;
+    }
+
+    @Override
+    public long quietUs() {
+        return Long.MAX_VALUE;
+    }
+
     @Override
     public void addInputAndExecute(ByteBuffer input) {
         unreadBytes += BufferUtil.length(input);
--- a/src/test/java/petrelstand/core/BrokerTest.java
+++ b/src/test/java/petrelstand/core/BrokerTest.java
@@ -51,6 +51,12 @@
         private final List<String> answers = new ArrayList<>();
         private final List<Long> retryAfterUs = new ArrayList<>();
         private Exchange exchange;
+        private ClientPresence.State presence = ClientPresence.State.PRESENT;
+
+        @Override
+        public ClientPresence.State presence() {
+            return presence;
+        }
 
         @Override
         public boolean served(Object answer) {
@@ -100,6 +106,45 @@
         assertEquals(0, broker.openRequests());
     }
 
+    /** Guards against a refusal, which promises that nothing ran, where an earlier attempt may have run. */
+    @Test
+    void unseenClientIsToldThatItsRequestFailedIfAnEarlierAttemptMayHaveRun() {
+        listNode();
+        Client client = submit(1, 3, 1_000_000);
+        assertTrue(started.get(0).beginWrite());
+        started.get(0).requestWritten();
+        started.get(0).end(Outcome.RESET, null, null);
+        harness.advance(100_000);
+        assertEquals(2, started.size(), "attempts");
+        client.presence = ClientPresence.State.UNKNOWN;
+        assertTrue(!started.get(1).beginWrite());
+        assertEquals(List.of("failed"), client.answers);
+        assertEquals(Outcome.NOT_SENT, started.get(1).outcome());
+        assertForgotten();
+    }
+
+    /** Guards against a request that is left without its answer, or in the module, where its client is not seen. */
+    @Test
+    void unseenClientIsRefusedAndForgotten() {
+        listNode();
+        Client client = submit(1, 3, 1_000_000);
+        client.presence = ClientPresence.State.SETTLING;
+        assertTrue(started.get(0).isClientSettling());
+        client.presence = ClientPresence.State.UNKNOWN;
+        assertTrue(!started.get(0).isClientSettling());
+        assertTrue(!started.get(0).beginWrite());
+        assertEquals(List.of("refused"), client.answers);
+        assertEquals(1, started.size(), "attempts");
+        assertForgotten();
+    }
+
+    private void assertForgotten() {
+        assertEquals(0, broker.openRequests());
+        assertTrue(broker.statusLines().contains("module.requests 0\n"), broker.statusLines());
+        assertTrue(broker.statusLines().contains("module.held_units 0\n"), broker.statusLines());
+        assertEquals(0, harness.counters.get("module_unbalanced"));
+    }
+
     /** Guards against an answer after the end of the process to a request whose body was complete after SIGTERM. */
     @Test
     void streamedRequestFailsAtTheAnswerDeadlineToo() {
--- a/src/test/java/petrelstand/http/HttpFrontSearchTest.java
+++ b/src/test/java/petrelstand/http/HttpFrontSearchTest.java
@@ -63,8 +63,7 @@
     }
 
     private static final List<Step> STEPS_WITHOUT_STALLS = stepsWithout(Step.CLIENTS_CLOSE_DURING_STALL);
-    /** Bytes sent ahead are the subject of a test of their own: the end of a client behind too many is not seen. */
-    private static final List<Step> STEPS_WITH_STALLS = stepsWithout(Step.READ_AHEAD_BYTES);
+    private static final List<Step> STEPS_WITH_STALLS = List.of(Step.values());
 
     private static final Pattern TXN_FIELD = Pattern.compile("X-Txn: (\\S+)\r\n");
     private static final int LARGE_BODY_BYTES = 200_000;
