Rsync: a transfer is begun only at a listed daemon and for a client that is there

A daemon that was told to drain while the gateway's connection came up was greeted all the same, and so was one whose client had sent its arguments early and left 0.2 s before.

Cause: the rsync transport never asked Attempt.beginWrite, and a session that waits for its daemon does not read on.

Change: NodeSession asks before its greeting; ClientSession answers with the ClientPresence of the HTTP front.

--- a/src/main/java/petrelstand/rsync/ClientSession.java
+++ b/src/main/java/petrelstand/rsync/ClientSession.java
@@ -8,6 +8,7 @@
 import petrelstand.config.RsyncConfig;
 import petrelstand.core.Attempt;
 import petrelstand.core.ClientHandler;
+import petrelstand.core.ClientPresence;
 import petrelstand.core.Demand;
 import petrelstand.core.Exchange;
 import petrelstand.core.Timers;
@@ -45,11 +46,13 @@
     private Timers.Timer closeTimer;
 
     private long lastProgressUs;
+    private final ClientPresence presence;
 
     ClientSession(EndPoint endPoint, RsyncFront front, boolean refusedOnly) {
         super(endPoint);
         this.front = front;
         this.refusedOnly = refusedOnly;
+        this.presence = new ClientPresence(quietUs(front.broker().nowUs()));
     }
 
     /** Whether the session was accepted above the transfer limit, only to send a refusal after the greeting. */
@@ -69,6 +72,21 @@
         lastProgressUs = front.broker().nowUs();
     }
 
+    @Override
+    void onReadPaused() {
+        presence.inputRemains(quietUs(front.broker().nowUs()));
+    }
+
+    @Override
+    void onInputDrained() {
+        presence.inputDrained(front.broker().nowUs());
+    }
+
+    @Override
+    public ClientPresence.State presence() {
+        return presence.at(front.broker().nowUs());
+    }
+
     /** Ends the session if no byte was read or written for the idle limit; otherwise schedules the next check. */
     private void checkIdle() {
         long due = lastProgressUs + front.config().idleTimeoutUs();
--- a/src/main/java/petrelstand/rsync/NodeSession.java
+++ b/src/main/java/petrelstand/rsync/NodeSession.java
@@ -31,7 +31,11 @@
 
     @Override
     void onSessionOpened() {
-        write(DaemonLines.GREETING);
+        if (attempt.beginWrite()) {
+            write(DaemonLines.GREETING);
+        } else {
+            close();
+        }
     }
 
     @Override
--- a/src/main/java/petrelstand/rsync/RelaySession.java
+++ b/src/main/java/petrelstand/rsync/RelaySession.java
@@ -41,6 +41,12 @@
     /** Called when the peer closed the connection or it failed; after a close, all input has been consumed. */
     abstract void onPeerClosed();
 
+    /** Called when input is left unread; the peer's end may lie behind it. */
+    void onReadPaused() {}
+
+    /** Called when all input has been read. */
+    void onInputDrained() {}
+
     /** Called when bytes were read or a write completed. */
     abstract void onProgress();
 
@@ -64,6 +70,7 @@
                 if (BufferUtil.hasContent(input)) {
                     if (paused || !consume(input)) {
                         paused = true;
+                        onReadPaused();
                         return;
                     }
                     continue;
@@ -75,6 +82,11 @@
                     return;
                 }
                 if (filled == 0) {
+                    if (isReadLimited()) {
+                        onReadPaused();
+                    } else {
+                        onInputDrained();
+                    }
                     fillInterested();
                     return;
                 }
--- a/src/test/java/petrelstand/rsync/SessionModelTest.java
+++ b/src/test/java/petrelstand/rsync/SessionModelTest.java
@@ -12,6 +12,8 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import petrelstand.config.RsyncConfig;
+import petrelstand.decision.Scheduling.NodeListKind;
+import petrelstand.decision.Scheduling.NodeState;
 import petrelstand.net.MemoryEndPoint;
 import petrelstand.testing.BrokerFixture;
 import petrelstand.testing.Configs;
@@ -76,6 +78,28 @@
         return harness.counters.get(name);
     }
 
+    /** Guards against a transfer that is begun at its daemon for a client that left behind lines that were not read. */
+    @Test
+    void transferOfClientThatLeftBehindItsArgumentsIsNotBegun() {
+        client.send("@RSYNCD: 31.0\ncharts\n" + GoldenTransfers.PULL_ARGUMENTS);
+        client.sendEof();
+        harness.advance(200_000);
+        node = harness.connectLast();
+        assertEquals("", node.takeReceived(), "sent to the daemon");
+        assertEquals(0, harness.broker.openRequests());
+    }
+
+    /** Guards against a transfer that is begun at a daemon that drained while its connection came up. */
+    @Test
+    void transferIsNotBegunAtADaemonThatDrainsMeanwhile() {
+        client.send("@RSYNCD: 31.0\ncharts\n");
+        for (petrelstand.core.Node listed : config.nodes()) {
+            harness.broker.updateNodes(NodeListKind.CHANGES, List.of(listed.withState(NodeState.DRAINING)));
+        }
+        node = harness.connectLast();
+        assertEquals("", node.takeReceived(), "sent to the daemon");
+    }
+
     /** Each request ends once, no session stays open, and a served transfer was relayed complete and unchanged. */
     @Property(tries = 500, seed = "20261205")
     void endsOnceAndIsServedOnlyIfRelayedUnchanged(
