An id whose write may have run is not taken again within its repeat window

Cause: ids were kept while their request was open, and a request whose client has left is closed while its node may yet run it.

Such a request gets 409.

--- a/src/main/java/petrelstand/core/Attempt.java
+++ b/src/main/java/petrelstand/core/Attempt.java
@@ -130,6 +130,11 @@
         }
     }
 
+    /** Whether the node has the whole request and has not said that it will not run it; the attempt has ended. */
+    boolean mayHaveRun() {
+        return written && !outcome.neverRan();
+    }
+
     /** Whether the last byte of the request was written to the node, which can't begin it before. */
     boolean isWritten() {
         return written;
--- a/src/main/java/petrelstand/core/Exchange.java
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import petrelstand.decision.Scheduling.Effect;
 import petrelstand.decision.Scheduling.RequestClass;
 
 /**
@@ -117,6 +118,18 @@
         return isFinished() && pendingEvents == 0 && !hasActiveAttempt();
     }
 
+    /**
+     * When the same request may be taken again, at the end of this one; 0 if at once, because no node can have run it
+     * or its class may be repeated. Nodes recognise a repeat, and may yet run the first copy, until then.
+     */
+    public long repeatableAfterUs(long nowUs) {
+        boolean mayHaveRun = attempts.stream().anyMatch(Attempt::mayHaveRun);
+        if (!mayHaveRun || requestClass.effect() == Effect.REPEATABLE) {
+            return 0;
+        }
+        return nowUs + Broker.toUs(Math.max(requestClass.repeatWindowMs(), requestClass.deadlineMs()));
+    }
+
     /** What the module has been told of this exchange. */
     ModuleNotices notices() {
         return notices;
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -741,10 +741,10 @@
             return;
         }
         String txnId = fields.get(HttpProtocol.TXN_HEADER);
-        // Nodes count attempts by this id, so two open requests must not share it.
+        // Nodes count attempts by this id, so two open requests must not share it, nor a write run again under it.
         if (!front.claimTxnId(txnId)) {
             throw new DemandParser.MalformedRequestException(
-                    409, HttpProtocol.TXN_HEADER + " is that of an open request");
+                    409, HttpProtocol.TXN_HEADER + " is that of an open request, or of one that may have run");
         }
         if (!front.activeRequestBudget().tryReserve(bufferedBody.length)) {
             front.releaseTxnId(txnId);
@@ -781,6 +781,11 @@
     public void exchangeClosed(Exchange finishedExchange) {
         ForwardedMessage.Request request = (ForwardedMessage.Request) finishedExchange.message();
         front.releaseTxnId(request.txnId());
+        long repeatableAfterUs =
+                finishedExchange.repeatableAfterUs(front.broker().nowUs());
+        if (repeatableAfterUs > 0) {
+            front.rememberTxnId(request.txnId(), repeatableAfterUs);
+        }
         front.activeRequestBudget().release(request.body().length);
     }
 
--- a/src/main/java/petrelstand/http/HttpFront.java
+++ b/src/main/java/petrelstand/http/HttpFront.java
@@ -64,6 +64,8 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     /** Ids of the requests that are open or have an attempt in progress. */
     private final Set<String> openTxnIds = new HashSet<>();
+
+    private final RecentTxnIds recentTxnIds = new RecentTxnIds();
     /** Shared target of reads whose bytes are discarded; used on the event loop's thread only. */
     private final ByteBuffer discardBuffer = BufferUtil.allocateDirect(DISCARD_BUFFER_BYTES);
     /** Optional pages by path. */
@@ -144,15 +146,24 @@
         }
     }
 
-    /** Reserves the id of a request; returns false if an open request has it. */
+    /** Reserves the id of a request; returns false if an open request has it, or one that must not run again. */
     boolean claimTxnId(String id) {
-        return openTxnIds.add(id);
+        return !recentTxnIds.contains(id, broker.nowUs()) && openTxnIds.add(id);
     }
 
     void releaseTxnId(String id) {
         openTxnIds.remove(id);
     }
 
+    /** Keeps the id of a request that may have run from being used again until a time. */
+    void rememberTxnId(String id, long untilUs) {
+        recentTxnIds.add(id, untilUs, broker.nowUs());
+    }
+
+    int recentTxnIdCount() {
+        return recentTxnIds.size();
+    }
+
     /** Number of ids of open requests. */
     int openTxnIdCount() {
         return openTxnIds.size();
