The processes of a replacement share the ids of writes that must not run again

Cause: each process kept the ids of its own requests alone.

Change: SharedTxnIds tells each claim, and its end, in a log that the other process maps into memory; a claim is told before the other's log is looked at. Written and read without a system call, on the loop's thread. Ids and their bounds are in one place now (TxnIds) instead of the front.

Not covered: a process that begins after the other has ended.

--- a/src/main/java/petrelstand/HotRestartPart.java
+++ b/src/main/java/petrelstand/HotRestartPart.java
@@ -5,7 +5,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -16,6 +19,7 @@
 import petrelstand.decision.Scheduling.LearnedState;
 import petrelstand.decision.Scheduling.LearnedVolume;
 import petrelstand.decision.Scheduling.Settings;
+import petrelstand.http.TxnIdSharing;
 import petrelstand.lifecycle.ProcessShare;
 import petrelstand.state.Snapshot;
 import petrelstand.state.SnapshotEvaluator;
@@ -24,6 +28,7 @@
 import petrelstand.store.ProcessMarks.OtherProcess;
 import petrelstand.store.ProcessMarks.ScanResult;
 import petrelstand.store.SnapshotFormat;
+import petrelstand.store.TxnIdLog;
 
 /**
  * Hot restart: two processes of one gateway run side by side while the newer one replaces the older. Each scans for the
@@ -63,6 +68,13 @@
     /** Used only by the loop's thread once it runs. */
     private final ProcessShare processShare = new ProcessShare();
 
+    /** Null until {@link #open}, and where logs of ids can't be used; its methods are for the loop's thread. */
+    private SharedTxnIds sharedTxnIds;
+    /** The log of ids of this process; null where it can't be used. */
+    private TxnIdLog txnIdLog;
+    /** The logs of other processes that have been opened; used only by the scanning thread once it runs. */
+    private final Set<Path> openedTxnIdLogs = new HashSet<>();
+
     private Broker broker;
     private volatile long settingsFingerprint;
     /** Set by the loop, taken by the scanning thread. */
@@ -112,6 +124,7 @@
             ScanResult look = marks.scan();
             lastSeen = look.other();
             processShare.recordMark(clock.getAsLong(), look.otherCount());
+            openTxnIdLogs();
         } catch (IOException | RuntimeException e) {
             log.accept("off, since the marks of the processes can't be used: " + e);
             marks = null;
@@ -119,6 +132,39 @@
         return lastSeen;
     }
 
+    /** Creates this process's log of ids and opens those of the others, before the loop starts. */
+    private void openTxnIdLogs() {
+        try {
+            txnIdLog = TxnIdLog.create(marks.txnIdLog());
+            sharedTxnIds = new SharedTxnIds(txnIdLog, clock, () -> System.nanoTime() / 1000);
+            findTxnIdLogs().forEach(sharedTxnIds::addOther);
+        } catch (IOException e) {
+            log.accept("the ids of writes are not shared with other processes, since the log can't be used: " + e);
+        }
+    }
+
+    /** Opens the logs of ids of processes that the last scan found for the first time. */
+    private List<TxnIdLog> findTxnIdLogs() {
+        List<TxnIdLog> found = new ArrayList<>();
+        openedTxnIdLogs.retainAll(marks.otherTxnIdLogs());
+        for (Path file : marks.otherTxnIdLogs()) {
+            try {
+                if (!openedTxnIdLogs.contains(file)) {
+                    found.add(TxnIdLog.open(file));
+                    openedTxnIdLogs.add(file);
+                }
+            } catch (IOException e) {
+                // Its process is creating it or has ended; the next scan looks again.
+            }
+        }
+        return found;
+    }
+
+    /** Returns how ids of writes are shared with the other processes. */
+    TxnIdSharing txnIdSharing() {
+        return sharedTxnIds == null ? TxnIdSharing.NONE : sharedTxnIds;
+    }
+
     /** Returns this process's share of the gateway's allowances. */
     ProcessShare processShare() {
         return processShare;
@@ -199,6 +245,9 @@
                 processShare.recordMark(endUs, look.otherCount());
             }
         });
+        if (sharedTxnIds != null) {
+            findTxnIdLogs().forEach(log -> loop.execute(() -> sharedTxnIds.addOther(log)));
+        }
         OtherProcess current = look.other();
         if (current != lastSeen) {
             lastSeen = current;
@@ -232,6 +281,9 @@
 
     private void closeMarks() {
         try {
+            if (txnIdLog != null) {
+                txnIdLog.close();
+            }
             marks.close();
         } catch (IOException e) {
             // The operating system releases the mark when the process exits.
--- a/src/main/java/petrelstand/OperationPart.java
+++ b/src/main/java/petrelstand/OperationPart.java
@@ -115,6 +115,7 @@
     void findOtherProcess() {
         otherProcess = hotRestart.open();
         broker.setShareFunction(hotRestart.processShare()::share);
+        httpFront.setTxnIdSharing(hotRestart.txnIdSharing());
     }
 
     /** Restores the learned state of the process that this one replaces, before the first node list. */
--- a/src/main/java/petrelstand/core/Exchange.java
+++ b/src/main/java/petrelstand/core/Exchange.java
@@ -127,7 +127,12 @@
         if (!mayHaveRun || requestClass.effect() == Effect.REPEATABLE) {
             return 0;
         }
-        return nowUs + Broker.toUs(Math.max(requestClass.repeatWindowMs(), requestClass.deadlineMs()));
+        return nowUs + repeatWindowUs(requestClass);
+    }
+
+    /** For how long nodes recognise a repeat of a class, and may yet run the first copy, in microseconds. */
+    public static long repeatWindowUs(RequestClass requestClass) {
+        return Broker.toUs(Math.max(requestClass.repeatWindowMs(), requestClass.deadlineMs()));
     }
 
     /** What the module has been told of this exchange. */
--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -19,6 +19,7 @@
 import petrelstand.core.RequestCounts.RequestResult;
 import petrelstand.core.Timers;
 import petrelstand.decision.Scheduling.Outcome;
+import petrelstand.decision.Scheduling.RequestClass;
 import petrelstand.net.HttpMessageParser;
 import petrelstand.net.LoopConnection;
 
@@ -742,12 +743,13 @@
         }
         String txnId = fields.get(HttpProtocol.TXN_HEADER);
         // Nodes count attempts by this id, so two open requests must not share it, nor a write run again under it.
-        if (!front.claimTxnId(txnId)) {
+        RequestClass requestClass = front.broker().settings().classes().get(demand.classIndex());
+        if (!front.txnIds().claim(txnId, requestClass, grantedUs, nowUs)) {
             throw new DemandParser.MalformedRequestException(
                     409, HttpProtocol.TXN_HEADER + " is that of an open request, or of one that may have run");
         }
         if (!front.activeRequestBudget().tryReserve(bufferedBody.length)) {
-            front.releaseTxnId(txnId);
+            front.txnIds().release(txnId, requestClass, 0, nowUs);
             refuseForMemory();
             return;
         }
@@ -780,12 +782,13 @@
     @Override
     public void exchangeClosed(Exchange finishedExchange) {
         ForwardedMessage.Request request = (ForwardedMessage.Request) finishedExchange.message();
-        front.releaseTxnId(request.txnId());
-        long repeatableAfterUs =
-                finishedExchange.repeatableAfterUs(front.broker().nowUs());
-        if (repeatableAfterUs > 0) {
-            front.rememberTxnId(request.txnId(), repeatableAfterUs);
-        }
+        long nowUs = front.broker().nowUs();
+        front.txnIds()
+                .release(
+                        request.txnId(),
+                        finishedExchange.requestClass(),
+                        finishedExchange.repeatableAfterUs(nowUs),
+                        nowUs);
         front.activeRequestBudget().release(request.body().length);
     }
 
--- a/src/main/java/petrelstand/http/HttpFront.java
+++ b/src/main/java/petrelstand/http/HttpFront.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -62,10 +61,7 @@
     private DemandParser demandParser;
     private int maxConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    /** Ids of the requests that are open or have an attempt in progress. */
-    private final Set<String> openTxnIds = new HashSet<>();
-
-    private final RecentTxnIds recentTxnIds = new RecentTxnIds();
+    private final TxnIds txnIds = new TxnIds();
     /** Shared target of reads whose bytes are discarded; used on the event loop's thread only. */
     private final ByteBuffer discardBuffer = BufferUtil.allocateDirect(DISCARD_BUFFER_BYTES);
     /** Optional pages by path. */
@@ -146,27 +142,18 @@
         }
     }
 
-    /** Reserves the id of a request; returns false if an open request has it, or one that must not run again. */
-    boolean claimTxnId(String id) {
-        return !recentTxnIds.contains(id, broker.nowUs()) && openTxnIds.add(id);
-    }
-
-    void releaseTxnId(String id) {
-        openTxnIds.remove(id);
-    }
-
-    /** Keeps the id of a request that may have run from being used again until a time. */
-    void rememberTxnId(String id, long untilUs) {
-        recentTxnIds.add(id, untilUs, broker.nowUs());
+    /** Sets how the ids of writes are shared with this gateway's other processes. */
+    public void setTxnIdSharing(TxnIdSharing sharing) {
+        txnIds.setSharing(sharing);
     }
 
-    int recentTxnIdCount() {
-        return recentTxnIds.size();
+    TxnIds txnIds() {
+        return txnIds;
     }
 
     /** Number of ids of open requests. */
     int openTxnIdCount() {
-        return openTxnIds.size();
+        return txnIds.openCount();
     }
 
     ByteBuffer discardBuffer() {
--- a/src/main/java/petrelstand/http/RecentTxnIds.java
+++ b/src/main/java/petrelstand/http/RecentTxnIds.java
@@ -9,9 +9,9 @@
  * forgets the oldest first. Ids are kept as 64-bit hashes. Times are microseconds of the event loop's clock. Not
  * thread-safe.
  */
-final class RecentTxnIds {
+public final class RecentTxnIds {
     /** Ids kept; some 20 s of writes at 200 a second. */
-    static final int MAX_IDS = 4096;
+    public static final int MAX_IDS = 4096;
 
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
@@ -20,7 +20,7 @@
     private final Map<Long, Long> expiryUsByHash = new LinkedHashMap<>();
 
     /** Returns the 64-bit FNV-1a hash of an id. */
-    static long hash(String id) {
+    public static long hash(String id) {
         long hash = FNV_OFFSET;
         for (int i = 0; i < id.length(); i++) {
             hash = (hash ^ id.charAt(i)) * FNV_PRIME;
@@ -28,10 +28,9 @@
         return hash;
     }
 
-    /** Adds an id, or changes the time of one that is there. */
-    void add(String id, long expiryUs, long nowUs) {
+    /** Adds the id of a hash, or changes the time of one that is there. */
+    public void add(Long hash, long expiryUs, long nowUs) {
         removeExpired(nowUs);
-        Long hash = hash(id);
         expiryUsByHash.remove(hash);
         if (expiryUsByHash.size() >= MAX_IDS) {
             Iterator<Long> oldest = expiryUsByHash.keySet().iterator();
@@ -41,8 +40,14 @@
         expiryUsByHash.put(hash, expiryUs);
     }
 
-    boolean contains(String id, long nowUs) {
-        Long expiryUs = expiryUsByHash.isEmpty() ? null : expiryUsByHash.get(hash(id));
+    /** Removes the id of a hash. */
+    public void remove(Long hash) {
+        expiryUsByHash.remove(hash);
+    }
+
+    /** Whether the id of a hash is there and its time has not come. */
+    public boolean contains(Long hash, long nowUs) {
+        Long expiryUs = expiryUsByHash.get(hash);
         return expiryUs != null && nowUs < expiryUs;
     }
 
--- a/src/main/java/petrelstand/store/ProcessMarks.java
+++ b/src/main/java/petrelstand/store/ProcessMarks.java
@@ -10,6 +10,8 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 
 /**
@@ -40,6 +42,9 @@
     private final Path folder;
     private final String prefix;
     private final Path ownMark;
+    /** Marks of the other processes that the last scan found. */
+    private List<Path> otherMarks = List.of();
+
     private FileChannel channel;
     private byte state = STARTING;
 
@@ -70,6 +75,20 @@
         return folder.resolve(prefix + "learned");
     }
 
+    /** Returns the path of this process's log of ids. */
+    public Path txnIdLog() {
+        return txnIdLog(ownMark);
+    }
+
+    /** Returns the paths of the logs of ids of the other processes that the last scan found. */
+    public List<Path> otherTxnIdLogs() {
+        return otherMarks.stream().map(ProcessMarks::txnIdLog).toList();
+    }
+
+    private static Path txnIdLog(Path mark) {
+        return mark.resolveSibling(mark.getFileName() + ".ids");
+    }
+
     /** Records in the mark that this process listens. */
     public void markListening() throws IOException {
         writeState(LISTENING);
@@ -88,15 +107,18 @@
             createOwnMark();
         }
         OtherProcess found = OtherProcess.NONE;
-        int otherCount = 0;
+        List<Path> others = new ArrayList<>();
         try (DirectoryStream<Path> marks = Files.newDirectoryStream(folder, prefix + "*.mark")) {
             for (Path mark : marks) {
                 OtherProcess other = mark.equals(ownMark) ? OtherProcess.NONE : scan(mark);
                 found = other.compareTo(found) > 0 ? other : found;
-                otherCount += other == OtherProcess.NONE ? 0 : 1;
+                if (other != OtherProcess.NONE) {
+                    others.add(mark);
+                }
             }
         }
-        return new ScanResult(found, otherCount, ownMarkPresent);
+        otherMarks = List.copyOf(others);
+        return new ScanResult(found, others.size(), ownMarkPresent);
     }
 
     private OtherProcess scan(Path mark) throws IOException {
@@ -104,6 +126,7 @@
             FileLock lock = other.tryLock();
             if (lock != null) {
                 Files.deleteIfExists(mark);
+                Files.deleteIfExists(txnIdLog(mark));
                 return OtherProcess.NONE;
             }
             ByteBuffer content = ByteBuffer.allocate(1);
--- a/src/test/java/petrelstand/http/RepeatedTxnIdTest.java
+++ b/src/test/java/petrelstand/http/RepeatedTxnIdTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import petrelstand.decision.Scheduling.NodeState;
+import petrelstand.decision.Scheduling.RequestClass;
 import petrelstand.lifecycle.Lifecycle;
 import petrelstand.testing.BrokerFixture;
 import petrelstand.testing.HeldInputEndPoint;
@@ -90,12 +91,16 @@
     /** Guards against memory that grows with ever new ids. */
     @Test
     void rememberedIdsAreBounded() {
+        RequestClass write = harness.settings.classes().get(1);
         for (int i = 0; i < 3 * RecentTxnIds.MAX_IDS; i++) {
-            front.rememberTxnId("w" + i, harness.nowUs + REPEAT_WINDOW_US);
+            String id = "w" + i;
+            assertTrue(front.txnIds().claim(id, write, 1_000, harness.nowUs));
+            front.txnIds().release(id, write, harness.nowUs + REPEAT_WINDOW_US, harness.nowUs);
         }
-        assertEquals(RecentTxnIds.MAX_IDS, front.recentTxnIdCount());
+        assertEquals(RecentTxnIds.MAX_IDS, front.txnIds().recentCount());
         harness.advance(REPEAT_WINDOW_US + 1);
-        front.rememberTxnId("last", harness.nowUs + REPEAT_WINDOW_US);
-        assertEquals(1, front.recentTxnIdCount());
+        assertTrue(front.txnIds().claim("w" + 3 * RecentTxnIds.MAX_IDS, write, 1_000, harness.nowUs));
+        front.txnIds().release("w" + 3 * RecentTxnIds.MAX_IDS, write, harness.nowUs + 1, harness.nowUs);
+        assertEquals(1, front.txnIds().recentCount());
     }
 }
--- a/src/test/java/petrelstand/testing/GatewayProcesses.java
+++ b/src/test/java/petrelstand/testing/GatewayProcesses.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +36,9 @@
     private final LoopbackPeers.Server discovery = LoopbackPeers.silentServer();
     private final int port = freePort();
     private final List<Process> processes = new ArrayList<>();
+    /** The X-Txn of each request that the node has received whole. */
+    private final List<String> receivedTxnIds = new CopyOnWriteArrayList<>();
+
     private JsonObject config;
 
     /** A started process, the port of its operators' API and the lines that it prints. */
@@ -119,7 +123,7 @@
     }
 
     /** Answers a write with its length and checksum, and a read with as many bytes as its query asks for. */
-    private static void serve(HttpExchange exchange, long serviceMs) throws IOException {
+    private void serve(HttpExchange exchange, long serviceMs) throws IOException {
         try (exchange) {
             CRC32 crc = new CRC32();
             long length = 0;
@@ -129,6 +133,7 @@
                 crc.update(buffer, 0, n);
                 length += n;
             }
+            receivedTxnIds.add(String.valueOf(exchange.getRequestHeaders().getFirst("X-Txn")));
             Thread.sleep(serviceMs);
             String query = String.valueOf(exchange.getRequestURI().getQuery());
             if (query.startsWith("bytes=")) {
@@ -152,6 +157,11 @@
         }
     }
 
+    /** The X-Txn of each request that the node has received whole, in their order. */
+    public List<String> receivedTxnIds() {
+        return List.copyOf(receivedTxnIds);
+    }
+
     /** Returns the port of the HTTP front. */
     public int port() {
         return port;
