A connection answers at most 8 requests without a node in a turn of the loop

Cause: a turn was bounded by bytes read (128 KiB), not by work: hundreds of requests that need no node were answered before the next connection's turn.

Change: TurnAllowance counts them; beyond 8 the connection neither parses nor reads until the next turn, which holds its client back.

--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -70,6 +70,10 @@
 
     private final ArrivalTimes arrivalTimes = new ArrivalTimes();
     private final ClientPresence presence;
+    private final TurnAllowance turnAllowance = new TurnAllowance();
+    /** Goes on with buffered requests in the next turn; null if none wait for it. */
+    private Timers.Timer nextTurn;
+
     private int maxReadAheadBytes = MAX_READ_AHEAD_BYTES;
     private State state = State.READING;
     private boolean parsing;
@@ -290,6 +294,10 @@
                     }
                     continue;
                 }
+                if (nextTurn != null) {
+                    pauseReading();
+                    return;
+                }
                 if (bodyStream != null && bodyHeld && bodyStream.isStarted() && state == State.IN_PROGRESS) {
                     // The input buffer holds an unwritten piece of the body; reading would overwrite it.
                     pauseReading();
@@ -454,6 +462,9 @@
             boolean parseAgain = isBodyStreaming();
             while (state == State.READING && input.hasContent()
                     || isBodyStreaming() && (parseAgain || input.hasContent())) {
+                if (!isBodyStreaming() && waitForNextTurn()) {
+                    break;
+                }
                 parseAgain = false;
                 if (!requestStarted) {
                     requestStarted = true;
@@ -483,6 +494,21 @@
         }
     }
 
+    /** Whether further requests wait for the next turn, because this connection has used up its part of this one. */
+    private boolean waitForNextTurn() {
+        long nowUs = front.broker().nowUs();
+        if (nextTurn == null && turnAllowance.isUsedUp(nowUs)) {
+            nextTurn = front.timers().schedule(nowUs + 1, this::goOnInNextTurn);
+        }
+        return nextTurn != null;
+    }
+
+    private void goOnInNextTurn() {
+        nextTurn = null;
+        parse();
+        resumeReading();
+    }
+
     /** Whether the parser is within a head, or within the trailers behind a body. */
     private boolean isWithinHead() {
         boolean receiving = state == State.READING || state == State.IN_PROGRESS;
@@ -793,6 +819,7 @@
     }
 
     private void answerLocally(int status, String text) {
+        turnAllowance.countAnswer(front.broker().nowUs());
         sendAnswer(status, "text/plain", 0, BufferUtil.toBuffer(text, StandardCharsets.UTF_8), false);
     }
 
@@ -910,11 +937,13 @@
 
     @Override
     public void refused(long retryAfterUs) {
+        turnAllowance.countAnswer(front.broker().nowUs());
         sendAnswer(503, null, retryAfterUs, BufferUtil.EMPTY_BUFFER, false);
     }
 
     @Override
     public void failed(Attempt lastAttempt) {
+        turnAllowance.countAnswer(front.broker().nowUs());
         boolean timedOut = lastAttempt == null || !lastAttempt.isEnded() || lastAttempt.outcome() == Outcome.TIMED_OUT;
         sendAnswer(timedOut ? 504 : 502, null, 0, BufferUtil.EMPTY_BUFFER, false);
     }
@@ -999,7 +1028,8 @@
     }
 
     private void resumeReading() {
-        if (readPaused && state != State.CLOSED) {
+        // While the parser runs it uses the input buffer; whoever called it reads on afterwards.
+        if (readPaused && !parsing && state != State.CLOSED) {
             readPaused = false;
             onFillable();
         }
@@ -1043,6 +1073,9 @@
             State stateBefore = state;
             state = State.CLOSED;
             cancelTimeout();
+            if (nextTurn != null) {
+                nextTurn.cancel();
+            }
             releaseAnswerBudget();
             body.takeContent();
             releaseInput();
