Requests sent ahead beyond 256 KiB wait unread instead of being dropped

Cause: beyond 256 KiB the connection read on and dropped what it had, so that the client's end could be seen behind it.

A process that is ending reads no more while it has requests to answer.

--- a/src/main/java/petrelstand/http/ClientConnection.java
+++ b/src/main/java/petrelstand/http/ClientConnection.java
@@ -26,8 +26,8 @@
 /**
  * A connection from a client. Requests are processed one at a time: bytes of later requests wait in the input buffer
  * until the current answer is written. The connection keeps reading meanwhile, so that a client's disconnect is noticed
- * at once. If more than {@link #MAX_READ_AHEAD_BYTES} arrive, the rest is discarded and the connection closes after the
- * current answer. Large bodies and large answers are streamed, one piece at a time.
+ * at once, up to {@link #MAX_READ_AHEAD_BYTES}; beyond, it reads on as there is room. Large bodies and large answers
+ * are streamed, one piece at a time.
  */
 final class ClientConnection extends LoopConnection
         implements HttpParser.RequestHandler, ClientHandler, AnswerStream.Receiver, RequestBodyStream.Source {
@@ -77,10 +77,8 @@
     private int maxReadAheadBytes = MAX_READ_AHEAD_BYTES;
     private State state = State.READING;
     private boolean parsing;
-    /** Reading is paused, because the input buffer holds a piece of the body that is not written to the node yet. */
+    /** Reading is paused, because the input buffer is full or holds a piece of the body that the node has to take. */
     private boolean readPaused;
-    /** The client sent more than the input buffer may hold: the connection closes after the current answer. */
-    private boolean readAheadExceeded;
 
     private boolean sawEof;
     private boolean parserResetDue;
@@ -288,7 +286,7 @@
     private void readInput() {
         try {
             while (state != State.CLOSED) {
-                if (state == State.LINGERING || readAheadExceeded) {
+                if (state == State.LINGERING) {
                     if (discardInput() <= 0) {
                         return;
                     }
@@ -305,12 +303,8 @@
                 }
                 enlargeInputForBody();
                 if (!input.ensureSpace(maxReadAheadBytes)) {
-                    if (bodyStream != null && state == State.IN_PROGRESS) {
-                        pauseReading();
-                        return;
-                    }
-                    readAheadExceeded = true;
-                    continue;
+                    pauseReading();
+                    return;
                 }
                 int readBytes = fill(input.bytes());
                 if (readBytes < 0) {
@@ -379,6 +373,7 @@
     }
 
     private void awaitInput() {
+        readPaused = false;
         if (isIdle()) {
             releaseInput();
         }
@@ -929,7 +924,6 @@
      */
     private boolean shouldCloseAfterAnswer() {
         return !keepAlive
-                || readAheadExceeded
                 || answeredBeforeBodyEnd
                 || input.isEmpty()
                         && front.lifecycle().closesAfterAnswer(front.broker().nowUs());
@@ -1027,9 +1021,16 @@
         }
     }
 
+    /** Whether the process is ending and this connection has a request to answer, so that no further one is read. */
+    private boolean isEndingWithRequestsRead() {
+        return state == State.IN_PROGRESS
+                && bodyStream == null
+                && front.lifecycle().closesAfterAnswer(front.broker().nowUs());
+    }
+
     private void resumeReading() {
         // While the parser runs it uses the input buffer; whoever called it reads on afterwards.
-        if (readPaused && !parsing && state != State.CLOSED) {
+        if (readPaused && !parsing && state != State.CLOSED && !isEndingWithRequestsRead()) {
             readPaused = false;
             onFillable();
         }
@@ -1044,7 +1045,6 @@
         if (sawEof) {
             close();
         } else if (closeAfter
-                || readAheadExceeded
                 || input.isEmpty()
                         && front.lifecycle()
                                 .closesIdleConnections(front.broker().nowUs())) {
