--- a/src/main/java/petrelstand/lifecycle/Lifecycle.java
+++ b/src/main/java/petrelstand/lifecycle/Lifecycle.java
@@ -39,7 +39,9 @@
         /** Connections arrive for up to 0.4 s after SIGTERM; the rest is margin. */
         static final long SHUTDOWN_ACCEPT_US = 550_000;
 
-        static final long MIN_DEADLINE_US = 3_000_000;
+        /** A longer deadline counts as this one for the time of the kill. */
+        static final long MAX_COUNTED_DEADLINE_US = 3_000_000;
+
         static final long KILL_AFTER_DEADLINE_US = 700_000;
         /** The process ends itself this long before it may be killed, so that it logs why. */
         static final long FORCED_END_BEFORE_KILL_US = 50_000;
@@ -56,7 +58,7 @@
             }
         }
 
-        /** From SIGTERM until the process ends in any case: the longest deadline, at least 3 s, plus 0.65 s. */
+        /** From SIGTERM until the process ends in any case: the longest deadline, 3 s at most, plus 0.65 s. */
         public long forcedEndUs() {
             return killUs - FORCED_END_BEFORE_KILL_US;
         }
@@ -76,7 +78,7 @@
                     READINESS_LAG_US,
                     DRAIN_ACCEPT_US,
                     SHUTDOWN_ACCEPT_US,
-                    Math.max(MIN_DEADLINE_US, longestDeadlineUs) + KILL_AFTER_DEADLINE_US);
+                    Math.min(MAX_COUNTED_DEADLINE_US, longestDeadlineUs) + KILL_AFTER_DEADLINE_US);
         }
     }
 
