A call of accept that fails costs no other connection, and the loop rests

Cause: on an exception Jetty's acceptor closes the channel that was accepted before, and the listener stays ready for the next select.

Change: EventLoop.doAccept never throws. A listener that is being closed is tried for a second.

Played below Jetty; the library of failing system calls is not built.

--- a/src/main/java/petrelstand/Gateway.java
+++ b/src/main/java/petrelstand/Gateway.java
@@ -108,6 +108,7 @@
         this.onEnd = onEnd;
         this.rsyncConfig = operator == null ? null : operator.rsync();
         this.loop = new EventLoop(clock, timers);
+        loop.setAcceptFailureCounter(() -> counters.increment("connections.accept_failed"));
         int rsyncDescriptors = rsyncConfig == null ? 0 : DESCRIPTORS_PER_TRANSFER * rsyncConfig.maxTransfers();
         Descriptors descriptors = Descriptors.of(config.socketLimit(), rsyncDescriptors);
         MemoryLimits memoryLimits = memoryLimits(config, descriptors);
--- a/src/main/java/petrelstand/net/EventLoop.java
+++ b/src/main/java/petrelstand/net/EventLoop.java
@@ -50,6 +50,10 @@
     private static final long CONNECT_TIMEOUT_MS = 3_000;
     /** Connections that the operating system queues for a listener. */
     private static final int LISTEN_BACKLOG = 1024;
+    /** How long a listener rests after calls of accept that failed. */
+    static final long ACCEPT_PAUSE_US = 20_000;
+    /** How long a listener that is being closed is tried again while its calls of accept fail. */
+    private static final int MAX_DRAIN_PAUSES = 50;
     /** Queued connections accepted per iteration from a listener that is being closed. */
     private static final int DRAINED_PER_ITERATION = 16;
     /** Upper bound on the time between two iterations, so that a stall during a select can be told from a wait. */
@@ -71,17 +75,26 @@
     /** The time up to which all events had been handled when the current iteration began. */
     private long polledUs;
 
+    private final Map<SelectableChannel, AcceptRetry> acceptRetries = new HashMap<>();
+    private final AcceptRetry.AcceptCall acceptCall;
+    private Runnable acceptFailureCounter = () -> {};
+
     private int closingListeners;
     /** Number of the current turn; a turn limits what a connection may read. */
     private long turn;
 
     /** Creates a loop that updates the clock and runs the timers; {@code start()} starts its thread. */
     public EventLoop(LoopClock clock, Timers timers) {
-        this(clock, timers, new LoopExecutor());
+        this(clock, timers, ServerSocketChannel::accept);
+    }
+
+    EventLoop(LoopClock clock, Timers timers, AcceptRetry.AcceptCall acceptCall) {
+        this(clock, timers, acceptCall, new LoopExecutor());
     }
 
-    private EventLoop(LoopClock clock, Timers timers, LoopExecutor executor) {
+    private EventLoop(LoopClock clock, Timers timers, AcceptRetry.AcceptCall acceptCall, LoopExecutor executor) {
         super(executor, new LoopScheduler(clock, timers), 1);
+        this.acceptCall = acceptCall;
         this.clock = clock;
         this.timers = timers;
         this.executor = executor;
@@ -102,6 +115,13 @@
         executor.setFatalErrorHandler(handler);
     }
 
+    /**
+     * Sets what is called, on the loop's thread, for each call of accept that fails. Must be called before the start.
+     */
+    public void setAcceptFailureCounter(Runnable counter) {
+        acceptFailureCounter = counter;
+    }
+
     /** Returns what counts this loop's iterations and reports its stalls. */
     public LoopMonitor monitor() {
         return monitor;
@@ -184,7 +204,7 @@
             } catch (IOException | RuntimeException e) {
                 logListenerError(e);
             }
-            drainBacklog(server, LISTEN_BACKLOG, polledUs);
+            drainBacklog(server, LISTEN_BACKLOG, polledUs, 0);
         });
     }
 
@@ -211,16 +231,23 @@
 
     /**
      * Accepts at most {@code limit} queued connections over as many iterations as needed, then closes the listener,
-     * also after an exception.
+     * also after an exception. Where the calls fail, tries again for a while.
      */
-    private void drainBacklog(ServerSocketChannel server, int limit, long notConnectedUs) {
+    private void drainBacklog(ServerSocketChannel server, int limit, long notConnectedUs, int pauses) {
         try {
             for (int count = 0; count < limit; count++) {
                 if (count == DRAINED_PER_ITERATION) {
-                    executor.execute(() -> drainBacklog(server, limit - DRAINED_PER_ITERATION, notConnectedUs));
+                    executor.execute(() -> drainBacklog(server, limit - DRAINED_PER_ITERATION, notConnectedUs, pauses));
+                    return;
+                }
+                AcceptRetry retry = acceptRetry(server);
+                SocketChannel channel = retry.accept(server);
+                if (channel == null && retry.isFailing() && pauses < MAX_DRAIN_PAUSES) {
+                    timers.schedule(
+                            clock.nowUs() + ACCEPT_PAUSE_US,
+                            () -> drainBacklog(server, limit, notConnectedUs, pauses + 1));
                     return;
                 }
-                SocketChannel channel = server.accept();
                 if (channel == null) {
                     break;
                 }
@@ -231,6 +258,7 @@
             logListenerError(e);
         }
         listenersBehindSinceUs.remove(server);
+        acceptRetries.remove(server);
         try {
             server.close();
         } catch (IOException e) {
@@ -285,12 +313,23 @@
                 + (trace.length == 0 ? "" : " at " + trace[0]));
     }
 
+    private AcceptRetry acceptRetry(SelectableChannel server) {
+        return acceptRetries.computeIfAbsent(
+                server,
+                listener -> new AcceptRetry(
+                        acceptCall, acceptFailureCounter, line -> System.err.println("petrelstand: loop: " + line)));
+    }
+
+    /** Accepts a connection; never throws, because Jetty would close the connection that was accepted before. */
     @Override
-    protected SelectableChannel doAccept(SelectableChannel server) throws IOException {
+    protected SelectableChannel doAccept(SelectableChannel server) {
         try {
             long notConnectedUs = listenersBehindSinceUs.computeIfAbsent(server, key -> polledUs);
-            SelectableChannel channel = super.doAccept(server);
-            if (channel == null) {
+            AcceptRetry retry = acceptRetry(server);
+            SelectableChannel channel = retry.accept((ServerSocketChannel) server);
+            if (channel == null && retry.isFailing()) {
+                pauseListener(server);
+            } else if (channel == null) {
                 listenersBehindSinceUs.remove(server);
             }
             acceptNotConnectedUs = notConnectedUs;
@@ -301,6 +340,19 @@
         }
     }
 
+    /** Lets a listener rest, so that the loop does not turn without end while its connections can't be accepted. */
+    private void pauseListener(SelectableChannel server) {
+        SelectionKey key = server.keyFor(executor.selector());
+        if (key != null && key.isValid()) {
+            key.interestOps(0);
+            timers.schedule(clock.nowUs() + ACCEPT_PAUSE_US, () -> {
+                if (key.isValid()) {
+                    key.interestOps(SelectionKey.OP_ACCEPT);
+                }
+            });
+        }
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
         try {
